--- /dev/null
+++ b/wire/codec.go
@@ -0,0 +1,77 @@
+package wire
+
+import (
+	"encoding/json"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
+)
+
+// RawJSON is a JSON value that is passed on without being read.
+type RawJSON []byte
+
+// MarshalJSON returns the value unchanged.
+func (r RawJSON) MarshalJSON() ([]byte, error) { return json.RawMessage(r).MarshalJSON() }
+
+// UnmarshalJSON keeps a copy of the value.
+func (r *RawJSON) UnmarshalJSON(data []byte) error {
+	*r = append((*r)[:0], data...)
+	return nil
+}
+
+// Bounds on what a decoder accepts from a peer.
+const (
+	maxArrayElements = 1 << 17
+	maxMapPairs      = 1 << 10
+	maxNesting       = 8
+)
+
+var (
+	encMode = mustEncMode()
+	decMode = mustDecMode()
+)
+
+func mustEncMode() cbor.EncMode {
+	mode, err := cbor.EncOptions{}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func mustDecMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		MaxArrayElements: maxArrayElements,
+		MaxMapPairs:      maxMapPairs,
+		MaxNestedLevels:  maxNesting,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Encode returns the frame's CBOR encoding. It fails if the encoding is larger
+// than MaxFrameBytes.
+func Encode(f *Frame) ([]byte, error) {
+	data, err := encMode.Marshal(f)
+	if err != nil {
+		return nil, errors.Annotate(err, "encode frame")
+	}
+	if len(data) > MaxFrameBytes {
+		return nil, errors.Errorf("frame of %d bytes exceeds %d", len(data), MaxFrameBytes)
+	}
+	return data, nil
+}
+
+// Decode parses one frame.
+func Decode(data []byte) (*Frame, error) {
+	if len(data) > MaxFrameBytes {
+		return nil, errors.Errorf("frame of %d bytes exceeds %d", len(data), MaxFrameBytes)
+	}
+	var f Frame
+	if err := decMode.Unmarshal(data, &f); err != nil {
+		return nil, errors.Annotate(err, "decode frame")
+	}
+	return &f, nil
+}
--- /dev/null
+++ b/wire/codec_test.go
@@ -0,0 +1,42 @@
+package wire
+
+import (
+	"reflect"
+	"testing"
+)
+
+func TestFrameSurvivesEncoding(t *testing.T) {
+	want := &Frame{
+		Batches: []Batch{{
+			Query: 7, Search: "judges", Version: "v3", Payload: []byte(`{"text":"owl"}`),
+			DeadlineMicros: 1500, Subs: []SubRequest{{ID: 1, Shard: "s00", Target: "judge-01-a"}},
+		}},
+		Replies:  []Reply{{ID: 9, Records: []Record{{Key: "k", Score: 2, Fields: RawJSON(`{"a":1}`)}}}},
+		Holdings: []Holding{{Target: "judge-01-a", State: TargetWarm, Limit: 2}},
+	}
+	data, err := Encode(want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := Decode(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(got, want) {
+		t.Fatalf("decoded %+v, want %+v", got, want)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	seed, _ := Encode(&Frame{Ping: &Ping{Seq: 4}})
+	f.Add(seed)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		frame, err := Decode(data)
+		if err != nil {
+			return
+		}
+		if _, err := Encode(frame); err != nil {
+			t.Fatalf("decoded frame can't be encoded: %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/wire/messages.go
@@ -0,0 +1,259 @@
+// Package wire defines the messages that the system's own processes exchange
+// over links, and their CBOR encoding.
+//
+// A WebSocket message carries one Frame. A Frame carries any number of typed
+// messages, so that many sub-requests of one query share one frame.
+package wire
+
+import "github.com/goldcrestmux/goldcrestmux/code"
+
+// Version bounds of the link protocol that this build speaks.
+const (
+	MinVersion uint16 = 1
+	MaxVersion uint16 = 1
+)
+
+// MaxFrameBytes bounds an encoded frame. A larger frame closes the link.
+const MaxFrameBytes = 4 << 20
+
+// Role is the role that a process plays.
+type Role string
+
+// Roles of the system's processes.
+const (
+	RoleGateway Role = "gateway"
+	RoleRelay   Role = "relay"
+)
+
+// Process identifies one run of one process on a VM.
+type Process struct {
+	VM         string `cbor:"1,keyasint"`
+	Role       Role   `cbor:"2,keyasint"`
+	DataCentre string `cbor:"3,keyasint"`
+	// Incarnation grows with each start of the process: the start time in
+	// nanoseconds since the Unix epoch.
+	Incarnation uint64 `cbor:"4,keyasint"`
+}
+
+// Name returns the process's name, unique in the fleet: VM and role.
+func (p Process) Name() string { return p.VM + "/" + string(p.Role) }
+
+// Frame is the unit of transfer on a link.
+type Frame struct {
+	Hello          *Hello           `cbor:"1,keyasint,omitempty"`
+	Batches        []Batch          `cbor:"2,keyasint,omitempty"`
+	Replies        []Reply          `cbor:"3,keyasint,omitempty"`
+	Cancels        []Cancel         `cbor:"4,keyasint,omitempty"`
+	Ping           *Ping            `cbor:"5,keyasint,omitempty"`
+	Pong           *Ping            `cbor:"6,keyasint,omitempty"`
+	Credit         uint32           `cbor:"7,keyasint,omitempty"`
+	Holdings       []Holding        `cbor:"8,keyasint,omitempty"`
+	ReleaseAsks    []ReleaseAsk     `cbor:"9,keyasint,omitempty"`
+	ReleaseAnswers []ReleaseAnswer  `cbor:"10,keyasint,omitempty"`
+	TargetNotices  []TargetNotice   `cbor:"11,keyasint,omitempty"`
+	Members        []MemberUpdate   `cbor:"12,keyasint,omitempty"`
+	Offer          *FolderOffer     `cbor:"13,keyasint,omitempty"`
+	FolderAsk      *FolderAsk       `cbor:"14,keyasint,omitempty"`
+	FolderAnswer   *FolderAnswer    `cbor:"15,keyasint,omitempty"`
+	Leaving        *Leaving         `cbor:"16,keyasint,omitempty"`
+	Refusal        *ProtocolRefusal `cbor:"17,keyasint,omitempty"`
+}
+
+// Hello opens a link in both directions and negotiates the protocol version.
+type Hello struct {
+	Min     uint16  `cbor:"1,keyasint"`
+	Max     uint16  `cbor:"2,keyasint"`
+	Process Process `cbor:"3,keyasint"`
+	// Peer names the process that the sender means to reach, or is empty.
+	Peer string `cbor:"4,keyasint,omitempty"`
+	// Credit is the number of sub-requests that the sender will accept at once.
+	Credit uint32 `cbor:"5,keyasint"`
+}
+
+// ProtocolRefusal tells why a peer closes the link.
+type ProtocolRefusal struct {
+	Code   code.Code `cbor:"1,keyasint"`
+	Detail string    `cbor:"2,keyasint"`
+}
+
+// Batch carries the sub-requests of one query that go to one relay.
+type Batch struct {
+	// Query is unique within the sending process's incarnation.
+	Query   uint64 `cbor:"1,keyasint"`
+	Search  string `cbor:"2,keyasint"`
+	Version string `cbor:"3,keyasint"`
+	// Payload is the caller's query in JSON, passed to targets unchanged.
+	Payload []byte `cbor:"4,keyasint"`
+	// DeadlineMicros is the time left, in microseconds, when the frame was written.
+	DeadlineMicros uint32 `cbor:"5,keyasint"`
+	// Action marks non-idempotent work: never retried once a byte may have left.
+	Action bool         `cbor:"6,keyasint,omitempty"`
+	Subs   []SubRequest `cbor:"7,keyasint"`
+}
+
+// SubRequest asks for one shard at one target.
+type SubRequest struct {
+	// ID is unique within the sending process's incarnation.
+	ID     uint64 `cbor:"1,keyasint"`
+	Shard  string `cbor:"2,keyasint"`
+	Target string `cbor:"3,keyasint"`
+	// Hedge marks an attempt that is not the first for its shard.
+	Hedge bool `cbor:"4,keyasint,omitempty"`
+}
+
+// Reply is the final answer to one sub-request.
+type Reply struct {
+	ID      uint64    `cbor:"1,keyasint"`
+	Query   uint64    `cbor:"2,keyasint"`
+	Version string    `cbor:"3,keyasint"`
+	Shard   string    `cbor:"4,keyasint"`
+	Target  string    `cbor:"5,keyasint"`
+	Code    code.Code `cbor:"6,keyasint"`
+	// Run tells whether the work ran at the target.
+	Run     code.Run `cbor:"7,keyasint"`
+	Records []Record `cbor:"8,keyasint,omitempty"`
+	// Matched is the number of records of the shard that match, of which
+	// Records holds the first ones.
+	Matched uint32 `cbor:"9,keyasint,omitempty"`
+	// RetryAfterMillis tells when to come back, in milliseconds; 0 if unknown.
+	RetryAfterMillis uint32 `cbor:"10,keyasint,omitempty"`
+	Detail           string `cbor:"11,keyasint,omitempty"`
+	// Queue is the number of sub-requests that wait or run for the target here.
+	Queue uint16 `cbor:"12,keyasint,omitempty"`
+	// ServiceMicros is the time that the target took, in microseconds.
+	ServiceMicros uint32 `cbor:"13,keyasint,omitempty"`
+	// Versions lists the index versions that the target serves; set with
+	// code.VersionGone and code.VersionNotLoaded.
+	Versions []string `cbor:"14,keyasint,omitempty"`
+}
+
+// Record is one search result.
+type Record struct {
+	Key   string  `cbor:"1,keyasint" json:"key"`
+	Score float64 `cbor:"2,keyasint" json:"score"`
+	// Fields is the record's content as a JSON object, passed on unchanged.
+	Fields RawJSON `cbor:"3,keyasint" json:"fields"`
+}
+
+// Cancel withdraws a sub-request. The relay still answers it.
+type Cancel struct {
+	ID uint64 `cbor:"1,keyasint"`
+}
+
+// Ping asks for a Pong with the same sequence number.
+type Ping struct {
+	Seq uint64 `cbor:"1,keyasint"`
+}
+
+// TargetState is a relay's view of a target.
+type TargetState uint8
+
+// Target states, from the one that bears least to the one that bears most.
+const (
+	TargetUnknown TargetState = iota
+	TargetOut                 // not to be used: its data centre is out, it is leaving, draining or lost
+	TargetCold                // only the owner of permit 0 uses it, within its cold allowance
+	TargetWarm                // every permit is usable
+)
+
+// Holding tells what a relay may do with a target now. A relay pushes it to
+// each gateway when it changes. Limit 0 withdraws the target.
+type Holding struct {
+	Target string      `cbor:"1,keyasint"`
+	State  TargetState `cbor:"2,keyasint"`
+	// Limit is the number of concurrent requests that the relay may run.
+	Limit uint16 `cbor:"3,keyasint"`
+	// Full marks the first update of a link: all holdings not named are void.
+	Full bool `cbor:"4,keyasint,omitempty"`
+}
+
+// ReleaseAsk asks a former owner to give up a permit.
+type ReleaseAsk struct {
+	Group string `cbor:"1,keyasint"`
+	Index uint16 `cbor:"2,keyasint"`
+}
+
+// ReleaseAnswer answers a ReleaseAsk.
+type ReleaseAnswer struct {
+	Group string `cbor:"1,keyasint"`
+	Index uint16 `cbor:"2,keyasint"`
+	// Released is true when the sender neither uses nor waits for the permit.
+	Released bool `cbor:"3,keyasint"`
+	// WaitFor names the relays whose release the sender itself still waits for.
+	WaitFor []string `cbor:"4,keyasint,omitempty"`
+	// Warm hands over the state of the group's targets that were warm.
+	Warm []WarmTarget `cbor:"5,keyasint,omitempty"`
+}
+
+// WarmTarget names a warm target and the boot in which it was proved warm.
+type WarmTarget struct {
+	Target string `cbor:"1,keyasint"`
+	Boot   string `cbor:"2,keyasint"`
+}
+
+// TargetNotice tells the other holders of a target's permits what the sender saw.
+type TargetNotice struct {
+	Target string      `cbor:"1,keyasint"`
+	State  TargetState `cbor:"2,keyasint"`
+	Boot   string      `cbor:"3,keyasint"`
+	// Seq orders the notices of one sender.
+	Seq uint64 `cbor:"4,keyasint"`
+	// Owner is true if the sender owns permit 0; only then TargetWarm counts as a grant.
+	Owner bool `cbor:"5,keyasint,omitempty"`
+	// Ask is true if the sender wants the receiver's own view in return.
+	Ask bool `cbor:"6,keyasint,omitempty"`
+}
+
+// MemberStatus is the state of a member as heartbeats spread it.
+type MemberStatus uint8
+
+// Member states.
+const (
+	MemberAlive MemberStatus = iota + 1
+	MemberSuspect
+	MemberLeaving
+	MemberGone
+)
+
+// MemberUpdate is one entry of the membership gossip.
+type MemberUpdate struct {
+	Name        string       `cbor:"1,keyasint"`
+	Incarnation uint64       `cbor:"2,keyasint"`
+	Status      MemberStatus `cbor:"3,keyasint"`
+	// Revision is the folder revision that the member has in force; 0 if unknown.
+	Revision uint64 `cbor:"4,keyasint,omitempty"`
+}
+
+// FolderOffer names the folder revision that the sender has in force.
+type FolderOffer struct {
+	Revision uint64 `cbor:"1,keyasint"`
+	// Digest is the SHA-256 over the manifest, in hex.
+	Digest string `cbor:"2,keyasint"`
+}
+
+// FolderAsk asks for a folder revision. Have lists the hashes of files that
+// the sender already holds.
+type FolderAsk struct {
+	Revision uint64   `cbor:"1,keyasint"`
+	Have     []string `cbor:"2,keyasint,omitempty"`
+}
+
+// FolderAnswer carries the manifest of a revision and the files asked for.
+type FolderAnswer struct {
+	Revision uint64       `cbor:"1,keyasint"`
+	Files    []FolderFile `cbor:"2,keyasint"`
+}
+
+// FolderFile is one file of a folder revision. Data is empty if the receiver
+// said that it has the content.
+type FolderFile struct {
+	Name   string `cbor:"1,keyasint"`
+	SHA256 string `cbor:"2,keyasint"`
+	Data   []byte `cbor:"3,keyasint,omitempty"`
+}
+
+// Leaving tells that the sender stops soon and takes no new work.
+type Leaving struct {
+	// GraceMillis is the time, in milliseconds, after which the sender exits.
+	GraceMillis uint32 `cbor:"1,keyasint"`
+}
