Add links between the system's own processes

WebSocket connections with CBOR frames: queued frames are merged per write, sub-requests draw on credit that the peer grants, deadlines are turned into the time left right before the write and passed ones are dropped there, and a silent peer is found by a pure liveness state machine that gives the peer its whole timeout again after a pause of this process.

--- /dev/null
+++ b/link/frame.go
@@ -0,0 +1,96 @@
+package link
+
+import "github.com/goldcrestmux/goldcrestmux/wire"
+
+// countSubs returns the number of sub-requests in a frame.
+func countSubs(f *wire.Frame) int {
+	n := 0
+	for i := range f.Batches {
+		n += len(f.Batches[i].Subs)
+	}
+	return n
+}
+
+// Estimated encoded sizes of messages, in bytes.
+const (
+	messageSize = 64
+	recordSize  = 32
+)
+
+// size estimates the encoded size of a frame in bytes.
+func size(f *wire.Frame) int {
+	lists := 1 + countSubs(f) + len(f.Cancels) + len(f.Holdings) + len(f.Members)
+	n := lists * messageSize
+	for i := range f.Batches {
+		n += messageSize + len(f.Batches[i].Payload)
+	}
+	for i := range f.Replies {
+		n += messageSize + recordsSize(f.Replies[i].Records)
+	}
+	if f.FolderAnswer != nil {
+		for i := range f.FolderAnswer.Files {
+			n += messageSize + len(f.FolderAnswer.Files[i].Data)
+		}
+	}
+	return n
+}
+
+func recordsSize(records []wire.Record) int {
+	n := 0
+	for i := range records {
+		n += recordSize + len(records[i].Key) + len(records[i].Fields)
+	}
+	return n
+}
+
+// merge joins frames into one, in order. A single-valued message that appears
+// twice keeps its last value.
+func merge(frames []*wire.Frame) *wire.Frame {
+	if len(frames) == 1 {
+		return frames[0]
+	}
+	out := &wire.Frame{}
+	for _, f := range frames {
+		appendLists(out, f)
+		overwriteSingles(out, f)
+	}
+	return out
+}
+
+func appendLists(out, f *wire.Frame) {
+	out.Batches = append(out.Batches, f.Batches...)
+	out.Replies = append(out.Replies, f.Replies...)
+	out.Cancels = append(out.Cancels, f.Cancels...)
+	out.Holdings = append(out.Holdings, f.Holdings...)
+	out.ReleaseAsks = append(out.ReleaseAsks, f.ReleaseAsks...)
+	out.ReleaseAnswers = append(out.ReleaseAnswers, f.ReleaseAnswers...)
+	out.TargetNotices = append(out.TargetNotices, f.TargetNotices...)
+	out.Members = append(out.Members, f.Members...)
+}
+
+func overwriteSingles(out, f *wire.Frame) {
+	if f.Hello != nil {
+		out.Hello = f.Hello
+	}
+	if f.Ping != nil {
+		out.Ping = f.Ping
+	}
+	if f.Pong != nil {
+		out.Pong = f.Pong
+	}
+	if f.Offer != nil {
+		out.Offer = f.Offer
+	}
+	if f.FolderAsk != nil {
+		out.FolderAsk = f.FolderAsk
+	}
+	if f.FolderAnswer != nil {
+		out.FolderAnswer = f.FolderAnswer
+	}
+	if f.Leaving != nil {
+		out.Leaving = f.Leaving
+	}
+	if f.Refusal != nil {
+		out.Refusal = f.Refusal
+	}
+}
--- /dev/null
+++ b/link/link_test.go
@@ -0,0 +1,122 @@
+package link
+
+import (
+	"log/slog"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/goldcrestmux/goldcrestmux/wire"
+)
+
+// recorder is a Handler that answers each batch and records replies.
+type recorder struct {
+	up      chan *Link
+	down    chan error
+	replies chan wire.Reply
+	dropped chan wire.Batch
+}
+
+func newRecorder() *recorder {
+	return &recorder{
+		up: make(chan *Link, 8), down: make(chan error, 8),
+		replies: make(chan wire.Reply, 64), dropped: make(chan wire.Batch, 8),
+	}
+}
+
+func (r *recorder) Up(l *Link)                    { r.up <- l }
+func (r *recorder) Down(_ *Link, err error)       { r.down <- err }
+func (r *recorder) Dropped(_ *Link, b wire.Batch) { r.dropped <- b }
+func (r *recorder) Frame(l *Link, f *wire.Frame) {
+	for _, b := range f.Batches {
+		for _, s := range b.Subs {
+			_ = l.Send(&wire.Frame{Replies: []wire.Reply{{ID: s.ID, Query: b.Query}}})
+		}
+	}
+	for _, reply := range f.Replies {
+		r.replies <- reply
+	}
+}
+
+func startPool(t *testing.T, vm string, role wire.Role, credit uint32) (*Pool, *recorder, string) {
+	t.Helper()
+	rec := newRecorder()
+	p := NewPool(Options{
+		Self:    wire.Process{VM: vm, Role: role, Incarnation: 1},
+		Handler: rec, Logger: slog.New(slog.DiscardHandler), Credit: credit,
+	})
+	srv := httptest.NewServer(p)
+	t.Cleanup(func() { p.Close(); srv.Close() })
+	return p, rec, strings.TrimPrefix(srv.URL, "http://")
+}
+
+func TestLinkCarriesBatchesWithinCredit(t *testing.T) {
+	_, _, addr := startPool(t, "vm2", wire.RoleRelay, 2)
+	gw, rec, _ := startPool(t, "vm1", wire.RoleGateway, 0)
+	gw.SetPeers(map[string]Peer{"vm2/relay": {Address: addr, Keep: true}})
+	l := <-rec.up
+	batch := wire.Batch{Query: 5, Deadline: time.Now().Add(time.Minute), Subs: []wire.SubRequest{{ID: 1}, {ID: 2}}}
+	if err := l.Send(&wire.Frame{Batches: []wire.Batch{batch, batch}}); err != ErrNoCredit {
+		t.Fatalf("four sub-requests with a credit of two: %v, want %v", err, ErrNoCredit)
+	}
+	if err := l.Send(&wire.Frame{Batches: []wire.Batch{batch}}); err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		if r := <-rec.replies; r.Query != 5 {
+			t.Fatalf("reply to query %d, want 5", r.Query)
+		}
+	}
+	late := batch
+	late.Deadline = time.Now().Add(-time.Millisecond)
+	if err := l.Send(&wire.Frame{Batches: []wire.Batch{late}}); err != nil {
+		t.Fatal(err)
+	}
+	if b := <-rec.dropped; b.Query != 5 {
+		t.Fatalf("dropped query %d, want 5", b.Query)
+	}
+	if n := l.Outstanding(); n != 0 {
+		t.Fatalf("%d sub-requests outstanding, want 0", n)
+	}
+}
+
+func TestLinkToAnotherProcessIsRefused(t *testing.T) {
+	_, _, addr := startPool(t, "vm2", wire.RoleRelay, 0)
+	gw, rec, _ := startPool(t, "vm1", wire.RoleGateway, 0)
+	if l := gw.open("vm3/relay", addr); l != nil {
+		t.Fatal("a link meant for vm3 was accepted by vm2")
+	}
+	select {
+	case <-rec.up:
+		t.Fatal("link came up")
+	default:
+	}
+}
+
+func TestLiveness(t *testing.T) {
+	start := time.Unix(1000, 0)
+	opts := LivenessOptions{BusyPing: 100 * time.Millisecond, BusyTimeout: 400 * time.Millisecond}
+	l := NewLiveness(opts, start)
+	l.SetBusy(start, true)
+	var got []Verdict
+	for ms := 50; ms <= 400; ms += 50 {
+		got = append(got, l.Check(start.Add(time.Duration(ms)*time.Millisecond)))
+	}
+	want := []Verdict{VerdictQuiet, VerdictPing, VerdictQuiet, VerdictPing, VerdictQuiet, VerdictPing, VerdictQuiet, VerdictDown}
+	for i := range want {
+		if got[i] != want[i] {
+			t.Fatalf("verdicts %v, want %v", got, want)
+		}
+	}
+}
+
+func TestPausedProcessDoesNotBlameItsPeers(t *testing.T) {
+	start := time.Unix(1000, 0)
+	l := NewLiveness(LivenessOptions{}, start)
+	l.SetBusy(start, true)
+	l.Check(start.Add(50 * time.Millisecond))
+	if v := l.Check(start.Add(time.Hour)); v != VerdictPing {
+		t.Fatalf("verdict %v after an own pause, want a ping", v)
+	}
+}
--- /dev/null
+++ b/link/liveness.go
@@ -0,0 +1,109 @@
+package link
+
+import "time"
+
+// Defaults of LivenessOptions.
+const (
+	DefaultIdlePing    = 5 * time.Second
+	DefaultIdleTimeout = 10 * time.Second
+	DefaultBusyPing    = 150 * time.Millisecond
+	DefaultBusyTimeout = 500 * time.Millisecond
+)
+
+// LivenessOptions bounds how long a link may be quiet.
+type LivenessOptions struct {
+	// IdlePing is the silence after which a link without outstanding
+	// sub-requests is pinged.
+	IdlePing time.Duration
+	// IdleTimeout is the silence after which such a link is closed.
+	IdleTimeout time.Duration
+	// BusyPing is the silence after which a link with outstanding
+	// sub-requests is pinged.
+	BusyPing time.Duration
+	// BusyTimeout is the silence after which such a link is closed.
+	BusyTimeout time.Duration
+}
+
+func (o LivenessOptions) withDefaults() LivenessOptions {
+	if o.IdlePing == 0 {
+		o.IdlePing = DefaultIdlePing
+	}
+	if o.IdleTimeout == 0 {
+		o.IdleTimeout = DefaultIdleTimeout
+	}
+	if o.BusyPing == 0 {
+		o.BusyPing = DefaultBusyPing
+	}
+	if o.BusyTimeout == 0 {
+		o.BusyTimeout = DefaultBusyTimeout
+	}
+	return o
+}
+
+// Verdict is what Liveness.Check asks for.
+type Verdict uint8
+
+// Verdicts of a check.
+const (
+	VerdictQuiet Verdict = iota // nothing to do
+	VerdictPing                 // send a ping
+	VerdictDown                 // close the link
+)
+
+// Liveness decides when a link is pinged and when it is given up. It is a pure
+// state machine; the caller serialises its use.
+type Liveness struct {
+	opts      LivenessOptions
+	heard     time.Time
+	pinged    time.Time
+	checked   time.Time
+	busySince time.Time
+	busy      bool
+}
+
+// NewLiveness returns the state of a link that was heard at now.
+func NewLiveness(opts LivenessOptions, now time.Time) *Liveness {
+	return &Liveness{opts: opts.withDefaults(), heard: now, checked: now}
+}
+
+// Heard notes that a frame arrived.
+func (l *Liveness) Heard(now time.Time) { l.heard = now }
+
+// SetBusy notes whether sub-requests are outstanding. Silence that began while
+// the link was idle counts for the busy bounds only from the change on.
+func (l *Liveness) SetBusy(now time.Time, busy bool) {
+	if busy && !l.busy {
+		l.busySince = now
+	}
+	l.busy = busy
+}
+
+// Check returns what to do at now. A check that comes much later than the one
+// before means that this process itself was paused: the peer is given the
+// whole timeout again.
+func (l *Liveness) Check(now time.Time) Verdict {
+	paused := now.Sub(l.checked) > l.opts.BusyTimeout/2
+	l.checked = now
+	if paused {
+		l.heard = now
+		l.pinged = now
+		return VerdictPing
+	}
+	ping, timeout, silence := l.bounds(now)
+	if silence >= timeout {
+		return VerdictDown
+	}
+	if silence < ping || now.Sub(l.pinged) < ping {
+		return VerdictQuiet
+	}
+	l.pinged = now
+	return VerdictPing
+}
+
+func (l *Liveness) bounds(now time.Time) (ping, timeout, silence time.Duration) {
+	silence = now.Sub(l.heard)
+	if !l.busy {
+		return l.opts.IdlePing, l.opts.IdleTimeout, silence
+	}
+	return l.opts.BusyPing, l.opts.BusyTimeout, min(silence, now.Sub(l.busySince))
+}
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -5,7 +5,11 @@
 // messages, so that many sub-requests of one query share one frame.
 package wire
 
-import "github.com/goldcrestmux/goldcrestmux/code"
+import (
+	"time"
+
+	"github.com/goldcrestmux/goldcrestmux/code"
+)
 
 // Version bounds of the link protocol that this build speaks.
 const (
@@ -89,6 +93,9 @@
 	// Action marks non-idempotent work: never retried once a byte may have left.
 	Action bool         `cbor:"6,keyasint,omitempty"`
 	Subs   []SubRequest `cbor:"7,keyasint"`
+	// Deadline is local to a process: links turn it into DeadlineMicros when
+	// they write, and back when they receive.
+	Deadline time.Time `cbor:"-"`
 }
 
 // SubRequest asks for one shard at one target.
