--- /dev/null
+++ b/coverage/ledger.go
@@ -0,0 +1,144 @@
+// Package coverage keeps account of which shards of a pinned shard map a query
+// has heard from, and merges their records into one answer.
+//
+// Completeness is derived from the ledger and never set. The package does no
+// I/O and reads no clock.
+package coverage
+
+import (
+	"slices"
+
+	"github.com/goldcrestmux/goldcrestmux/code"
+	"github.com/goldcrestmux/goldcrestmux/wire"
+)
+
+// Ledger records the outcome of each shard of one query. It is not locked; the
+// caller serialises.
+type Ledger struct {
+	shards   *Shards
+	entries  []entry
+	answered int
+	open     int
+}
+
+type entry struct {
+	records  []wire.Record
+	matched  uint32
+	answered bool
+	// reason is why the shard is missing, or empty while it is open.
+	reason code.Code
+}
+
+// Report states a query's coverage.
+type Report struct {
+	// Shards is the number of shards of the pinned map.
+	Shards int
+	// Answered is the number of shards that answered.
+	Answered int
+	// Missing names each shard without an answer, in ascending order.
+	Missing []Missing
+}
+
+// Missing names a shard without an answer and the reason.
+type Missing struct {
+	Shard  string    `json:"shard"`
+	Reason code.Code `json:"reason"`
+}
+
+// New returns a ledger in which every given shard is open.
+func New(shards []string) *Ledger { return NewLedger(NewShards(shards)) }
+
+// NewLedger returns a ledger in which every shard of the prepared set is open.
+func NewLedger(shards *Shards) *Ledger {
+	count := len(shards.names)
+	return &Ledger{shards: shards, entries: make([]entry, count), open: count}
+}
+
+// Answer records a shard's answer. It keeps the slice, which the caller must
+// not change afterwards. It returns false, and changes nothing, if the shard
+// isn't in the map or has answered before. An answer replaces an earlier Miss.
+func (l *Ledger) Answer(shard string, records []wire.Record, matched uint32) bool {
+	e := l.entry(shard)
+	if e == nil || e.answered {
+		return false
+	}
+	if e.reason == "" {
+		l.open--
+	}
+	l.answered++
+	*e = entry{records: inOrder(records), matched: matched, answered: true}
+	return true
+}
+
+// Miss records why a shard is given up. A later Miss replaces the reason. Miss
+// is ignored for a shard that has answered or isn't in the map, and for code.OK
+// or an empty reason.
+func (l *Ledger) Miss(shard string, reason code.Code) {
+	e := l.entry(shard)
+	if e == nil || e.answered || reason == "" || reason == code.OK {
+		return
+	}
+	if e.reason == "" {
+		l.open--
+	}
+	e.reason = reason
+}
+
+// Complete tells whether every shard has answered. A map without shards is
+// never complete.
+func (l *Ledger) Complete() bool { return l.answered > 0 && l.answered == len(l.entries) }
+
+// Open returns the number of shards that have neither answered nor been given up.
+func (l *Ledger) Open() int { return l.open }
+
+// Answered returns the number of shards that answered.
+func (l *Ledger) Answered() int { return l.answered }
+
+// Share returns the share of shards, from 0 to 1, that answered.
+func (l *Ledger) Share() float64 {
+	if len(l.entries) == 0 {
+		return 0
+	}
+	return float64(l.answered) / float64(len(l.entries))
+}
+
+// Report returns the coverage as of now. Shards still open are reported as
+// missing with code.Timeout.
+func (l *Ledger) Report() Report {
+	r := Report{Shards: len(l.entries), Answered: l.answered}
+	if l.answered == len(l.entries) {
+		return r
+	}
+	r.Missing = make([]Missing, 0, len(l.entries)-l.answered)
+	for i := range l.entries {
+		e := &l.entries[i]
+		if e.answered {
+			continue
+		}
+		reason := e.reason
+		if reason == "" {
+			reason = code.Timeout
+		}
+		r.Missing = append(r.Missing, Missing{Shard: l.shards.names[i], Reason: reason})
+	}
+	return r
+}
+
+func (l *Ledger) entry(shard string) *entry {
+	i, ok := l.shards.index[shard]
+	if !ok {
+		return nil
+	}
+	return &l.entries[i]
+}
+
+// inOrder returns the records in merge order, sorting a copy if a target
+// answered them otherwise.
+func inOrder(records []wire.Record) []wire.Record {
+	if slices.IsSortedFunc(records, compare) {
+		return records
+	}
+	sorted := slices.Clone(records)
+	slices.SortStableFunc(sorted, compare)
+	return sorted
+}
--- /dev/null
+++ b/hedge/hedge.go
@@ -0,0 +1,133 @@
+// Package hedge decides how long to wait for a sub-request before a second
+// replica is asked as well.
+//
+// The delay follows a high quantile of the latencies seen in the last seconds,
+// so that about the same small share of sub-requests is hedged whatever the
+// speed of the targets. The budget package bounds the share. The package is
+// pure: time is passed in.
+package hedge
+
+import "time"
+
+// Mode selects how the delay is found.
+type Mode string
+
+// Modes. ModeFixed and ModeOff serve as baselines.
+const (
+	ModeAdaptive Mode = "adaptive"
+	ModeFixed    Mode = "fixed"
+	ModeOff      Mode = "off"
+)
+
+// Defaults of Options.
+const (
+	DefaultQuantile    = 0.97
+	DefaultMinDelay    = 1 * time.Millisecond
+	DefaultMaxDelay    = 500 * time.Millisecond
+	DefaultStartDelay  = 20 * time.Millisecond
+	DefaultMedianRatio = 5.0
+	DefaultMinSamples  = 100
+	DefaultRotation    = 2500 * time.Millisecond
+)
+
+// Options sets up an Estimator. A zero field means its default.
+type Options struct {
+	// Mode is how the delay is found; ModeAdaptive if empty.
+	Mode Mode
+	// FixedDelay is the delay of ModeFixed; DefaultStartDelay if zero.
+	FixedDelay time.Duration
+	// Quantile of the latencies, from 0 to 1, at which a hedge is sent.
+	Quantile float64
+	// MinDelay and MaxDelay bound the delay.
+	MinDelay time.Duration
+	MaxDelay time.Duration
+	// StartDelay is used until MinSamples latencies have been seen.
+	StartDelay time.Duration
+	// MedianRatio bounds the delay to this multiple of the median, so that
+	// the delay stays useful when more than the expected share is slow.
+	MedianRatio float64
+	// MinSamples is the number of latencies in the window that an estimate needs.
+	MinSamples int
+	// Rotation is the age at which a generation of the window is closed; the
+	// window covers four generations.
+	Rotation time.Duration
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.Mode, ModeAdaptive)
+	setDefault(&o.FixedDelay, DefaultStartDelay)
+	setDefault(&o.Quantile, DefaultQuantile)
+	setDefault(&o.MinDelay, DefaultMinDelay)
+	setDefault(&o.MaxDelay, DefaultMaxDelay)
+	setDefault(&o.StartDelay, DefaultStartDelay)
+	setDefault(&o.MedianRatio, DefaultMedianRatio)
+	setDefault(&o.MinSamples, DefaultMinSamples)
+	setDefault(&o.Rotation, DefaultRotation)
+	return o
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Estimator holds the latencies of one search's sub-requests. It is not
+// locked; the caller serialises.
+type Estimator struct {
+	opts    Options
+	latency histogram
+	rotated time.Time
+}
+
+// New returns an estimator without samples.
+func New(opts Options) *Estimator { return &Estimator{opts: opts.withDefaults()} }
+
+// Observe records how long a first attempt took. An attempt that was canceled
+// because its hedge won is recorded with the time until the cancellation: it
+// ranks above the delay either way, so the quantile stays unbiased. Latencies
+// of hedges and retries must not be recorded.
+func (e *Estimator) Observe(now time.Time, took time.Duration) {
+	e.rotate(now)
+	e.latency.add(took)
+}
+
+// Delay returns how long to wait before a hedge is sent; ok is false if none
+// must be sent.
+func (e *Estimator) Delay(now time.Time) (delay time.Duration, ok bool) {
+	switch e.opts.Mode {
+	case ModeOff:
+		return 0, false
+	case ModeFixed:
+		return e.opts.FixedDelay, true
+	}
+	e.rotate(now)
+	if e.latency.total < uint64(e.opts.MinSamples) {
+		return e.opts.StartDelay, true
+	}
+	delay = e.latency.quantile(e.opts.Quantile)
+	ceiling := time.Duration(e.opts.MedianRatio * float64(e.latency.quantile(0.5)))
+	delay = min(delay, ceiling, e.opts.MaxDelay)
+	return max(delay, e.opts.MinDelay), true
+}
+
+// Quantile returns quantile q of the latencies in the window, or 0 without samples.
+func (e *Estimator) Quantile(now time.Time, q float64) time.Duration {
+	e.rotate(now)
+	return e.latency.quantile(q)
+}
+
+func (e *Estimator) rotate(now time.Time) {
+	if e.rotated.IsZero() {
+		e.rotated = now
+		return
+	}
+	for i := 0; i < generations && now.Sub(e.rotated) >= e.opts.Rotation; i++ {
+		e.latency.rotate()
+		e.rotated = e.rotated.Add(e.opts.Rotation)
+	}
+	if now.Sub(e.rotated) >= e.opts.Rotation {
+		e.rotated = now
+	}
+}
