--- /dev/null
+++ b/replica/outcome.go
@@ -0,0 +1,122 @@
+package replica
+
+import (
+	"time"
+
+	"github.com/goldcrestmux/goldcrestmux/code"
+)
+
+// Outcome is what the table learns from a finished sub-request.
+type Outcome struct {
+	Code code.Code
+	// Queue is the number of sub-requests that waited or ran at the relay for
+	// the target, as its reply says.
+	Queue int
+	// Service is the time that the target took; zero if it isn't known.
+	Service time.Duration
+	// RetryAfter is when the target wants to be asked again; zero if it doesn't say.
+	RetryAfter time.Duration
+}
+
+// Sent counts a sub-request that goes to the target by the relay. Each Sent
+// needs one Done.
+func (t *Table) Sent(relay, target string) {
+	if r := t.route(relay, target); r != nil {
+		r.outstanding++
+	}
+}
+
+// Done counts down a sub-request and learns from its outcome. An outcome that
+// tells of a fault demotes the route, or the target on every route, for a
+// short time.
+func (t *Table) Done(now time.Time, relay, target string, o Outcome) {
+	r := t.route(relay, target)
+	if r == nil {
+		return
+	}
+	r.outstanding = max(r.outstanding-1, 0)
+	r.queue = o.Queue
+	r.queueAt = now
+	if o.Code == code.OK && o.Service > 0 {
+		t.observe(now, r.target, o.Service)
+	}
+	t.demote(now, r, o)
+	t.prune(r.target)
+}
+
+// demote decides whom an outcome speaks against.
+func (t *Table) demote(now time.Time, r *route, o Outcome) {
+	switch o.Code {
+	case code.Shed, code.Overloaded:
+		pause := t.opts.ShedPause
+		if o.RetryAfter > 0 {
+			pause = min(o.RetryAfter, t.opts.FailurePause)
+		}
+		later(&r.target.demotedUntil, now.Add(pause))
+	case code.TargetOut, code.BadAnswer, code.Broken:
+		later(&r.target.demotedUntil, now.Add(t.opts.FailurePause))
+	case code.TargetCold:
+		// The relay's holding follows; until then the route isn't used.
+		later(&r.demotedUntil, now.Add(t.opts.ShedPause))
+	case code.Timeout, code.Unreachable, code.NotHeld, code.Stopping, code.NotReady, code.Internal:
+		later(&r.demotedUntil, now.Add(t.opts.FailurePause))
+	}
+}
+
+func later(until *time.Time, t time.Time) {
+	if t.After(*until) {
+		*until = t
+	}
+}
+
+// Weights of the moving estimates of service times.
+const (
+	serviceWeight = 0.1
+	meanWeight    = 0.01
+	// maxRise bounds one sample to a multiple of the estimate, so that a single
+	// straggler doesn't condemn its target.
+	maxRise = 3.0
+)
+
+// estimate is a moving mean of a target's service time in nanoseconds.
+type estimate struct {
+	value float64
+	at    time.Time
+}
+
+func (t *Table) observe(now time.Time, tg *target, took time.Duration) {
+	sample := float64(took)
+	current := t.serviceTime(now, tg)
+	if current > 0 {
+		sample = min(sample, maxRise*current)
+	} else {
+		current = sample
+	}
+	tg.service = estimate{value: current + serviceWeight*(sample-current), at: now}
+	if t.meanService == 0 {
+		t.meanService = sample
+	}
+	t.meanService += meanWeight * (sample - t.meanService)
+}
+
+// serviceTime returns the target's estimate, drawn towards the mean by its age.
+func (t *Table) serviceTime(now time.Time, tg *target) float64 {
+	if tg.service.value == 0 {
+		return t.meanService
+	}
+	age := now.Sub(tg.service.at)
+	if age <= 0 {
+		return tg.service.value
+	}
+	keep := float64(t.opts.ServiceDecay) / float64(t.opts.ServiceDecay+age)
+	return t.meanService + keep*(tg.service.value-t.meanService)
+}
+
+// load returns the number of requests that are known to wait or run for the
+// target on this route: this gateway's own, or the relay's recent count if larger.
+func (t *Table) load(now time.Time, r *route) int {
+	if now.Sub(r.queueAt) < t.opts.QueueMemory {
+		return max(r.outstanding, r.queue)
+	}
+	return r.outstanding
+}
--- /dev/null
+++ b/replica/table.go
@@ -0,0 +1,192 @@
+// Package replica chooses the relay and the target that serve a shard, from
+// the holdings that relays push and the load that this gateway has seen.
+//
+// The choice is the better of two routes drawn at random in proportion to
+// their limits, which needs no shared state and doesn't herd. The package is
+// pure: time and randomness are passed in.
+package replica
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/goldcrestmux/goldcrestmux/wire"
+)
+
+// Defaults of Options.
+const (
+	DefaultShedPause    = 250 * time.Millisecond
+	DefaultFailurePause = 1 * time.Second
+	DefaultQueueMemory  = 100 * time.Millisecond
+	DefaultServiceDecay = 5 * time.Second
+)
+
+// Options sets up a Table. A zero duration means its default.
+type Options struct {
+	// DataCentre is where the gateway stands; it breaks ties only.
+	DataCentre string
+	// ShedPause is how long a target that shed work is demoted, if its refusal
+	// doesn't say.
+	ShedPause time.Duration
+	// FailurePause is how long a route or target that failed is demoted.
+	FailurePause time.Duration
+	// QueueMemory is how long a queue length reported by a relay is believed.
+	QueueMemory time.Duration
+	// ServiceDecay is the time in which an unused target's measured service
+	// time falls half way back to the mean of all, so that it is tried again.
+	ServiceDecay time.Duration
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.ShedPause, DefaultShedPause)
+	setDefault(&o.FailurePause, DefaultFailurePause)
+	setDefault(&o.QueueMemory, DefaultQueueMemory)
+	setDefault(&o.ServiceDecay, DefaultServiceDecay)
+	return o
+}
+
+func setDefault(field *time.Duration, value time.Duration) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
+// Table holds the routes to all targets. It is not locked; the caller serialises.
+type Table struct {
+	opts    Options
+	targets map[string]*target
+	// meanService is the moving mean of service times over all targets.
+	meanService float64
+}
+
+// target is one back end with its routes.
+type target struct {
+	name       string
+	dataCentre string
+	in         bool
+	routes     []*route
+	service    estimate
+	// demotedUntil ends the time in which the target counts as failing.
+	demotedUntil time.Time
+}
+
+// route is the way to one target through one relay.
+type route struct {
+	relay  string
+	target *target
+	state  wire.TargetState
+	limit  int
+	// outstanding is the number of this gateway's requests in progress.
+	outstanding int
+	// queue is the relay's own count when it last replied, at queueAt.
+	queue        int
+	queueAt      time.Time
+	demotedUntil time.Time
+}
+
+// New returns an empty table.
+func New(opts Options) *Table {
+	return &Table{opts: opts.withDefaults(), targets: map[string]*target{}}
+}
+
+// SetTarget sets a target's data centre and whether new work may go to it. It
+// is false when the target or its data centre is out of service or leaving.
+func (t *Table) SetTarget(name, dataCentre string, in bool) {
+	tg := t.target(name)
+	tg.dataCentre = dataCentre
+	tg.in = in
+}
+
+// RemoveTarget takes a target out that is no longer in the contracts. Requests
+// in progress at it are still counted down by Done.
+func (t *Table) RemoveTarget(name string) {
+	if tg, ok := t.targets[name]; ok {
+		tg.in = false
+		t.prune(tg)
+	}
+}
+
+// SetHoldings applies the holdings of one frame from a relay. If one of them
+// is marked Full, all earlier holdings of the relay are void.
+func (t *Table) SetHoldings(relay string, holdings []wire.Holding) {
+	if slices.ContainsFunc(holdings, func(h wire.Holding) bool { return h.Full }) {
+		t.DropRelay(relay)
+	}
+	for _, h := range holdings {
+		if h.Target != "" {
+			t.set(relay, h)
+		}
+	}
+}
+
+// SetHolding applies one holding, as SetHoldings does.
+func (t *Table) SetHolding(relay string, h wire.Holding) {
+	t.SetHoldings(relay, []wire.Holding{h})
+}
+
+func (t *Table) set(relay string, h wire.Holding) {
+	tg := t.target(h.Target)
+	r := tg.route(relay)
+	if r == nil {
+		if h.Limit == 0 {
+			return
+		}
+		r = &route{relay: relay, target: tg}
+		at, _ := slices.BinarySearchFunc(tg.routes, relay, byRelay)
+		tg.routes = slices.Insert(tg.routes, at, r)
+	}
+	r.state = h.State
+	r.limit = int(h.Limit)
+	if h.State != wire.TargetCold && h.State != wire.TargetWarm {
+		r.limit = 0
+	}
+	t.prune(tg)
+}
+
+// DropRelay voids all holdings of a relay whose link is gone.
+func (t *Table) DropRelay(relay string) {
+	for _, tg := range t.targets {
+		if r := tg.route(relay); r != nil {
+			r.limit = 0
+			t.prune(tg)
+		}
+	}
+}
+
+// prune removes routes without limit and work, and targets without use.
+func (t *Table) prune(tg *target) {
+	tg.routes = slices.DeleteFunc(tg.routes, func(r *route) bool {
+		return r.limit == 0 && r.outstanding == 0
+	})
+	if len(tg.routes) == 0 && !tg.in {
+		delete(t.targets, tg.name)
+	}
+}
+
+func (t *Table) target(name string) *target {
+	tg, ok := t.targets[name]
+	if !ok {
+		tg = &target{name: name}
+		t.targets[name] = tg
+	}
+	return tg
+}
+
+func (t *Table) route(relay, name string) *route {
+	tg, ok := t.targets[name]
+	if !ok {
+		return nil
+	}
+	return tg.route(relay)
+}
+
+func (tg *target) route(relay string) *route {
+	i, ok := slices.BinarySearchFunc(tg.routes, relay, byRelay)
+	if !ok {
+		return nil
+	}
+	return tg.routes[i]
+}
+
+func byRelay(r *route, relay string) int { return strings.Compare(r.relay, relay) }
--- /dev/null
+++ b/snapshot/chooser.go
@@ -0,0 +1,273 @@
+// Package snapshot chooses the index version that a query pins.
+//
+// A query uses one version and its shard map throughout; if the version
+// vanishes, the whole query restarts on another one. The chooser learns from
+// answers and refusals which targets serve which version, and switches to a
+// new version only once every shard has shown it. The package is pure: time is
+// passed in.
+package snapshot
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/goldcrestmux/goldcrestmux/code"
+	"github.com/goldcrestmux/goldcrestmux/folder"
+)
+
+// Defaults of Options.
+const (
+	DefaultEvidenceTTL = 1 * time.Second
+	DefaultGoneTTL     = 10 * time.Second
+	DefaultProbeGap    = 250 * time.Millisecond
+	DefaultMaxProbeGap = 4 * time.Second
+	DefaultHold        = 2 * time.Second
+)
+
+// Options sets up a Chooser. A zero duration means its default.
+type Options struct {
+	// EvidenceTTL is how long a target that hasn't loaded a version yet is
+	// taken to lack it.
+	EvidenceTTL time.Duration
+	// GoneTTL is how long a target that no longer serves a version is taken to
+	// lack it.
+	GoneTTL time.Duration
+	// ProbeGap is the shortest time between two queries that try a version
+	// that isn't confirmed; it doubles after each failure up to MaxProbeGap.
+	ProbeGap    time.Duration
+	MaxProbeGap time.Duration
+	// Hold is how long a version that became unusable isn't chosen again while
+	// another one is usable.
+	Hold time.Duration
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.EvidenceTTL, DefaultEvidenceTTL)
+	setDefault(&o.GoneTTL, DefaultGoneTTL)
+	setDefault(&o.ProbeGap, DefaultProbeGap)
+	setDefault(&o.MaxProbeGap, DefaultMaxProbeGap)
+	setDefault(&o.Hold, DefaultHold)
+	return o
+}
+
+func setDefault(field *time.Duration, value time.Duration) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
+// Chooser chooses versions of one search. It is not locked; the caller serialises.
+type Chooser struct {
+	opts    Options
+	current string
+	// order holds the versions by preference: the current one first, then by
+	// descending sequence.
+	order   []*version
+	expires []expiry
+}
+
+// expiry is a point in time at which evidence may end.
+type expiry struct {
+	at     time.Time
+	holder *holder
+	in     *version
+}
+
+// New returns a chooser without versions.
+func New(opts Options) *Chooser { return &Chooser{opts: opts.withDefaults()} }
+
+// SetVersions replaces the versions by those of the search's contract. What is
+// known about targets is kept for versions that stay.
+func (c *Chooser) SetVersions(now time.Time, search folder.Search) {
+	old := c.order
+	c.order = make([]*version, 0, len(search.Versions))
+	c.current = search.Current
+	for name, v := range search.Versions {
+		next := newVersion(name, v)
+		next.probeGap = c.opts.ProbeGap
+		if was := find(old, name); was != nil {
+			next.carry(was)
+		}
+		c.order = append(c.order, next)
+	}
+	slices.SortFunc(c.order, c.prefer)
+	c.rebuildExpiries()
+	c.expire(now)
+}
+
+func (c *Chooser) prefer(a, b *version) int {
+	if (a.name == c.current) != (b.name == c.current) {
+		return boolToInt(b.name == c.current) - boolToInt(a.name == c.current)
+	}
+	if byAge := cmp.Compare(b.sequence, a.sequence); byAge != 0 {
+		return byAge
+	}
+	return cmp.Compare(a.name, b.name)
+}
+
+func find(versions []*version, name string) *version {
+	for _, v := range versions {
+		if v.name == name {
+			return v
+		}
+	}
+	return nil
+}
+
+// Loaded records that a target has answered for the version.
+func (c *Chooser) Loaded(now time.Time, target, name string) {
+	c.expire(now)
+	v := find(c.order, name)
+	if v == nil {
+		return
+	}
+	h, ok := v.holders[target]
+	if !ok || h.evidence == serves {
+		return
+	}
+	c.learnServes(v, h)
+}
+
+// Report records that a target has refused the version with reason
+// code.VersionGone or code.VersionNotLoaded, and which versions it serves
+// instead; nil if it didn't say. Other reasons are ignored.
+func (c *Chooser) Report(now time.Time, target, name string, reason code.Code, served []string) {
+	if reason != code.VersionGone && reason != code.VersionNotLoaded {
+		return
+	}
+	c.expire(now)
+	for _, v := range c.order {
+		h, ok := v.holders[target]
+		if !ok {
+			continue
+		}
+		switch {
+		case v.name == name:
+			c.learnLacks(now, v, h, reason)
+		case slices.Contains(served, v.name):
+			c.learnServes(v, h)
+		case len(served) > 0:
+			c.learnLacks(now, v, h, code.VersionNotLoaded)
+		}
+	}
+}
+
+func (c *Chooser) learnServes(v *version, h *holder) {
+	v.set(h, serves, time.Time{})
+	if v.isConfirmed() {
+		v.probing = false
+		v.probeGap = c.opts.ProbeGap
+	}
+}
+
+func (c *Chooser) learnLacks(now time.Time, v *version, h *holder, reason code.Code) {
+	ttl := c.opts.EvidenceTTL
+	if reason == code.VersionGone {
+		ttl = c.opts.GoneTTL
+	}
+	wasConfirmed := v.isConfirmed()
+	v.set(h, lacks, now.Add(ttl))
+	c.addExpiry(expiry{at: h.until, holder: h, in: v})
+	if wasConfirmed && !v.isConfirmed() {
+		v.heldUntil = now.Add(c.opts.Hold)
+	}
+	if v.probing {
+		v.probing = false
+		v.probeGap = min(2*v.probeGap, c.opts.MaxProbeGap)
+		v.nextProbe = now.Add(v.probeGap)
+	}
+}
+
+// Lacks tells whether the target is known to lack the version, so that no
+// sub-request for it should go there.
+func (c *Chooser) Lacks(now time.Time, target, name string) bool {
+	v := find(c.order, name)
+	if v == nil {
+		return false
+	}
+	h, ok := v.holders[target]
+	return ok && h.evidence == lacks && now.Before(h.until)
+}
+
+// Choose returns the version for a new query to pin: the most preferred one
+// that every shard has shown, or now and then a more preferred one to find out
+// whether it is served by now. If no version is confirmed, it is the most
+// preferred one of which each shard has a target that isn't known to lack it.
+//
+// With ok false no version can cover every shard; name is then the one that
+// covers most of them, or empty if there are no versions.
+func (c *Chooser) Choose(now time.Time) (name string, ok bool) {
+	c.expire(now)
+	settled := c.settled(now, "")
+	if settled != nil && settled.isConfirmed() {
+		if probe := c.probe(now, settled); probe != nil {
+			return probe.name, true
+		}
+	}
+	if settled != nil {
+		return settled.name, true
+	}
+	return c.mostCovered(""), false
+}
+
+// Restart returns another version for a query whose pinned version can't be
+// completed any more. The rules are those of Choose, but it never probes.
+func (c *Chooser) Restart(now time.Time, pinned string) (name string, ok bool) {
+	c.expire(now)
+	if v := c.settled(now, pinned); v != nil {
+		return v.name, true
+	}
+	return c.mostCovered(pinned), false
+}
+
+// settled returns the most preferred version but except that is confirmed, or
+// else the most preferred one that isn't blocked; nil if all are.
+func (c *Chooser) settled(now time.Time, except string) *version {
+	var possible *version
+	for _, v := range c.order {
+		if v.blocked > 0 || len(v.shards) == 0 || v.name == except {
+			continue
+		}
+		if v.isConfirmed() && !now.Before(v.heldUntil) {
+			return v
+		}
+		if possible == nil || v.isConfirmed() && !possible.isConfirmed() {
+			possible = v
+		}
+	}
+	return possible
+}
+
+// probe returns a version preferred to the settled one that is due to be tried.
+func (c *Chooser) probe(now time.Time, settled *version) *version {
+	for _, v := range c.order {
+		if v == settled {
+			return nil
+		}
+		due := !now.Before(v.nextProbe) && !now.Before(v.heldUntil)
+		if v.blocked == 0 && len(v.shards) > 0 && !v.isConfirmed() && due {
+			v.probing = true
+			v.nextProbe = now.Add(v.probeGap)
+			return v
+		}
+	}
+	return nil
+}
+
+// mostCovered returns the version but except with the largest share of shards
+// that aren't blocked.
+func (c *Chooser) mostCovered(except string) string {
+	name := ""
+	best := -1.0
+	for _, v := range c.order {
+		if v.name == except || len(v.shards) == 0 {
+			continue
+		}
+		share := 1 - float64(v.blocked)/float64(len(v.shards))
+		if share > best {
+			name, best = v.name, share
+		}
+	}
+	return name
+}
