Add admission control

A gateway's controller: caller rates and concurrency, an adaptive limit, and a queue by priority, caller and deadline that refuses at once what can't be met.

--- /dev/null
+++ b/admission/controller.go
@@ -0,0 +1,290 @@
+package admission
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/goldcrestmux/goldcrestmux/code"
+	"github.com/goldcrestmux/goldcrestmux/folder"
+)
+
+// Controller admits the requests of one gateway. It is not locked; the caller
+// serialises.
+type Controller struct {
+	opts     Options
+	rng      *rand.Rand
+	gateways int
+	draining bool
+	callers  map[string]*caller
+	running  map[uint64]*run
+	queued   map[uint64]*entry
+	queue    queue
+	limit    *limiter
+	// fifo is the one lane of ModeFIFO.
+	fifo  *lane
+	stats Stats
+}
+
+// run is a request in progress.
+type run struct {
+	caller *caller
+	search string
+}
+
+// Stats counts what a Controller has decided since its creation.
+type Stats struct {
+	Admitted    uint64
+	Refused     map[code.Code]uint64
+	Limit       int
+	Running     int
+	Queued      int
+	ServiceTime time.Duration
+}
+
+// SetCallers replaces the callers' contracts. Waiting requests of callers that
+// are gone are refused; those in progress go on.
+func (c *Controller) SetCallers(now time.Time, callers map[string]folder.Caller) []Action {
+	for name, contract := range callers {
+		known, ok := c.callers[name]
+		if !ok {
+			known = &caller{lane: &lane{}}
+			c.callers[name] = known
+		}
+		known.Caller = contract
+		c.reprioritise(known)
+	}
+	var actions []Action
+	for _, name := range slices.Sorted(maps.Keys(c.callers)) {
+		if _, stays := callers[name]; !stays {
+			actions = append(actions, c.removeCaller(c.callers[name])...)
+			delete(c.callers, name)
+		}
+	}
+	return append(actions, c.dispatch(now)...)
+}
+
+// reprioritise moves a caller's lane to the class of its contract.
+func (c *Controller) reprioritise(k *caller) {
+	priority := min(max(k.Priority, 0), priorities-1)
+	if k.lane.priority == priority {
+		return
+	}
+	waiting := slices.Clone(k.lane.entries)
+	for _, e := range waiting {
+		c.queue.remove(e)
+	}
+	k.lane.priority = priority
+	for _, e := range waiting {
+		c.queue.push(e)
+	}
+}
+
+func (c *Controller) removeCaller(k *caller) []Action {
+	var actions []Action
+	for _, id := range slices.Sorted(maps.Keys(c.queued)) {
+		if c.queued[id].caller == k {
+			c.unqueue(c.queued[id])
+			actions = append(actions, c.refuse(id, code.Forbidden, 0))
+		}
+	}
+	return actions
+}
+
+// SetGateways sets the number of live gateways, over which the tier-wide rates
+// are divided.
+func (c *Controller) SetGateways(n int) { c.gateways = max(n, 1) }
+
+// Drain refuses all further offers with code.Stopping. Requests that wait or
+// run are still served.
+func (c *Controller) Drain() { c.draining = true }
+
+// Offer decides about a new request. The first result settles the request or
+// queues it; the others settle requests that waited before.
+func (c *Controller) Offer(now time.Time, r Request) (Action, []Action) {
+	k, reason, wait := c.check(now, r)
+	if reason != code.OK {
+		return c.refuse(r.ID, reason, wait), nil
+	}
+	e := c.newEntry(now, k, r)
+	var others []Action
+	if c.queue.queued >= c.opts.MaxQueue {
+		victim := c.queue.victim(e.lane)
+		if victim == nil || c.opts.Mode == ModeFIFO {
+			return c.refuse(r.ID, code.Overloaded, c.drainTime()), nil
+		}
+		c.unqueue(victim)
+		others = append(others, c.refuse(victim.id, code.Overloaded, c.drainTime()))
+	}
+	k.take()
+	c.queue.push(e)
+	c.queued[r.ID] = e
+	others = append(others, c.dispatch(now)...)
+	for i, a := range others {
+		if a.ID == r.ID {
+			return a, slices.Delete(others, i, i+1)
+		}
+	}
+	return Action{ID: r.ID, Verdict: Queue}, others
+}
+
+// check returns the request's caller, or the reason to refuse it outright.
+func (c *Controller) check(now time.Time, r Request) (*caller, code.Code, time.Duration) {
+	k, known := c.callers[r.Caller]
+	switch {
+	case c.draining:
+		return nil, code.Stopping, c.opts.MinRetryAfter
+	case !known:
+		return nil, code.Forbidden, 0
+	case !now.Before(r.Deadline):
+		return nil, code.DeadlinePassed, 0
+	}
+	if wait, limited := k.limited(now, c.gateways); limited {
+		return nil, code.RateLimited, wait
+	}
+	if !c.inTime(now, k, r) {
+		return nil, code.Overloaded, c.drainTime()
+	}
+	return k, code.OK, 0
+}
+
+// inTime tells whether the request can be answered before its deadline, as far
+// as is known.
+func (c *Controller) inTime(now time.Time, k *caller, r Request) bool {
+	if c.opts.Mode == ModeFIFO {
+		return true
+	}
+	start := now
+	if len(c.running) >= c.limit.value() {
+		start = now.Add(c.limit.wait(c.queue.ahead(k.lane) + 1))
+	}
+	return !start.Add(c.limit.expected(r.Search)).After(r.Deadline)
+}
+
+func (c *Controller) newEntry(now time.Time, k *caller, r Request) *entry {
+	e := &entry{id: r.ID, caller: k, search: r.Search, lane: k.lane}
+	if c.opts.Mode == ModeFIFO {
+		e.lane = c.fifo
+		e.startBy = now
+		return e
+	}
+	e.startBy = r.Deadline.Add(-c.limit.expected(r.Search))
+	return e
+}
+
+// Done reports the end of an admitted request. Took is the time since its
+// admission. Ok is false if it failed for lack of time or capacity; other
+// failures, such as a bad request, count as ok.
+func (c *Controller) Done(now time.Time, id uint64, ok bool, took time.Duration) []Action {
+	r, known := c.running[id]
+	if !known {
+		return nil
+	}
+	full := len(c.running) >= c.limit.value()
+	delete(c.running, id)
+	r.caller.running--
+	c.limit.observe(now, r.search, took, ok, full)
+	return c.dispatch(now)
+}
+
+// Withdraw forgets a request whose caller has gone, waiting or in progress,
+// without learning from it.
+func (c *Controller) Withdraw(now time.Time, id uint64) []Action {
+	if e, waits := c.queued[id]; waits {
+		c.unqueue(e)
+	}
+	if r, runs := c.running[id]; runs {
+		delete(c.running, id)
+		r.caller.running--
+	}
+	return c.dispatch(now)
+}
+
+// Tick refuses the waiting requests that can't be met any more. It is due at
+// NextTick.
+func (c *Controller) Tick(now time.Time) []Action { return c.dispatch(now) }
+
+// NextTick returns when Tick is due; ok is false if nothing waits.
+func (c *Controller) NextTick() (at time.Time, ok bool) {
+	if c.opts.Mode == ModeFIFO {
+		return time.Time{}, false
+	}
+	e := c.queue.earliest()
+	if e == nil {
+		return time.Time{}, false
+	}
+	// A request may still start at startBy itself.
+	return e.startBy.Add(1), true
+}
+
+// dispatch drops what can't be met and admits what may run.
+func (c *Controller) dispatch(now time.Time) []Action {
+	actions := c.dropLate(now)
+	for len(c.running) < c.limit.value() {
+		e := c.queue.next(c.lowEvery())
+		if e == nil {
+			break
+		}
+		delete(c.queued, e.id)
+		c.running[e.id] = &run{caller: e.caller, search: e.search}
+		e.caller.running++
+		c.stats.Admitted++
+		actions = append(actions, Action{ID: e.id, Verdict: Admit, Code: code.OK})
+	}
+	return actions
+}
+
+func (c *Controller) dropLate(now time.Time) []Action {
+	if c.opts.Mode == ModeFIFO {
+		return nil
+	}
+	var actions []Action
+	for {
+		e := c.queue.earliest()
+		if e == nil || !now.After(e.startBy) {
+			return actions
+		}
+		c.unqueue(e)
+		actions = append(actions, c.refuse(e.id, code.Overloaded, c.drainTime()))
+	}
+}
+
+func (c *Controller) lowEvery() uint64 {
+	return max(uint64(1/c.opts.LowShare), 2)
+}
+
+func (c *Controller) unqueue(e *entry) {
+	c.queue.remove(e)
+	delete(c.queued, e.id)
+}
+
+// drainTime returns how long the waiting requests take to be served.
+func (c *Controller) drainTime() time.Duration {
+	return max(c.limit.wait(c.queue.queued+1), c.opts.MinRetryAfter)
+}
+
+// refuse returns a final refusal. The advice when to come back is spread over
+// up to twice the wait, so that refused callers don't return together.
+func (c *Controller) refuse(id uint64, reason code.Code, wait time.Duration) Action {
+	if c.stats.Refused == nil {
+		c.stats.Refused = map[code.Code]uint64{}
+	}
+	c.stats.Refused[reason]++
+	if wait > 0 {
+		wait = min(wait, c.opts.MaxRetryAfter)
+		wait += time.Duration(c.rng.Float64() * float64(wait))
+	}
+	return Action{ID: id, Verdict: Refuse, Code: reason, RetryAfter: wait}
+}
+
+// Stats returns the counters and the state of the limit.
+func (c *Controller) Stats() Stats {
+	s := c.stats
+	s.Refused = maps.Clone(s.Refused)
+	s.Limit = c.limit.value()
+	s.Running = len(c.running)
+	s.Queued = c.queue.queued
+	s.ServiceTime = time.Duration(c.limit.took)
+	return s
+}
--- a/snapshot/chooser.go
+++ b/snapshot/chooser.go
@@ -25,6 +25,10 @@
 	DefaultHold        = 2 * time.Second
 )
 
+// evidenceRenewals bounds how often the evidence about a target is renewed
+// within its time to live.
+const evidenceRenewals = 4
+
 // Options sets up a Chooser. A zero duration means its default.
 type Options struct {
 	// EvidenceTTL is how long a target that hasn't loaded a version yet is
@@ -155,7 +159,8 @@
 
 func (c *Chooser) learnServes(v *version, h *holder) {
 	v.set(h, serves, time.Time{})
-	if v.isConfirmed() {
+	if v.shown() {
+		v.trusted = true
 		v.probing = false
 		v.probeGap = c.opts.ProbeGap
 	}
@@ -166,10 +171,13 @@
 	if reason == code.VersionGone {
 		ttl = c.opts.GoneTTL
 	}
-	wasConfirmed := v.isConfirmed()
-	v.set(h, lacks, now.Add(ttl))
-	c.addExpiry(expiry{at: h.until, holder: h, in: v})
-	if wasConfirmed && !v.isConfirmed() {
+	until := now.Add(ttl)
+	if h.evidence != lacks || until.Sub(h.until) > ttl/evidenceRenewals {
+		v.set(h, lacks, until)
+		c.addExpiry(expiry{at: until, holder: h, in: v})
+	}
+	if v.trusted && v.blocked > 0 {
+		v.trusted = false
 		v.heldUntil = now.Add(c.opts.Hold)
 	}
 	if v.probing {
@@ -200,7 +208,7 @@
 func (c *Chooser) Choose(now time.Time) (name string, ok bool) {
 	c.expire(now)
 	settled := c.settled(now, "")
-	if settled != nil && settled.isConfirmed() {
+	if settled != nil && settled.trusted {
 		if probe := c.probe(now, settled); probe != nil {
 			return probe.name, true
 		}
@@ -229,10 +237,10 @@
 		if v.blocked > 0 || len(v.shards) == 0 || v.name == except {
 			continue
 		}
-		if v.isConfirmed() && !now.Before(v.heldUntil) {
+		if v.trusted && !now.Before(v.heldUntil) {
 			return v
 		}
-		if possible == nil || v.isConfirmed() && !possible.isConfirmed() {
+		if possible == nil || v.trusted && !possible.trusted {
 			possible = v
 		}
 	}
@@ -246,7 +254,7 @@
 			return nil
 		}
 		due := !now.Before(v.nextProbe) && !now.Before(v.heldUntil)
-		if v.blocked == 0 && len(v.shards) > 0 && !v.isConfirmed() && due {
+		if v.blocked == 0 && len(v.shards) > 0 && !v.trusted && due {
 			v.probing = true
 			v.nextProbe = now.Add(v.probeGap)
 			return v
--- a/snapshot/expiry.go
+++ b/snapshot/expiry.go
@@ -50,6 +50,7 @@
 	Shards    int           `json:"shards"`
 	Confirmed int           `json:"confirmed_shards"`
 	Blocked   int           `json:"blocked_shards"`
+	Trusted   bool          `json:"trusted"`
 	ProbeGap  time.Duration `json:"probe_gap_ns"`
 	Held      bool          `json:"held"`
 }
@@ -65,6 +66,7 @@
 			Shards:    len(v.shards),
 			Confirmed: v.confirmed,
 			Blocked:   v.blocked,
+			Trusted:   v.trusted,
 			ProbeGap:  v.probeGap,
 			Held:      now.Before(v.heldUntil),
 		})
--- a/snapshot/version.go
+++ b/snapshot/version.go
@@ -28,6 +28,9 @@
 	// blocked is the number of shards whose targets all lack the version.
 	blocked int
 
+	// trusted is set once each shard has shown the version, and cleared once a
+	// shard has no target left for it.
+	trusted bool
 	// heldUntil ends the time in which a version that became unusable isn't
 	// chosen again while another one is.
 	heldUntil time.Time
@@ -85,8 +88,8 @@
 	}
 }
 
-// isConfirmed tells whether each shard has a target that serves the version.
-func (v *version) isConfirmed() bool {
+// shown tells whether each shard has a target that serves the version.
+func (v *version) shown() bool {
 	return len(v.shards) > 0 && v.confirmed == len(v.shards)
 }
 
@@ -132,7 +135,16 @@
 			v.set(h, was.evidence, was.until)
 		}
 	}
+	v.trusted = v.blocked == 0 && (v.shown() || old.trusted && v.sameMap(old))
 	v.heldUntil = old.heldUntil
 	v.nextProbe = old.nextProbe
 	v.probeGap = old.probeGap
 }
+
+// sameMap tells whether both shard maps give each target the same shards.
+func (v *version) sameMap(old *version) bool {
+	return len(v.shards) == len(old.shards) &&
+		maps.EqualFunc(v.holders, old.holders, func(a, b *holder) bool {
+			return slices.Equal(a.shards, b.shards)
+		})
+}
