--- /dev/null
+++ b/query/attempt.go
@@ -0,0 +1,232 @@
+package query
+
+import (
+	"slices"
+	"time"
+
+	"github.com/goldcrestmux/goldcrestmux/code"
+	"github.com/goldcrestmux/goldcrestmux/replica"
+	"github.com/goldcrestmux/goldcrestmux/wire"
+)
+
+// try sends an attempt for a shard that has none running.
+func (m *Machine) try(now time.Time, i int) {
+	s := &m.shards[i]
+	s.retryAt = time.Time{}
+	route, c := m.opts.Router.Pick(now, m.opts.Shards[i].Replicas, replica.First, s.avoid)
+	if c != code.OK {
+		m.awaitRoute(now, s, c)
+		return
+	}
+	if s.extra && !m.opts.Budget.TryExtra(now, route.Target) {
+		s.retryAt = now.Add(budgetDelay)
+		return
+	}
+	if !s.extra {
+		m.opts.Budget.First(now, route.Target)
+	}
+	s.hedgeFrom = now
+	m.send(now, i, route, false)
+}
+
+// awaitRoute looks again later. Replicas that failed before may be tried again
+// then, but for those that lack the version.
+func (m *Machine) awaitRoute(now time.Time, s *shard, why code.Code) {
+	s.avoid = append(s.avoid[:0], s.lacking...)
+	s.retryAt = now.Add(rerouteDelay << min(s.waits, maxDoublings))
+	s.waits++
+	if s.reason == "" {
+		s.reason = why
+	}
+}
+
+// hedge sends a second attempt for a shard whose first one is late.
+func (m *Machine) hedge(now time.Time, i int) {
+	s := &m.shards[i]
+	s.hedged = true
+	avoid := m.withRunning(i, s.avoid)
+	route, c := m.opts.Router.Pick(now, m.opts.Shards[i].Replicas, replica.Extra, avoid)
+	if c != code.OK || !m.opts.Budget.TryExtra(now, route.Target) {
+		return
+	}
+	m.send(now, i, route, true)
+}
+
+// withRunning returns avoid and the targets at which attempts for a shard run.
+func (m *Machine) withRunning(i int, avoid []replica.Avoid) []replica.Avoid {
+	out := slices.Clone(avoid)
+	for j := range m.attempts {
+		if a := &m.attempts[j]; a.shard == i && !a.done {
+			out = append(out, replica.Avoid{Target: a.Route.Target})
+		}
+	}
+	return out
+}
+
+func (m *Machine) send(now time.Time, i int, route replica.Choice, hedge bool) {
+	s := &m.shards[i]
+	s.running++
+	a := attempt{
+		Attempt: Attempt{
+			ID:    uint32(len(m.attempts)),
+			Shard: m.opts.Shards[i].Name,
+			Route: route,
+			Hedge: hedge || s.extra,
+		},
+		shard: i,
+		sent:  now,
+	}
+	m.attempts = append(m.attempts, a)
+	m.opts.Router.Sent(now, route)
+	m.actions.Send = append(m.actions.Send, a.Attempt)
+}
+
+// running returns the attempt with the given number if it has not ended.
+func (m *Machine) running(id uint32) *attempt {
+	if int(id) >= len(m.attempts) || m.attempts[id].done {
+		return nil
+	}
+	return &m.attempts[id]
+}
+
+// echoes reports whether a reply answers what the attempt asked.
+func (m *Machine) echoes(a *attempt, r *wire.Reply) bool {
+	return r.Shard == a.Shard && r.Target == a.Route.Target && r.Version == m.opts.Version
+}
+
+// NotSent notes that an attempt was never written to the link.
+func (m *Machine) NotSent(now time.Time, id uint32, why code.Code) Actions {
+	m.reset()
+	if a := m.running(id); a != nil {
+		m.conclude(now, a, &wire.Reply{Code: why, Run: code.NotRun})
+	}
+	return m.actions
+}
+
+// Lost notes that the link to a relay broke: what was sent there may have run.
+func (m *Machine) Lost(now time.Time, relay string) Actions {
+	m.reset()
+	for i := range m.attempts {
+		if a := &m.attempts[i]; !a.done && a.Route.Relay == relay {
+			m.conclude(now, a, &wire.Reply{Code: code.Broken})
+		}
+	}
+	return m.actions
+}
+
+// conclude ends an attempt and decides what follows for its shard.
+func (m *Machine) conclude(now time.Time, a *attempt, r *wire.Reply) {
+	m.close(now, a, r)
+	s := &m.shards[a.shard]
+	if s.settled || m.status != Running {
+		return
+	}
+	if r.Code == code.OK {
+		m.answer(now, a.shard, r)
+		return
+	}
+	s.reason = r.Code
+	if s.running > 0 {
+		return
+	}
+	m.retry(now, a, r)
+}
+
+func (m *Machine) close(now time.Time, a *attempt, r *wire.Reply) {
+	a.done = true
+	a.run = r.Run
+	m.shards[a.shard].running--
+	m.opts.Router.Done(now, a.Route, Outcome{
+		Code:       r.Code,
+		Took:       now.Sub(a.sent),
+		Queue:      int(r.Queue),
+		Service:    time.Duration(r.ServiceMicros) * time.Microsecond,
+		RetryAfter: time.Duration(r.RetryAfterMillis) * time.Millisecond,
+	})
+}
+
+func (m *Machine) answer(now time.Time, i int, r *wire.Reply) {
+	m.shards[i].settled = true
+	m.open--
+	m.opts.Ledger.Answer(m.opts.Shards[i].Name, r.Records, r.Matched)
+	for j := range m.attempts {
+		if m.attempts[j].shard == i {
+			m.cancel(now, &m.attempts[j])
+		}
+	}
+	m.settleFinished(now)
+}
+
+// cancel withdraws an attempt that still runs.
+func (m *Machine) cancel(now time.Time, a *attempt) {
+	if a.done {
+		return
+	}
+	m.close(now, a, &wire.Reply{Code: code.Canceled})
+	m.actions.Cancel = append(m.actions.Cancel, a.Attempt)
+}
+
+// retry decides whether and when a shard whose last attempt failed is tried again.
+func (m *Machine) retry(now time.Time, a *attempt, r *wire.Reply) {
+	s := &m.shards[a.shard]
+	s.avoid = append(s.avoid, blamed(a.Route, r.Code))
+	if m.lacks(a.shard, a.Route.Target, r.Code) {
+		m.restart(now)
+		return
+	}
+	if m.opts.Action && r.Run != code.NotRun {
+		m.miss(a.shard, r.Code)
+		m.settleFinished(now)
+		return
+	}
+	if r.Run != code.NotRun {
+		s.tries++
+	}
+	if s.tries >= maxAttempts {
+		m.miss(a.shard, r.Code)
+		m.settleFinished(now)
+		return
+	}
+	s.extra = s.extra || drawsBudget(r)
+	m.try(now, a.shard)
+}
+
+// lacks notes that a replica does not serve the pinned version, and reports
+// whether none does.
+func (m *Machine) lacks(i int, target string, c code.Code) bool {
+	if c != code.VersionGone && c != code.VersionNotLoaded {
+		return false
+	}
+	s := &m.shards[i]
+	lacking := replica.Avoid{Target: target}
+	if !slices.Contains(s.lacking, lacking) {
+		s.lacking = append(s.lacking, lacking)
+	}
+	return len(s.lacking) == len(m.opts.Shards[i].Replicas)
+}
+
+// restart gives the pinned version up.
+func (m *Machine) restart(now time.Time) {
+	m.status = Restart
+	m.cancelRunning(now)
+}
+
+// drawsBudget reports whether a retry after r is extra load on targets. Work
+// that reached no target may go elsewhere freely.
+func drawsBudget(r *wire.Reply) bool {
+	if r.Run != code.NotRun {
+		return true
+	}
+	return r.Code == code.Shed
+}
+
+// blamed returns what a retry avoids after a failure: the way through the relay
+// if the relay refused, and else the target.
+func blamed(r replica.Choice, c code.Code) replica.Avoid {
+	switch c {
+	case code.NotHeld, code.Stopping, code.NotReady, code.Overloaded, code.TargetCold:
+		return replica.Avoid{Relay: r.Relay, Target: r.Target}
+	default:
+		return replica.Avoid{Target: r.Target}
+	}
+}
--- /dev/null
+++ b/query/query.go
@@ -0,0 +1,326 @@
+// Package query holds the life of one query at a gateway as a pure state
+// machine: which attempts are sent, hedged, retried and canceled, and when the
+// query is answered.
+//
+// Events carry their time. Each event returns the attempts to send and to
+// cancel. The caller serialises the use of a Machine.
+package query
+
+import (
+	"time"
+
+	"github.com/goldcrestmux/goldcrestmux/code"
+	"github.com/goldcrestmux/goldcrestmux/coverage"
+	"github.com/goldcrestmux/goldcrestmux/replica"
+	"github.com/goldcrestmux/goldcrestmux/wire"
+)
+
+// Bounds of the attempts for one shard.
+const (
+	// maxAttempts is the number of attempts for one shard that may have run and failed.
+	maxAttempts = 4
+	// rerouteDelay is the time after which a shard without a usable replica is
+	// looked at again; it doubles up to maxDoublings times.
+	rerouteDelay = 5 * time.Millisecond
+	maxDoublings = 3
+	// budgetDelay is the time after which a retry that the budget denied is
+	// asked for again.
+	budgetDelay = 20 * time.Millisecond
+)
+
+// Outcome is how an attempt ended, for those who keep statistics.
+type Outcome struct {
+	Code code.Code
+	// Took is the time from sending to the end.
+	Took time.Duration
+	// Queue is the relay's queue for the target, from the reply.
+	Queue int
+	// Service is the time that the target took; zero if unknown.
+	Service time.Duration
+	// RetryAfter is when the target wants to be asked again; zero if unknown.
+	RetryAfter time.Duration
+}
+
+// Router picks routes and learns from outcomes.
+type Router interface {
+	// Pick returns a route to one of the targets that is not avoided. The code
+	// is code.OK if there is one.
+	Pick(now time.Time, targets []string, purpose replica.Purpose, avoid []replica.Avoid) (replica.Choice, code.Code)
+	// Sent notes an attempt.
+	Sent(now time.Time, r replica.Choice)
+	// Done notes the end of an attempt.
+	Done(now time.Time, r replica.Choice, o Outcome)
+}
+
+// Budget bounds the attempts that are not the first for their shard.
+type Budget interface {
+	// First notes a first attempt at a target.
+	First(now time.Time, target string)
+	// TryExtra takes one extra attempt at a target, or reports that there is none.
+	TryExtra(now time.Time, target string) bool
+}
+
+// Shard is one shard of the pinned version.
+type Shard struct {
+	Name     string
+	Replicas []string
+}
+
+// Options configures a Machine.
+type Options struct {
+	// Version is the pinned index version.
+	Version string
+	// Shards is the pinned shard map.
+	Shards []Shard
+	// Ledger is an empty ledger of the same shards.
+	Ledger *coverage.Ledger
+	// Wait is when a query with enough coverage is answered.
+	Wait time.Time
+	// Deadline is when the query is answered in any case.
+	Deadline time.Time
+	// MinCoverage is the share of shards, from 0 to 1, that is enough at Wait.
+	MinCoverage float64
+	// Hedge returns the delay after which an attempt is hedged; false for never.
+	Hedge func(now time.Time) (time.Duration, bool)
+	// Action marks non-idempotent work.
+	Action bool
+	Router Router
+	Budget Budget
+}
+
+// Status tells how far a query is.
+type Status uint8
+
+// Values of Status.
+const (
+	Running  Status = iota
+	Finished        // answer from the ledger
+	Restart         // no replica serves the pinned version any more; start anew on another
+)
+
+// Attempt is one sub-request as sent.
+type Attempt struct {
+	// ID is the attempt's number within the query, from 0.
+	ID    uint32
+	Shard string
+	Route replica.Choice
+	Hedge bool
+}
+
+// Actions is what the driver has to do after an event. Its slices are valid
+// until the next event.
+type Actions struct {
+	Send   []Attempt
+	Cancel []Attempt
+}
+
+// Machine is the state of one query.
+type Machine struct {
+	opts     Options
+	status   Status
+	shards   []shard
+	attempts []attempt
+	open     int // shards that are not settled
+	actions  Actions
+}
+
+type shard struct {
+	settled   bool
+	hedged    bool
+	running   int
+	tries     int       // attempts that may have run and failed
+	waits     int       // times that no replica was usable
+	retryAt   time.Time // zero: no retry due
+	extra     bool      // the retry draws on the budget
+	reason    code.Code
+	avoid     []replica.Avoid
+	lacking   []replica.Avoid // replicas that don't serve the pinned version
+	hedgeFrom time.Time
+}
+
+type attempt struct {
+	Attempt
+	shard int
+	sent  time.Time
+	run   code.Run
+	done  bool
+}
+
+// New returns the state of a query that has sent nothing.
+func New(opts Options) *Machine {
+	return &Machine{
+		opts:     opts,
+		shards:   make([]shard, len(opts.Shards)),
+		attempts: make([]attempt, 0, len(opts.Shards)+len(opts.Shards)/16+1),
+		open:     len(opts.Shards),
+	}
+}
+
+// Status returns how far the query is.
+func (m *Machine) Status() Status { return m.status }
+
+// Ledger returns the query's coverage.
+func (m *Machine) Ledger() *coverage.Ledger { return m.opts.Ledger }
+
+// Start sends the first attempt for each shard.
+func (m *Machine) Start(now time.Time) Actions {
+	m.reset()
+	for i := range m.shards {
+		m.try(now, i)
+	}
+	m.settleFinished(now)
+	return m.actions
+}
+
+// Tick sends what is due at now: retries, hedges, and the end of the query.
+func (m *Machine) Tick(now time.Time) Actions {
+	m.reset()
+	if m.status != Running {
+		return m.actions
+	}
+	if m.over(now) {
+		m.finish(now)
+		return m.actions
+	}
+	delay, hedge := m.hedgeDelay(now)
+	for i := range m.shards {
+		s := &m.shards[i]
+		switch {
+		case s.settled:
+		case !s.retryAt.IsZero() && !now.Before(s.retryAt):
+			m.try(now, i)
+		case hedge && s.hedgeDue(now, delay):
+			m.hedge(now, i)
+		}
+	}
+	m.settleFinished(now)
+	return m.actions
+}
+
+// NextTick returns when Tick is due.
+func (m *Machine) NextTick(now time.Time) time.Time {
+	next := m.end()
+	delay, hedge := m.hedgeDelay(now)
+	for i := range m.shards {
+		s := &m.shards[i]
+		if s.settled {
+			continue
+		}
+		if !s.retryAt.IsZero() && s.retryAt.Before(next) {
+			next = s.retryAt
+		}
+		if hedge && s.canHedge() {
+			next = earlier(next, s.hedgeFrom.Add(delay))
+		}
+	}
+	return next
+}
+
+// end returns when the query is over if nothing more arrives.
+func (m *Machine) end() time.Time {
+	if m.enough() {
+		return earlier(m.opts.Wait, m.opts.Deadline)
+	}
+	return m.opts.Deadline
+}
+
+func (m *Machine) over(now time.Time) bool { return !now.Before(m.end()) }
+
+func (m *Machine) enough() bool {
+	return m.opts.Ledger.Answered() > 0 && m.opts.Ledger.Share() >= m.opts.MinCoverage
+}
+
+func (m *Machine) hedgeDelay(now time.Time) (time.Duration, bool) {
+	if m.opts.Action || m.opts.Hedge == nil {
+		return 0, false
+	}
+	return m.opts.Hedge(now)
+}
+
+func (s *shard) canHedge() bool {
+	return !s.hedged && s.running > 0
+}
+
+func (s *shard) hedgeDue(now time.Time, delay time.Duration) bool {
+	return s.canHedge() && !now.Before(s.hedgeFrom.Add(delay))
+}
+
+func (m *Machine) reset() {
+	m.actions.Send = m.actions.Send[:0]
+	m.actions.Cancel = m.actions.Cancel[:0]
+}
+
+// settleFinished ends the query once every shard is settled.
+func (m *Machine) settleFinished(now time.Time) {
+	if m.status == Running && m.open == 0 {
+		m.finish(now)
+	}
+}
+
+// finish settles what is open and cancels what still runs.
+func (m *Machine) finish(now time.Time) {
+	m.status = Finished
+	for i := range m.shards {
+		s := &m.shards[i]
+		if s.settled {
+			continue
+		}
+		reason := s.reason
+		if s.running > 0 || reason == "" {
+			reason = code.Timeout
+		}
+		m.miss(i, reason)
+	}
+	m.cancelRunning(now)
+}
+
+func (m *Machine) cancelRunning(now time.Time) {
+	for i := range m.attempts {
+		m.cancel(now, &m.attempts[i])
+	}
+}
+
+func (m *Machine) miss(i int, reason code.Code) {
+	m.shards[i].settled = true
+	m.open--
+	m.opts.Ledger.Miss(m.opts.Shards[i].Name, reason)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// NotRun tells whether the query's work ran: code.NotRun only if no attempt
+// can have run.
+func (m *Machine) NotRun() code.Run {
+	run := code.NotRun
+	for i := range m.attempts {
+		switch m.attempts[i].run {
+		case code.Ran:
+			return code.Ran
+		case code.RunUnknown:
+			run = code.RunUnknown
+		}
+	}
+	return run
+}
+
+// Attempts returns the number of attempts so far.
+func (m *Machine) Attempts() int { return len(m.attempts) }
+
+// Reply notes the answer to an attempt.
+func (m *Machine) Reply(now time.Time, id uint32, r *wire.Reply) Actions {
+	m.reset()
+	a := m.running(id)
+	if a == nil {
+		return m.actions
+	}
+	if !m.echoes(a, r) {
+		r = &wire.Reply{Code: code.BadAnswer}
+	}
+	m.conclude(now, a, r)
+	return m.actions
+}
