Merge, check and compare the operators' folder

A revision must be accepted whole or refused with everything that is wrong, so the files are parsed into one tree whose nodes know file and line, merged, and decoded by a table of rules that collects faults. Decoding through encoding/json was ruled out: it stops at the first fault, lets duplicate keys pass, and forgets which file set a value.

Refused beyond single fields: unknown names, an address that two targets share (its limit would be granted twice), cold slots above slots, connections below slots, null for a value that is not there.

--- /dev/null
+++ b/folder/diff.go
@@ -0,0 +1,50 @@
+package folder
+
+import "strings"
+
+// Change is one field in which two folders differ.
+type Change struct {
+	Path string
+	// Before and After are the values in JSON; empty where the field is absent.
+	Before, After string
+	// From is the place that sets Before, and To the one that sets After. It is
+	// zero for a default and where the field is absent.
+	From, To Origin
+}
+
+// Diff returns the fields whose values differ between a and b in the order of
+// their paths. A value that merely moved to another file is no change.
+func Diff(a, b *Merged) []Change {
+	var changes []Change
+	before, after := a.Fields, b.Fields
+	for len(before) > 0 || len(after) > 0 {
+		switch order := comparePaths(before, after); {
+		case order < 0:
+			changes = append(changes, Change{Path: before[0].Path, Before: before[0].Value, From: before[0].Origin})
+			before = before[1:]
+		case order > 0:
+			changes = append(changes, Change{Path: after[0].Path, After: after[0].Value, To: after[0].Origin})
+			after = after[1:]
+		default:
+			if before[0].Value != after[0].Value {
+				changes = append(changes, Change{
+					before[0].Path, before[0].Value, after[0].Value, before[0].Origin, after[0].Origin,
+				})
+			}
+			before, after = before[1:], after[1:]
+		}
+	}
+	return changes
+}
+
+// comparePaths orders the first fields of two lists; an exhausted list comes last.
+func comparePaths(a, b []Field) int {
+	switch {
+	case len(a) == 0:
+		return 1
+	case len(b) == 0:
+		return -1
+	default:
+		return strings.Compare(a[0].Path, b[0].Path)
+	}
+}
--- /dev/null
+++ b/folder/load.go
@@ -0,0 +1,253 @@
+package folder
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Merged is what a folder amounts to. A process that only enforces the
+// contracts keeps Contracts and drops the rest.
+type Merged struct {
+	Contracts *Contracts
+	// Fields holds each value in force with its origin, in the order of paths.
+	Fields []Field
+}
+
+// Origin returns the place that set the field at path. It is false for a path
+// that holds no value.
+func (m *Merged) Origin(path string) (Origin, bool) {
+	i, ok := slices.BinarySearchFunc(m.Fields, path, func(f Field, path string) int {
+		return strings.Compare(f.Path, path)
+	})
+	if !ok {
+		return Origin{}, false
+	}
+	return m.Fields[i].Origin, true
+}
+
+// Load merges files in the order of their names, whatever their order in the
+// argument, and checks the result. It accepts a folder whole or not at all:
+// the error is a *FaultError that holds every fault.
+//
+// Objects merge deeply; scalars and lists are replaced; null deletes.
+func Load(files []File) (*Merged, error) {
+	root, faults, incomplete := mergeFiles(files)
+	d := &decoder{faults: faults, incomplete: incomplete}
+	contracts := d.contracts(root)
+	d.checkReferences(contracts)
+	if len(d.faults) > 0 {
+		return nil, newFaultError(d.faults)
+	}
+	slices.SortFunc(d.fields, func(a, b Field) int { return strings.Compare(a.Path, b.Path) })
+	return &Merged{Contracts: contracts, Fields: d.fields}, nil
+}
+
+// mergeFiles returns the merged tree and the faults of single files. It tells
+// whether a file had to be left out.
+func mergeFiles(files []File) (root *node, faults []Fault, incomplete bool) {
+	sorted := slices.Clone(files)
+	slices.SortStableFunc(sorted, func(a, b File) int { return strings.Compare(a.Name, b.Name) })
+	root = &node{kind: kindObject, members: map[string]*node{}}
+	for i, f := range sorted {
+		p := &parser{file: f}
+		if i > 0 && sorted[i-1].Name == f.Name {
+			p.fault(1, "", "two files have this name", "each name once")
+		}
+		if tree := p.parse(); tree != nil {
+			root = p.merge(root, tree, "")
+		} else {
+			incomplete = true
+		}
+		faults = append(faults, p.faults...)
+	}
+	return root, faults, incomplete
+}
+
+func (d *decoder) contracts(root *node) *Contracts {
+	o := d.newObject(root, "")
+	c := &Contracts{
+		Searches:    map[string]Search{},
+		Callers:     map[string]Caller{},
+		DataCentres: map[string]DataCentre{},
+		Targets:     map[string]Target{},
+	}
+	for _, e := range o.entries("searches") {
+		c.Searches[e.name] = d.search(e)
+	}
+	for _, e := range o.entries("callers") {
+		c.Callers[e.name] = d.caller(e)
+	}
+	for _, e := range o.entries("data_centres") {
+		c.DataCentres[e.name] = d.dataCentre(e)
+	}
+	addresses := map[string]string{}
+	for _, e := range o.entries("targets") {
+		c.Targets[e.name] = d.target(e, addresses)
+	}
+	o.finish()
+	return c
+}
+
+func (d *decoder) search(e entry) Search {
+	o := d.newObject(e.node, e.path)
+	s := Search{
+		Name:        e.name,
+		Current:     read(o, "current", nameRule),
+		Versions:    d.versions(o),
+		Deadline:    read(o, "deadline", deadlineRule),
+		MinCoverage: read(o, "min_coverage", minCoverageRule),
+		HedgeShare:  read(o, "hedge_share", hedgeShareRule),
+		WarmAfter:   read(o, "warm_after", warmAfterRule),
+	}
+	s.Wait = read(o, "wait", waitRule.or(s.Deadline))
+	if s.Wait > s.Deadline {
+		d.fault(o.origin("wait"), o.at("wait"), s.Wait.String()+" is longer than the deadline",
+			"at most "+s.Deadline.String())
+	}
+	if _, ok := s.Versions[s.Current]; !ok && s.Current != "" {
+		d.refer("version of this search", s.Current, o.at("current"), o.node.members["current"])
+	}
+	o.finish()
+	return s
+}
+
+func (d *decoder) versions(o *object) map[string]Version {
+	const allowed = "an object of one or more versions by name"
+	list := o.entries("versions")
+	if len(list) == 0 {
+		o.missing("versions", allowed)
+	}
+	versions := make(map[string]Version, len(list))
+	sequences := map[int]string{}
+	for _, e := range list {
+		child := d.newObject(e.node, e.path)
+		v := Version{
+			Sequence: read(child, "sequence", sequenceRule),
+			Shards:   d.shards(child),
+		}
+		child.finish()
+		if other, ok := sequences[v.Sequence]; ok && v.Sequence != 0 {
+			d.fault(child.origin("sequence"), child.at("sequence"),
+				fmt.Sprintf("%d is also the sequence of version %s", v.Sequence, other),
+				"a number that no other version of the search has")
+		}
+		sequences[v.Sequence] = e.name
+		versions[e.name] = v
+	}
+	return versions
+}
+
+func (d *decoder) shards(o *object) map[string][]string {
+	list := o.entries("shards")
+	if len(list) == 0 {
+		o.missing("shards", "an object of one or more shards, each a list of targets")
+	}
+	shards := make(map[string][]string, len(list))
+	for _, e := range list {
+		shards[e.name] = d.names(e.node, e.path, "target")
+	}
+	return shards
+}
+
+func (d *decoder) caller(e entry) Caller {
+	o := d.newObject(e.node, e.path)
+	c := Caller{
+		Name:        e.name,
+		TokenSHA256: read(o, "token_sha256", tokenRule),
+		Actions:     read(o, "actions", actionsRule),
+		Rate:        read(o, "rate", rateRule),
+		Burst:       read(o, "burst", burstRule),
+		Concurrency: read(o, "concurrency", concurrencyRule),
+		Priority:    read(o, "priority", priorityRule),
+	}
+	if n := o.find("searches"); n != nil {
+		c.Searches = d.names(n, o.at("searches"), "search")
+	} else {
+		o.missing("searches", "a list of one or more names of a search")
+	}
+	o.finish()
+	return c
+}
+
+func (d *decoder) dataCentre(e entry) DataCentre {
+	o := d.newObject(e.node, e.path)
+	c := DataCentre{
+		Name:   e.name,
+		Region: read(o, "region", nameRule),
+		State:  read(o, "state", dataCentreStateRule),
+	}
+	o.finish()
+	return c
+}
+
+// target reads one target. addresses holds the targets so far by address: one
+// server under two names would be given its limit twice.
+func (d *decoder) target(e entry, addresses map[string]string) Target {
+	o := d.newObject(e.node, e.path)
+	t := Target{
+		Name:        e.name,
+		Address:     read(o, "address", addressRule),
+		DataCentre:  read(o, "data_centre", nameRule),
+		Group:       read(o, "group", nameRule.or(e.name)),
+		Slots:       read(o, "slots", slotsRule),
+		Connections: read(o, "connections", connectionsRule),
+		ColdSlots:   read(o, "cold_slots", coldSlotsRule),
+		State:       read(o, "state", targetStateRule),
+	}
+	o.finish()
+	if t.DataCentre != "" {
+		d.refer("data centre", t.DataCentre, o.at("data_centre"), o.node.members["data_centre"])
+	}
+	d.checkLimits(o, t)
+	if other, ok := addresses[t.Address]; ok && t.Address != "" {
+		d.fault(o.origin("address"), o.at("address"),
+			fmt.Sprintf("%q is also the address of target %s", t.Address, other),
+			"an address that no other target has")
+	}
+	addresses[t.Address] = e.name
+	return t
+}
+
+// checkLimits compares a target's limits with each other.
+func (d *decoder) checkLimits(o *object, t Target) {
+	if t.Slots == 0 || t.Connections == 0 {
+		return
+	}
+	if t.ColdSlots > t.Slots {
+		d.fault(o.origin("cold_slots"), o.at("cold_slots"),
+			fmt.Sprintf("%d is more than the target's slots", t.ColdSlots),
+			fmt.Sprintf("a whole number from 1 to %d", t.Slots))
+	}
+	if t.Connections < t.Slots {
+		d.fault(o.origin("connections"), o.at("connections"),
+			fmt.Sprintf("%d is less than the target's slots", t.Connections),
+			fmt.Sprintf("a whole number from %d to %d", t.Slots, maxConnections))
+	}
+}
+
+// checkReferences reports the names that nothing defines.
+func (d *decoder) checkReferences(c *Contracts) {
+	if d.incomplete {
+		return
+	}
+	for _, r := range d.references {
+		if !defined(c, r) {
+			d.fault(r.node.origin, r.path, fmt.Sprintf("there is no %s %q", r.kind, r.name),
+				"the name of a "+r.kind+" that the folder defines")
+		}
+	}
+}
+
+func defined(c *Contracts, r reference) bool {
+	var ok bool
+	switch r.kind {
+	case "target":
+		_, ok = c.Targets[r.name]
+	case "data centre":
+		_, ok = c.DataCentres[r.name]
+	case "search":
+		_, ok = c.Searches[r.name]
+	}
+	return ok
+}
