Read JSON with comments in a package of its own

The process settings need the same reading as the folder: faults by file and line, and duplicate keys refused. One parser serves both instead of two.

--- a/folder/fault.go
+++ b/folder/fault.go
@@ -2,38 +2,17 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
 	"strings"
+
+	"github.com/goldcrestmux/goldcrestmux/jsonc"
 )
 
 // Fault is one thing that is wrong with a folder.
-type Fault struct {
-	File string
-	// Line counts from 1.
-	Line int
-	// Field is the path of the field, such as "targets.judges-01-a.slots". It is
-	// empty if the file as a whole is at fault.
-	Field string
-	// Problem tells what is wrong.
-	Problem string
-	// Allowed tells what would be accepted.
-	Allowed string
-}
+type Fault = jsonc.Fault
 
-// String returns "file:line: field: what is wrong; allowed: what is accepted".
-func (f Fault) String() string {
-	var b strings.Builder
-	fmt.Fprintf(&b, "%s:%d: ", f.File, f.Line)
-	if f.Field != "" {
-		b.WriteString(f.Field + ": ")
-	}
-	b.WriteString(f.Problem)
-	if f.Allowed != "" {
-		b.WriteString("; allowed: " + f.Allowed)
-	}
-	return b.String()
-}
+// Origin is the place that set a value; zero for a default.
+type Origin = jsonc.Origin
 
 // FaultError is the error of Load. It holds every fault of the folder in the
 // order of file, line and field, and at least one.
--- a/folder/folder_test.go
+++ b/folder/folder_test.go
@@ -57,7 +57,7 @@
 	if judges.Wait != 300*time.Millisecond || m.Contracts.DataCentres["tsv"].State != StateOut || len(judges.Versions) != 1 {
 		t.Errorf("contracts do not follow the last file: %+v", judges)
 	}
-	if o, ok := m.Origin("data_centres.tsv.state"); !ok || o != (Origin{"90-out.jsonc", 2}) {
+	if o, ok := m.Origin("data_centres.tsv.state"); !ok || o != (Origin{File: "90-out.jsonc", Line: 2}) {
 		t.Errorf("origin of the state is %v, %v", o, ok)
 	}
 }
--- a/folder/load.go
+++ b/folder/load.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 	"strings"
+
+	"github.com/goldcrestmux/goldcrestmux/jsonc"
 )
 
 // Merged is what a folder amounts to. A process that only enforces the
@@ -32,9 +34,12 @@
 //
 // Objects merge deeply; scalars and lists are replaced; null deletes.
 func Load(files []File) (*Merged, error) {
-	root, faults, incomplete := mergeFiles(files)
-	d := &decoder{faults: faults, incomplete: incomplete}
-	contracts := d.contracts(root)
+	m := newMerger()
+	for _, f := range sortFiles(files) {
+		m.add(f)
+	}
+	d := &decoder{faults: m.faults, incomplete: m.incomplete}
+	contracts := d.contracts(m.root)
 	d.checkReferences(contracts)
 	if len(d.faults) > 0 {
 		return nil, newFaultError(d.faults)
@@ -43,28 +48,7 @@
 	return &Merged{Contracts: contracts, Fields: d.fields}, nil
 }
 
-// mergeFiles returns the merged tree and the faults of single files. It tells
-// whether a file had to be left out.
-func mergeFiles(files []File) (root *node, faults []Fault, incomplete bool) {
-	sorted := slices.Clone(files)
-	slices.SortStableFunc(sorted, func(a, b File) int { return strings.Compare(a.Name, b.Name) })
-	root = &node{kind: kindObject, members: map[string]*node{}}
-	for i, f := range sorted {
-		p := &parser{file: f}
-		if i > 0 && sorted[i-1].Name == f.Name {
-			p.fault(1, "", "two files have this name", "each name once")
-		}
-		if tree := p.parse(); tree != nil {
-			root = p.merge(root, tree, "")
-		} else {
-			incomplete = true
-		}
-		faults = append(faults, p.faults...)
-	}
-	return root, faults, incomplete
-}
-
-func (d *decoder) contracts(root *node) *Contracts {
+func (d *decoder) contracts(root *jsonc.Node) *Contracts {
 	o := d.newObject(root, "")
 	c := &Contracts{
 		Searches:    map[string]Search{},
@@ -106,7 +90,7 @@
 			"at most "+s.Deadline.String())
 	}
 	if _, ok := s.Versions[s.Current]; !ok && s.Current != "" {
-		d.refer("version of this search", s.Current, o.at("current"), o.node.members["current"])
+		d.refer("version of this search", s.Current, o.at("current"), o.node.Members["current"])
 	}
 	o.finish()
 	return s
@@ -197,7 +181,7 @@
 	}
 	o.finish()
 	if t.DataCentre != "" {
-		d.refer("data centre", t.DataCentre, o.at("data_centre"), o.node.members["data_centre"])
+		d.refer("data centre", t.DataCentre, o.at("data_centre"), o.node.Members["data_centre"])
 	}
 	d.checkLimits(o, t)
 	if other, ok := addresses[t.Address]; ok && t.Address != "" {
@@ -233,7 +217,7 @@
 	}
 	for _, r := range d.references {
 		if !defined(c, r) {
-			d.fault(r.node.origin, r.path, fmt.Sprintf("there is no %s %q", r.kind, r.name),
+			d.fault(r.node.Origin, r.path, fmt.Sprintf("there is no %s %q", r.kind, r.name),
 				"the name of a "+r.kind+" that the folder defines")
 		}
 	}
--- a/folder/object.go
+++ b/folder/object.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"strings"
+
+	"github.com/goldcrestmux/goldcrestmux/jsonc"
 )
 
 // Field is one value of the merged folder and the place that set it.
@@ -31,25 +33,25 @@
 	kind string
 	name string
 	path string
-	node *node
+	node *jsonc.Node
 }
 
 func (d *decoder) fault(o Origin, field, problem, allowed string) {
-	d.faults = append(d.faults, Fault{o.File, o.Line, field, problem, allowed})
+	d.faults = append(d.faults, o.Fault(field, problem, allowed))
 }
 
 func (d *decoder) record(path string, value any, o Origin) {
 	d.fields = append(d.fields, Field{Path: path, Value: format(value), Origin: o})
 }
 
-func (d *decoder) refer(kind, name, path string, n *node) {
+func (d *decoder) refer(kind, name, path string, n *jsonc.Node) {
 	d.references = append(d.references, reference{kind, name, path, n})
 }
 
 // object reads the fields of one object of the tree.
 type object struct {
 	*decoder
-	node *node
+	node *jsonc.Node
 	path string
 	// known lists the fields that were asked for.
 	known []string
@@ -59,30 +61,30 @@
 
 // newObject returns a reader of n. A value that is no object is a fault and
 // reads as an empty object.
-func (d *decoder) newObject(n *node, path string) *object {
-	if n.kind == kindObject {
+func (d *decoder) newObject(n *jsonc.Node, path string) *object {
+	if n.Kind == jsonc.Object {
 		return &object{decoder: d, node: n, path: path}
 	}
-	d.fault(n.origin, path, "is "+n.kind.String(), "an object")
-	return &object{decoder: d, node: &node{origin: n.origin}, path: path, unread: true}
+	d.fault(n.Origin, path, "is "+n.Kind.String(), "an object")
+	return &object{decoder: d, node: &jsonc.Node{Origin: n.Origin}, path: path, unread: true}
 }
 
-func (o *object) at(name string) string { return joined(o.path, name) }
+func (o *object) at(name string) string { return jsonc.Join(o.path, name) }
 
 // origin returns the place of a field: where it is set or deleted, else where
 // the object stands.
 func (o *object) origin(name string) Origin {
-	if n, ok := o.node.members[name]; ok {
-		return n.origin
+	if n, ok := o.node.Members[name]; ok {
+		return n.Origin
 	}
-	return o.node.origin
+	return o.node.Origin
 }
 
 // find returns the field's node, or nil if it is absent or deleted.
-func (o *object) find(name string) *node {
+func (o *object) find(name string) *jsonc.Node {
 	o.known = append(o.known, name)
-	n, ok := o.node.members[name]
-	if !ok || n.kind == kindNull {
+	n, ok := o.node.Members[name]
+	if !ok || n.Kind == jsonc.Null {
 		return nil
 	}
 	return n
@@ -97,9 +99,9 @@
 
 // finish reports the fields that nothing asked for.
 func (o *object) finish() {
-	for name, n := range o.node.members {
+	for name, n := range o.node.Members {
 		if !slices.Contains(o.known, name) {
-			o.fault(n.origin, o.at(name), "unknown field", strings.Join(o.known, ", "))
+			o.fault(n.Origin, o.at(name), "unknown field", strings.Join(o.known, ", "))
 		}
 	}
 }
@@ -117,10 +119,10 @@
 	}
 	v, problem := r.parse(n)
 	if problem != "" {
-		o.fault(n.origin, o.at(name), problem, r.allowed)
+		o.fault(n.Origin, o.at(name), problem, r.allowed)
 		return r.fallback
 	}
-	o.record(o.at(name), v, n.origin)
+	o.record(o.at(name), v, n.Origin)
 	return v
 }
 
@@ -128,7 +130,7 @@
 type entry struct {
 	name string
 	path string
-	node *node
+	node *jsonc.Node
 }
 
 // entries returns the values of a map field in the order of their names.
@@ -137,18 +139,18 @@
 	if n == nil {
 		return nil
 	}
-	if n.kind != kindObject {
-		o.fault(n.origin, o.at(name), "is "+n.kind.String(), "an object of values by name")
+	if n.Kind != jsonc.Object {
+		o.fault(n.Origin, o.at(name), "is "+n.Kind.String(), "an object of values by name")
 		return nil
 	}
 	var list []entry
-	for _, key := range slices.Sorted(maps.Keys(n.members)) {
-		member, path := n.members[key], joined(o.at(name), key)
-		if member.kind == kindNull {
+	for _, key := range slices.Sorted(maps.Keys(n.Members)) {
+		member, path := n.Members[key], jsonc.Join(o.at(name), key)
+		if member.Kind == jsonc.Null {
 			continue
 		}
 		if !isName(key) {
-			o.fault(member.origin, path, "the name is not accepted", nameAllowed)
+			o.fault(member.Origin, path, "the name is not accepted", nameAllowed)
 			continue
 		}
 		list = append(list, entry{key, path, member})
@@ -157,29 +159,29 @@
 }
 
 // names reads a list of distinct names that refer to values of a kind.
-func (d *decoder) names(n *node, path, kind string) []string {
+func (d *decoder) names(n *jsonc.Node, path, kind string) []string {
 	allowed := fmt.Sprintf("a list of one or more names of a %s, each once", kind)
-	if n.kind != kindArray {
-		d.fault(n.origin, path, "is "+n.kind.String(), allowed)
+	if n.Kind != jsonc.Array {
+		d.fault(n.Origin, path, "is "+n.Kind.String(), allowed)
 		return nil
 	}
-	if len(n.items) == 0 {
-		d.fault(n.origin, path, "is empty", allowed)
+	if len(n.Items) == 0 {
+		d.fault(n.Origin, path, "is empty", allowed)
 		return nil
 	}
 	var list []string
-	for i, item := range n.items {
+	for i, item := range n.Items {
 		switch {
-		case item.kind != kindString:
-			d.fault(item.origin, indexed(path, i), "is "+item.kind.String(), "a name of a "+kind)
+		case item.Kind != jsonc.String:
+			d.fault(item.Origin, jsonc.Index(path, i), "is "+item.Kind.String(), "a name of a "+kind)
 			continue
-		case slices.Contains(list, item.text):
-			d.fault(item.origin, indexed(path, i), fmt.Sprintf("%q stands twice", item.text), allowed)
+		case slices.Contains(list, item.Text):
+			d.fault(item.Origin, jsonc.Index(path, i), fmt.Sprintf("%q stands twice", item.Text), allowed)
 			continue
 		}
-		list = append(list, item.text)
-		d.refer(kind, item.text, indexed(path, i), item)
+		list = append(list, item.Text)
+		d.refer(kind, item.Text, jsonc.Index(path, i), item)
 	}
-	d.record(path, list, n.origin)
+	d.record(path, list, n.Origin)
 	return list
 }
--- a/folder/rule.go
+++ b/folder/rule.go
@@ -9,13 +9,15 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/goldcrestmux/goldcrestmux/jsonc"
 )
 
 // rule tells how to read one field, what is allowed in it, and what holds if
 // it is absent.
 type rule[T any] struct {
 	// parse returns the value, or a non-empty problem.
-	parse    func(n *node) (value T, problem string)
+	parse    func(n *jsonc.Node) (value T, problem string)
 	allowed  string
 	fallback T
 	required bool
@@ -29,16 +31,16 @@
 }
 
 func wholeNumber(least, most int) rule[int] {
-	parse := func(n *node) (int, string) {
-		if n.kind != kindNumber {
-			return 0, "is " + n.kind.String()
+	parse := func(n *jsonc.Node) (int, string) {
+		if n.Kind != jsonc.Number {
+			return 0, "is " + n.Kind.String()
 		}
-		v, err := strconv.Atoi(n.text)
+		v, err := strconv.Atoi(n.Text)
 		if err != nil {
-			return 0, n.text + " is not a whole number within range"
+			return 0, n.Text + " is not a whole number within range"
 		}
 		if v < least || v > most {
-			return 0, n.text + " is out of range"
+			return 0, n.Text + " is out of range"
 		}
 		return v, ""
 	}
@@ -48,13 +50,13 @@
 
 // decimal accepts numbers from least to most; least itself is left out if open.
 func decimal(least, most float64, open bool) rule[float64] {
-	parse := func(n *node) (float64, string) {
-		if n.kind != kindNumber {
-			return 0, "is " + n.kind.String()
+	parse := func(n *jsonc.Node) (float64, string) {
+		if n.Kind != jsonc.Number {
+			return 0, "is " + n.Kind.String()
 		}
-		v, err := strconv.ParseFloat(n.text, 64)
+		v, err := strconv.ParseFloat(n.Text, 64)
 		if err != nil || v < least || v > most || open && v == least {
-			return 0, n.text + " is out of range"
+			return 0, n.Text + " is out of range"
 		}
 		return v, ""
 	}
@@ -70,16 +72,16 @@
 func plain(v float64) string { return strconv.FormatFloat(v, 'f', -1, 64) }
 
 func duration(least, most time.Duration) rule[time.Duration] {
-	parse := func(n *node) (time.Duration, string) {
-		if n.kind != kindString {
-			return 0, "is " + n.kind.String()
+	parse := func(n *jsonc.Node) (time.Duration, string) {
+		if n.Kind != jsonc.String {
+			return 0, "is " + n.Kind.String()
 		}
-		v, err := time.ParseDuration(n.text)
+		v, err := time.ParseDuration(n.Text)
 		if err != nil {
-			return 0, strconv.Quote(n.text) + " is not a duration with a unit"
+			return 0, strconv.Quote(n.Text) + " is not a duration with a unit"
 		}
 		if v < least || v > most {
-			return 0, strconv.Quote(n.text) + " is out of range"
+			return 0, strconv.Quote(n.Text) + " is out of range"
 		}
 		return v, ""
 	}
@@ -89,14 +91,14 @@
 
 // text accepts strings that pass valid.
 func text(allowed string, valid func(string) bool) rule[string] {
-	parse := func(n *node) (string, string) {
-		if n.kind != kindString {
-			return "", "is " + n.kind.String()
+	parse := func(n *jsonc.Node) (string, string) {
+		if n.Kind != jsonc.String {
+			return "", "is " + n.Kind.String()
 		}
-		if !valid(n.text) {
-			return "", strconv.Quote(n.text) + " is not accepted"
+		if !valid(n.Text) {
+			return "", strconv.Quote(n.Text) + " is not accepted"
 		}
-		return n.text, ""
+		return n.Text, ""
 	}
 	return rule[string]{parse: parse, allowed: allowed, required: true}
 }
@@ -106,24 +108,24 @@
 	for i, s := range states {
 		quoted[i] = strconv.Quote(string(s))
 	}
-	parse := func(n *node) (State, string) {
-		if n.kind != kindString {
-			return "", "is " + n.kind.String()
+	parse := func(n *jsonc.Node) (State, string) {
+		if n.Kind != jsonc.String {
+			return "", "is " + n.Kind.String()
 		}
-		if !slices.Contains(states, State(n.text)) {
-			return "", strconv.Quote(n.text) + " is not accepted"
+		if !slices.Contains(states, State(n.Text)) {
+			return "", strconv.Quote(n.Text) + " is not accepted"
 		}
-		return State(n.text), ""
+		return State(n.Text), ""
 	}
 	return rule[State]{parse: parse, allowed: strings.Join(quoted, " or "), required: true}
 }
 
 func flag() rule[bool] {
-	parse := func(n *node) (bool, string) {
-		if n.kind != kindTrue && n.kind != kindFalse {
-			return false, "is " + n.kind.String()
+	parse := func(n *jsonc.Node) (bool, string) {
+		if n.Kind != jsonc.True && n.Kind != jsonc.False {
+			return false, "is " + n.Kind.String()
 		}
-		return n.kind == kindTrue, ""
+		return n.Kind == jsonc.True, ""
 	}
 	return rule[bool]{parse: parse, allowed: "true or false", required: true}
 }
--- /dev/null
+++ b/jsonc/parse.go
@@ -0,0 +1,117 @@
+package jsonc
+
+import (
+	"fmt"
+	"regexp"
+	"sort"
+	"strconv"
+
+	"github.com/tailscale/hujson"
+)
+
+// parser turns one file into a tree of nodes and collects its faults.
+type parser struct {
+	file   string
+	data   []byte
+	lines  []int // offsets at which lines start
+	faults []Fault
+}
+
+// hujsonLine finds the line in the text of a syntax error of the hujson package.
+var hujsonLine = regexp.MustCompile(`^hujson: line (\d+), column (\d+): `)
+
+// Parse reads data, the content of the named file. It returns the file's
+// top-level object, or nil if the file can't be read as one, and every fault.
+func Parse(file string, data []byte) (*Node, []Fault) {
+	p := &parser{file: file, data: data}
+	root := p.parse()
+	return root, p.faults
+}
+
+// parse returns the file's top-level object, or nil if the file can't be read as one.
+func (p *parser) parse() *Node {
+	value, err := hujson.Parse(p.data)
+	if err != nil {
+		p.syntaxFault(err)
+		return nil
+	}
+	p.indexLines()
+	root := p.node(value, "")
+	if root.Kind != Object {
+		p.fault(root.Origin.Line, "", "the file holds "+root.Kind.String(), "one object")
+		return nil
+	}
+	return root
+}
+
+func (p *parser) syntaxFault(err error) {
+	line, text := 1, err.Error()
+	if m := hujsonLine.FindStringSubmatch(text); m != nil {
+		line, _ = strconv.Atoi(m[1])
+		text = "column " + m[2] + ": " + text[len(m[0]):]
+	}
+	p.fault(line, "", text, "JSON with comments and trailing commas")
+}
+
+func (p *parser) fault(line int, field, problem, allowed string) {
+	p.faults = append(p.faults, Fault{p.file, line, field, problem, allowed})
+}
+
+func (p *parser) indexLines() {
+	p.lines = []int{0}
+	for i, c := range p.data {
+		if c == '\n' {
+			p.lines = append(p.lines, i+1)
+		}
+	}
+}
+
+// line returns the number of the line that holds the byte at offset.
+func (p *parser) line(offset int) int {
+	return sort.SearchInts(p.lines, offset+1)
+}
+
+func (p *parser) node(v hujson.Value, path string) *Node {
+	n := &Node{
+		Kind:   Kind(v.Value.Kind()),
+		Origin: Origin{p.file, p.line(v.StartOffset)},
+	}
+	switch value := v.Value.(type) {
+	case hujson.Literal:
+		n.Text = value.String()
+	case *hujson.Object:
+		n.Members = make(map[string]*Node, len(value.Members))
+		for _, m := range value.Members {
+			p.member(n, m, path)
+		}
+	case *hujson.Array:
+		for i, e := range value.Elements {
+			n.Items = append(n.Items, p.node(e, Index(path, i)))
+		}
+	}
+	return n
+}
+
+func (p *parser) member(object *Node, m hujson.ObjectMember, path string) {
+	name := m.Name.Value.(hujson.Literal).String()
+	field := Join(path, name)
+	if first, ok := object.Members[name]; ok {
+		p.fault(p.line(m.Name.StartOffset), field,
+			fmt.Sprintf("the key stands twice, first in line %d", first.Origin.Line),
+			"each key once in an object")
+	}
+	object.Members[name] = p.node(m.Value, field)
+}
+
+// Join returns the path of a member of the object at path.
+func Join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+// Index returns the path of an item of the list at path.
+func Index(path string, i int) string {
+	return fmt.Sprintf("%s[%d]", path, i)
+}
