Bound the nesting of configuration files

A one-megabyte file of opening brackets overflowed the stack inside the hujson package, which ends the process and can't be recovered from; every process that watches the folder would have gone down on one bad revision. The depth is now checked before the parser runs. The new test fails with a stack overflow when the check is off.

--- a/jsonc/parse.go
+++ b/jsonc/parse.go
@@ -30,6 +30,12 @@
 
 // parse returns the file's top-level object, or nil if the file can't be read as one.
 func (p *parser) parse() *Node {
+	if offset := tooDeep(p.data); offset >= 0 {
+		p.indexLines()
+		p.fault(p.line(offset), "", "a value stands too deep",
+			fmt.Sprintf("at most %d objects and lists in one another", MaxDepth))
+		return nil
+	}
 	value, err := hujson.Parse(p.data)
 	if err != nil {
 		p.syntaxFault(err)
