Make a deterministic corpus and its right answers

Targets and checkers derive records and whole answers from the same seed, so that a check needs no data from the side that it checks. Scores are whole numbers so that ties occur; score and version field differ between index versions so that a mixture shows.

--- /dev/null
+++ b/corpus/corpus.go
@@ -0,0 +1,220 @@
+// Package corpus makes the deterministic records that the stand-in targets
+// search, and the whole right answer to any query over them. Both sides of a
+// check derive from the same seed, so that neither needs the other's data.
+package corpus
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/goldcrestmux/goldcrestmux/platform"
+	"github.com/goldcrestmux/goldcrestmux/wire"
+)
+
+// Kind selects what the records describe.
+type Kind string
+
+// Kinds of records.
+const (
+	Competition Kind = "competition" // title, category, club, entrant
+	Substance   Kind = "substance"   // substance, endpoint, dossier, summary
+)
+
+// DefaultRecords is the number of records of a corpus.
+const DefaultRecords = 2000
+
+// maxScore bounds scores. They are whole numbers, so that equal ones occur and
+// the order by key matters.
+const maxScore = 1000
+
+// maxCachedAnswers bounds the number of answers that a corpus remembers.
+const maxCachedAnswers = 4096
+
+// Options configures a corpus.
+type Options struct {
+	// Seed selects the content; equal seeds give equal records.
+	Seed uint64
+	// Search is the name of the search; each search has its own records.
+	Search string
+	// Kind is what the records describe; empty means Competition.
+	Kind Kind
+	// Records is the number of records; zero means DefaultRecords.
+	Records int
+}
+
+// Entry is a record along with the values that queries match.
+type Entry struct {
+	Record   wire.Record
+	Words    []string // the words of the title or summary
+	Category string   // the category or endpoint
+}
+
+// Answer is the right answer to a query.
+type Answer struct {
+	Matched int
+	Records []wire.Record
+}
+
+// Corpus holds the records of one search. It is safe for concurrent use.
+type Corpus struct {
+	options Options
+
+	mu       sync.Mutex
+	versions map[string][]Entry
+	shards   map[string]map[string][]Entry
+	answers  map[string]Answer
+}
+
+// New returns the corpus that the options describe.
+func New(o Options) *Corpus {
+	if o.Kind == "" {
+		o.Kind = Competition
+	}
+	if o.Records == 0 {
+		o.Records = DefaultRecords
+	}
+	return &Corpus{
+		options:  o,
+		versions: make(map[string][]Entry),
+		shards:   make(map[string]map[string][]Entry),
+		answers:  make(map[string]Answer),
+	}
+}
+
+// ShardOf returns the name of the shard that holds the key, in a version that
+// has the given shards in ascending order.
+func ShardOf(key string, sorted []string) string {
+	return sorted[xxhash.Sum64String(key)%uint64(len(sorted))]
+}
+
+// Shard returns the entries of one shard of a version, in the order of
+// answers. The caller must not modify them.
+func (c *Corpus) Shard(version string, shardNames []string, shard string) []Entry {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.partition(version, shardNames)[shard]
+}
+
+// Search returns the number of entries that match the query, and the first of
+// them up to the query's limit. The entries must be in the order of answers.
+func Search(entries []Entry, q platform.Query) (matched int, top []wire.Record) {
+	for i := range entries {
+		e := &entries[i]
+		if !e.matches(q) {
+			continue
+		}
+		matched++
+		if len(top) < q.Limit {
+			top = append(top, e.Record)
+		}
+	}
+	return matched, top
+}
+
+// Expected returns the whole right answer to a query over all shards of a version.
+func (c *Corpus) Expected(version string, shardNames []string, q platform.Query) Answer {
+	return c.ExpectedWithout(version, shardNames, nil, q)
+}
+
+// ExpectedWithout returns the right answer to a query over all shards of a
+// version but the missing ones.
+func (c *Corpus) ExpectedWithout(version string, shardNames, missing []string, q platform.Query) Answer {
+	key := fmt.Sprintf("%s|%d|%s|%s|%s|%d", version, len(shardNames), strings.Join(missing, ","), q.Text, q.Category, q.Limit)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if answer, ok := c.answers[key]; ok {
+		return answer
+	}
+	answer := c.search(version, shardNames, missing, q)
+	if len(c.answers) < maxCachedAnswers {
+		c.answers[key] = answer
+	}
+	return answer
+}
+
+func (c *Corpus) search(version string, shardNames, missing []string, q platform.Query) Answer {
+	entries := c.entries(version)
+	if len(missing) > 0 {
+		sorted := slices.Sorted(slices.Values(shardNames))
+		entries = slices.DeleteFunc(slices.Clone(entries), func(e Entry) bool {
+			return slices.Contains(missing, ShardOf(e.Record.Key, sorted))
+		})
+	}
+	matched, top := Search(entries, q)
+	return Answer{Matched: matched, Records: top}
+}
+
+// partition returns the entries of a version by shard.
+func (c *Corpus) partition(version string, shardNames []string) map[string][]Entry {
+	sorted := slices.Sorted(slices.Values(shardNames))
+	key := version + "|" + strings.Join(sorted, "|")
+	if parts, ok := c.shards[key]; ok {
+		return parts
+	}
+	parts := make(map[string][]Entry, len(sorted))
+	for _, e := range c.entries(version) {
+		shard := ShardOf(e.Record.Key, sorted)
+		parts[shard] = append(parts[shard], e)
+	}
+	c.shards[key] = parts
+	return parts
+}
+
+// entries returns all entries of a version in the order of answers.
+func (c *Corpus) entries(version string) []Entry {
+	if entries, ok := c.versions[version]; ok {
+		return entries
+	}
+	entries := make([]Entry, c.options.Records)
+	for i := range entries {
+		entries[i] = c.entry(version, i)
+	}
+	slices.SortFunc(entries, func(a, b Entry) int { return Compare(a.Record, b.Record) })
+	c.versions[version] = entries
+	return entries
+}
+
+// Compare orders records as answers do: by descending score, then ascending key.
+func Compare(a, b wire.Record) int {
+	switch {
+	case a.Score > b.Score:
+		return -1
+	case a.Score < b.Score:
+		return 1
+	default:
+		return strings.Compare(a.Key, b.Key)
+	}
+}
+
+// entry makes the i-th entry. Its key and words are the same in all versions;
+// its score and the field "version" are not.
+func (c *Corpus) entry(version string, i int) Entry {
+	key := fmt.Sprintf("%s-%06d", strings.ToUpper(string(c.options.Kind[:1])), i)
+	rng := rand.New(rand.NewPCG(c.options.Seed, xxhash.Sum64String(c.options.Search+"/"+key)))
+	e := describe(c.options.Kind, rng, version)
+	e.Record.Key = key
+	e.Record.Score = float64(xxhash.Sum64String(fmt.Sprintf("%d/%s/%s/%s", c.options.Seed, c.options.Search, version, key)) % maxScore)
+	return e
+}
+
+func (e *Entry) matches(q platform.Query) bool {
+	if q.Category != "" && q.Category != e.Category {
+		return false
+	}
+	return q.Text == "" || slices.Contains(e.Words, q.Text)
+}
+
+// mustJSON encodes values whose types can't fail to encode.
+func mustJSON(v any) wire.RawJSON {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
