Play the platform and the targets in one stand-in process

The tier needs something to be run against: a configuration service that can be down, stale or torn, a VM list that lags, targets with slots, connection limits, index versions and cold starts, and cables that can be cut. A ledger of all executions is the oracle for the promises.

Work beyond the cold allowance makes a target fall over. Breaches that came before any client could know of the new boot are counted apart, within the breaches.

--- /dev/null
+++ b/cmd/gcmux-standin/main.go
@@ -0,0 +1,72 @@
+// Command gcmux-standin plays the platform and the targets on loopback.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+
+	"github.com/goldcrestmux/goldcrestmux/corpus"
+	"github.com/goldcrestmux/goldcrestmux/standin"
+)
+
+// maxRun bounds the time that a stand-in runs when nobody stops it.
+const maxRun = time.Hour
+
+func main() {
+	if err := run(os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "gcmux-standin:", err)
+		os.Exit(1)
+	}
+}
+
+func run(args []string) error {
+	flags := flag.NewFlagSet("gcmux-standin", flag.ContinueOnError)
+	setups := flags.String("setup", string(standin.SetupSmall), "comma-separated set-ups: competitions, hrabovsky, small")
+	seed := flags.Uint64("seed", 1, "seed of the records and of all random choices")
+	records := flags.Int("records", corpus.DefaultRecords, "records of each search")
+	admin := flags.String("admin", "127.0.0.1:0", "`host:port` of the admin API")
+	median := flags.Duration("service", standin.DefaultService, "median time that a target works on a request")
+	share := flags.Float64("straggler-share", 0, "share of requests, 0 to 1, that take straggler-factor times as long")
+	factor := flags.Float64("straggler-factor", 10, "factor of the stragglers' service time")
+	distance := flags.Duration("distance", standin.DefaultDistance, "time one way between two data centres; below zero none")
+	warmAfter := flags.Int("warm-after", standin.DefaultWarmAfter, "completed requests after which a cold target bears one more")
+	warm := flags.Bool("warm", false, "start the targets warm")
+	limit := flags.Duration("max-run", maxRun, "time after which the process exits by itself")
+	if err := ff.Parse(flags, args, ff.WithEnvVarPrefix("GCMUX_STANDIN")); err != nil {
+		return err
+	}
+	o := standin.Options{
+		Seed: *seed, Records: *records, AdminAddress: *admin,
+		Distance: *distance, WarmAfter: *warmAfter, Warm: *warm,
+		Service: standin.Service{Median: standin.Duration(*median), StragglerShare: *share, StragglerFactor: *factor},
+	}
+	for _, name := range strings.Split(*setups, ",") {
+		o.Setups = append(o.Setups, standin.Setup(name))
+	}
+	return serve(o, *limit)
+}
+
+func serve(o standin.Options, limit time.Duration) error {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	s, err := standin.New(o)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	logger := slog.New(slog.NewJSONHandler(os.Stdout, nil))
+	logger.Info("listening", "admin", s.AdminAddress(), "platform", s.PlatformAddress(), "targets", len(s.Layout().Targets))
+	select {
+	case <-stop:
+	case <-time.After(limit):
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/layout.go
@@ -0,0 +1,202 @@
+package standin
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/juju/errors"
+
+	"github.com/goldcrestmux/goldcrestmux/corpus"
+)
+
+// Setup names a set of searches, targets and callers.
+type Setup string
+
+// Set-ups. The first two have the sizes of the two firms.
+const (
+	SetupCompetitions Setup = "competitions"
+	SetupHrabovsky    Setup = "hrabovsky"
+	SetupSmall        Setup = "small"
+)
+
+// Names of the two index versions of each search.
+const (
+	FirstVersion  = "v1"
+	SecondVersion = "v2"
+)
+
+const (
+	region          = "region-1"
+	replicas        = 2
+	colocatedLeafs  = 2 // leafs of one instance in the sets that have instances
+	repartitionGain = 1 // shards that the second version has more than the first
+)
+
+// Layout describes what a stand-in process serves.
+type Layout struct {
+	Seed        uint64         `json:"seed"`
+	Records     int            `json:"records"`
+	DataCentres []string       `json:"data_centres"`
+	Searches    []SearchLayout `json:"searches"`
+	Targets     []TargetLayout `json:"targets"`
+}
+
+// SearchLayout describes one search.
+type SearchLayout struct {
+	Name     string          `json:"name"`
+	Kind     corpus.Kind     `json:"kind"`
+	Versions []VersionLayout `json:"versions"`
+}
+
+// VersionLayout describes one index version.
+type VersionLayout struct {
+	Name     string        `json:"name"`
+	Sequence int           `json:"sequence"`
+	Shards   []ShardLayout `json:"shards"`
+}
+
+// ShardNames returns the names of the version's shards.
+func (v VersionLayout) ShardNames() []string {
+	names := make([]string, len(v.Shards))
+	for i, s := range v.Shards {
+		names[i] = s.Name
+	}
+	return names
+}
+
+// ShardLayout names the targets that hold a shard.
+type ShardLayout struct {
+	Name    string   `json:"name"`
+	Targets []string `json:"targets"`
+}
+
+// TargetLayout is the contract of one target.
+type TargetLayout struct {
+	Name       string `json:"name"`
+	Address    string `json:"address"`
+	DataCentre string `json:"data_centre"`
+	Group      string `json:"group"`
+	Search     string `json:"search"`
+	Slots      int    `json:"slots"`
+	// Connections is the number of connections that the target keeps at once.
+	Connections int `json:"connections"`
+	ColdSlots   int `json:"cold_slots"`
+	// ConnectTime passes before the first answer on a new connection.
+	ConnectTime Duration `json:"connect_time"`
+}
+
+// app is the shape of one application's back ends.
+type app struct {
+	name        string
+	kind        corpus.Kind
+	instances   int
+	leafs       int // leafs of each instance
+	shards      int
+	slots       int
+	connections int
+	connectTime Duration
+}
+
+const millisecond = Duration(1e6)
+
+var setups = map[Setup][]app{
+	SetupCompetitions: {
+		{"judges", corpus.Competition, 20, colocatedLeafs, 20, 2, 25, 6 * millisecond},
+		{"portal", corpus.Competition, 30, colocatedLeafs, 30, 2, 25, 6 * millisecond},
+		{"entrants", corpus.Competition, 13, 1, 13, 3, 100, millisecond},
+		{"results", corpus.Competition, 6, 1, 6, 3, 100, millisecond},
+	},
+	SetupHrabovsky: {
+		{"workbench", corpus.Substance, 20, colocatedLeafs, 20, 2, 25, 6 * millisecond},
+		{"registrants", corpus.Substance, 30, colocatedLeafs, 30, 2, 25, 6 * millisecond},
+		{"viewer", corpus.Substance, 5, 1, 5, 4, 45, millisecond},
+		{"drafting", corpus.Substance, 3, 1, 3, 4, 45, millisecond},
+	},
+	SetupSmall: {
+		{"small", corpus.Competition, 8, 1, 4, 2, 25, millisecond},
+	},
+}
+
+// NewLayout returns the layout of the named set-ups. Target addresses are
+// empty until their listeners are open.
+func NewLayout(seed uint64, records int, names ...Setup) (Layout, error) {
+	layout := Layout{Seed: seed, Records: records, DataCentres: []string{"dc1", "dc2", "dc3"}}
+	for _, name := range names {
+		apps, ok := setups[name]
+		if !ok {
+			return Layout{}, errors.NotValidf("set-up %q", name)
+		}
+		for _, a := range apps {
+			layout.add(a)
+		}
+	}
+	return layout, nil
+}
+
+func (l *Layout) add(a app) {
+	targets := a.targets(l.DataCentres)
+	l.Targets = append(l.Targets, targets...)
+	l.Searches = append(l.Searches, SearchLayout{
+		Name: a.name,
+		Kind: a.kind,
+		Versions: []VersionLayout{
+			{Name: FirstVersion, Sequence: 1, Shards: place(a.shards, targets)},
+			{Name: SecondVersion, Sequence: 2, Shards: place(a.shards+repartitionGain, targets)},
+		},
+	})
+}
+
+func (a app) targets(dataCentres []string) []TargetLayout {
+	var targets []TargetLayout
+	for i := range a.instances {
+		instance := fmt.Sprintf("%s-%02d", a.name, i+1)
+		for leaf := range a.leafs {
+			name := instance
+			if a.leafs > 1 {
+				name = fmt.Sprintf("%s-%c", instance, 'a'+leaf)
+			}
+			targets = append(targets, TargetLayout{
+				Name: name, Group: instance, Search: a.name,
+				DataCentre: dataCentres[i%len(dataCentres)],
+				Slots:      a.slots, Connections: a.connections, ColdSlots: 1,
+				ConnectTime: a.connectTime,
+			})
+		}
+	}
+	return targets
+}
+
+// place puts each shard on two of the least loaded targets, in different data centres.
+func place(shards int, targets []TargetLayout) []ShardLayout {
+	load := make([]int, len(targets))
+	out := make([]ShardLayout, shards)
+	for s := range out {
+		out[s].Name = fmt.Sprintf("s%02d", s)
+		first := leastLoaded(targets, load, "")
+		load[first]++
+		second := leastLoaded(targets, load, targets[first].DataCentre)
+		load[second]++
+		out[s].Targets = []string{targets[first].Name, targets[second].Name}
+	}
+	return out
+}
+
+// leastLoaded returns the index of the least loaded target outside the given data centre.
+func leastLoaded(targets []TargetLayout, load []int, without string) int {
+	best := -1
+	for i, t := range targets {
+		if t.DataCentre != without && (best < 0 || load[i] < load[best]) {
+			best = i
+		}
+	}
+	return best
+}
+
+// search returns the layout of the named search.
+func (l *Layout) search(name string) (SearchLayout, bool) {
+	i := slices.IndexFunc(l.Searches, func(s SearchLayout) bool { return s.Name == name })
+	if i < 0 {
+		return SearchLayout{}, false
+	}
+	return l.Searches[i], true
+}
--- /dev/null
+++ b/standin/ledger.go
@@ -0,0 +1,216 @@
+package standin
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/goldcrestmux/goldcrestmux/code"
+)
+
+// Bounds on what the ledger keeps. Counters stay exact beyond them.
+const (
+	maxExecutions = 1 << 17
+	startBucket   = 10 * time.Millisecond // resolution of StartedSince
+)
+
+// Execution is one run of a piece of work at a target.
+type Execution struct {
+	Target  string `json:"target"`
+	Boot    string `json:"boot"`
+	ID      string `json:"id"`
+	Action  string `json:"action,omitempty"`
+	Search  string `json:"search"`
+	Version string `json:"version"`
+	Shard   string `json:"shard"`
+	Relay   string `json:"relay"`
+	// DataCentre is that of the relay.
+	DataCentre string    `json:"data_centre"`
+	Start      time.Time `json:"start"`
+	End        time.Time `json:"end"`
+	// Code is empty while the work runs.
+	Code code.Code `json:"code"`
+}
+
+// TargetStats counts what happened at one target.
+type TargetStats struct {
+	Target     string    `json:"target"`
+	Search     string    `json:"search"`
+	DataCentre string    `json:"data_centre"`
+	Boot       string    `json:"boot"`
+	Warm       bool      `json:"warm"`
+	Started    uint64    `json:"started"`
+	Completed  uint64    `json:"completed"`
+	LastStart  time.Time `json:"last_start"`
+	// Running is the work at this moment, Peak the most there ever was at once.
+	Running  int `json:"running"`
+	Peak     int `json:"peak"`
+	PeakCold int `json:"peak_cold"`
+	// ColdBreaches counts the falls of the target because of work beyond what
+	// it bore while cold; SlotBreaches the arrivals beyond the slots.
+	ColdBreaches uint64 `json:"cold_breaches"`
+	SlotBreaches uint64 `json:"slot_breaches"`
+	// ColdSurprises counts the cold breaches, within ColdBreaches, that came
+	// before any client could know that the target had turned cold.
+	ColdSurprises uint64 `json:"cold_surprises"`
+	// ConnectionBreaches counts the connections refused beyond the limit.
+	ConnectionBreaches uint64 `json:"connection_breaches"`
+	Connections        int    `json:"connections"`
+	PeakConnections    int    `json:"peak_connections"`
+	AcceptedTotal      uint64 `json:"accepted_total"`
+	Refused            uint64 `json:"refused"`
+	// AfterRefusal counts the requests that came when the target, draining,
+	// already refused work.
+	AfterRefusal uint64 `json:"after_refusal"`
+}
+
+// DataCentreStarts counts the executions that started in a data centre.
+type DataCentreStarts struct {
+	DataCentre string `json:"data_centre"`
+	Started    uint64 `json:"started"`
+}
+
+// ActionRuns tells how often an action ran.
+type ActionRuns struct {
+	Action string `json:"action"`
+	Runs   int    `json:"runs"`
+}
+
+// CodeCount counts the refusals and failures with one code.
+type CodeCount struct {
+	Code  code.Code `json:"code"`
+	Count uint64    `json:"count"`
+}
+
+// Summary is the ledger in short.
+type Summary struct {
+	Now          time.Time   `json:"now"`
+	Started      uint64      `json:"started"`
+	Completed    uint64      `json:"completed"`
+	ColdBreaches uint64      `json:"cold_breaches"`
+	Surprises    uint64      `json:"cold_surprises"`
+	SlotBreaches uint64      `json:"slot_breaches"`
+	ConnBreaches uint64      `json:"connection_breaches"`
+	AfterRefusal uint64      `json:"after_refusal"`
+	Codes        []CodeCount `json:"codes"`
+	// Actions is the number of different actions that ran; ActionsTwice lists
+	// those that ran more than once.
+	Actions      int          `json:"actions"`
+	ActionsTwice []ActionRuns `json:"actions_twice"`
+	// StartedSince counts executions by the target's data centre since the
+	// time asked for, to the resolution of 10 ms; all executions if none was.
+	StartedSince []DataCentreStarts `json:"started_since"`
+	Config       ConfigCalls        `json:"config"`
+	Targets      []TargetStats      `json:"targets"`
+}
+
+// ledger records what ran at the targets. It is safe for concurrent use. Its
+// lock is taken after a target's.
+type ledger struct {
+	mu         sync.Mutex
+	executions []Execution
+	codes      map[code.Code]uint64
+	actions    map[string]int
+	// starts counts executions by data centre and bucket of time.
+	starts map[string]map[int64]uint64
+}
+
+func newLedger() *ledger {
+	return &ledger{
+		codes:   make(map[code.Code]uint64),
+		actions: make(map[string]int),
+		starts:  make(map[string]map[int64]uint64),
+	}
+}
+
+// begin records the start of an execution and returns its index, or -1 if
+// there is no room for its details.
+func (l *ledger) begin(dataCentre string, e Execution) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if e.Action != "" {
+		l.actions[e.Action]++
+	}
+	buckets, ok := l.starts[dataCentre]
+	if !ok {
+		buckets = make(map[int64]uint64)
+		l.starts[dataCentre] = buckets
+	}
+	buckets[bucket(e.Start)]++
+	if len(l.executions) == maxExecutions {
+		return -1
+	}
+	l.executions = append(l.executions, e)
+	return len(l.executions) - 1
+}
+
+func (l *ledger) end(index int, outcome code.Code) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.codes[outcome]++
+	if index >= 0 {
+		l.executions[index].End = time.Now()
+		l.executions[index].Code = outcome
+	}
+}
+
+func (l *ledger) refuse(c code.Code) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.codes[c]++
+}
+
+// summarise fills in the ledger's part of a summary.
+func (l *ledger) summarise(s *Summary, since time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c, n := range l.codes {
+		s.Codes = append(s.Codes, CodeCount{Code: c, Count: n})
+	}
+	slices.SortFunc(s.Codes, func(a, b CodeCount) int { return cmp.Compare(a.Code, b.Code) })
+	s.Actions = len(l.actions)
+	for action, runs := range l.actions {
+		if runs > 1 {
+			s.ActionsTwice = append(s.ActionsTwice, ActionRuns{Action: action, Runs: runs})
+		}
+	}
+	slices.SortFunc(s.ActionsTwice, func(a, b ActionRuns) int { return cmp.Compare(a.Action, b.Action) })
+	first := bucket(since.Add(startBucket - 1))
+	for dc, buckets := range l.starts {
+		starts := DataCentreStarts{DataCentre: dc}
+		for b, n := range buckets {
+			if since.IsZero() || b >= first {
+				starts.Started += n
+			}
+		}
+		s.StartedSince = append(s.StartedSince, starts)
+	}
+	slices.SortFunc(s.StartedSince, func(a, b DataCentreStarts) int { return cmp.Compare(a.DataCentre, b.DataCentre) })
+}
+
+// runs returns how often each of the actions ran.
+func (l *ledger) runs(actions []string) []ActionRuns {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]ActionRuns, len(actions))
+	for i, action := range actions {
+		out[i] = ActionRuns{Action: action, Runs: l.actions[action]}
+	}
+	return out
+}
+
+// of returns the recorded executions at one target.
+func (l *ledger) of(target string) []Execution {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []Execution
+	for _, e := range l.executions {
+		if e.Target == target {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func bucket(t time.Time) int64 { return t.UnixNano() / int64(startBucket) }
