--- /dev/null
+++ b/member/config.go
@@ -0,0 +1,85 @@
+package member
+
+import (
+	"time"
+
+	"github.com/goldcrestmux/goldcrestmux/wire"
+)
+
+// Defaults of Options.
+const (
+	DefaultPeers         = 5
+	DefaultFarPeers      = 1
+	DefaultInterval      = time.Second
+	DefaultSuspectAfter  = 5 * time.Second
+	DefaultMinWindow     = 8 * time.Second
+	DefaultMaxWindow     = 30 * time.Second
+	DefaultConfirmations = 3
+	DefaultGoneAfter     = 60 * time.Second
+	DefaultRegionSilence = 10 * time.Second
+	DefaultQuiet         = 10 * time.Second
+	DefaultUpdates       = 8
+	DefaultSpread        = 3
+)
+
+// Options configures a State. A zero field means the default constant.
+type Options struct {
+	// Self is the process that runs the state machine.
+	Self wire.Process
+	// Region is the region of Self.
+	Region string
+	// Peers is the number of members that each member chooses to exchange
+	// heartbeats with. It also exchanges them with those that chose it, on
+	// average as many again.
+	Peers int
+	// FarPeers is how many of Peers stand in another region, or in another
+	// data centre if there is one region only.
+	FarPeers int
+	// Interval is the time between two heartbeats to the same peer.
+	Interval time.Duration
+	// SuspectAfter is the silence of a peer after which it is accused.
+	SuspectAfter time.Duration
+	// MinWindow and MaxWindow bound the time that an accused member has to
+	// show a sign of life before it becomes suspect: MaxWindow with one
+	// accuser, MinWindow with Confirmations accusers or more. MinWindow must
+	// leave time for gossip to travel to the member and back.
+	MinWindow time.Duration
+	MaxWindow time.Duration
+	// Confirmations is the number of accusers that shortens the window fully.
+	Confirmations int
+	// GoneAfter is the time that a member stays suspect before it counts as gone.
+	GoneAfter time.Duration
+	// RegionSilence is the time without a contact between anyone here and
+	// anyone in another region after which all members there are suspect.
+	RegionSilence time.Duration
+	// Quiet is how long a process that was paused or cut off must hear most
+	// of its peers before it accuses again.
+	Quiet time.Duration
+	// Updates is the largest number of member updates in one heartbeat.
+	Updates int
+	// Spread times the binary logarithm of the number of members is how often
+	// one update is sent.
+	Spread int
+}
+
+func orDefault[T int | time.Duration](value *T, def T) {
+	if *value == 0 {
+		*value = def
+	}
+}
+
+func (o Options) withDefaults() Options {
+	orDefault(&o.Peers, DefaultPeers)
+	orDefault(&o.FarPeers, DefaultFarPeers)
+	orDefault(&o.Interval, DefaultInterval)
+	orDefault(&o.SuspectAfter, DefaultSuspectAfter)
+	orDefault(&o.MinWindow, DefaultMinWindow)
+	orDefault(&o.MaxWindow, DefaultMaxWindow)
+	orDefault(&o.Confirmations, DefaultConfirmations)
+	orDefault(&o.GoneAfter, DefaultGoneAfter)
+	orDefault(&o.RegionSilence, DefaultRegionSilence)
+	orDefault(&o.Quiet, DefaultQuiet)
+	orDefault(&o.Updates, DefaultUpdates)
+	orDefault(&o.Spread, DefaultSpread)
+	return o
+}
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -222,6 +222,12 @@
 	Status      MemberStatus `cbor:"3,keyasint"`
 	// Revision is the folder revision that the member has in force; 0 if unknown.
 	Revision uint64 `cbor:"4,keyasint,omitempty"`
+	// SeenMillis is one more than the age, in milliseconds, of the freshest
+	// direct contact with the member that the sender knows of; 0 tells nothing.
+	SeenMillis uint32 `cbor:"5,keyasint,omitempty"`
+	// Accusers lists the hashes of the names of the members that miss this
+	// one's heartbeats; set with MemberSuspect.
+	Accusers []uint32 `cbor:"6,keyasint,omitempty"`
 }
 
 // FolderOffer names the folder revision that the sender has in force.
