permit, target: decide who may use which permit, and how much of a target

A slot limit of 2 to 4 can't be divided by the number of relays, so the right to use a target is owned. Package permit computes ownership from the VM list and moves it by release or fencing; package target turns permits held into a limit and keeps a cold target to the holder of permit 0.

Ruled out: asking every relay before a permit is used (any dead relay would block all of them). Instead each relay keeps the owners of the last fencing delay, and a relay too young to have that history asks one that has.

Messages gain a sequence number, so that an answer or grant that was sent before a promise or a sign doesn't count.

--- /dev/null
+++ b/permit/claim.go
@@ -0,0 +1,257 @@
+package permit
+
+import (
+	"slices"
+	"time"
+
+	"github.com/goldcrestmux/goldcrestmux/wire"
+)
+
+// claim collects the releases that a relay needs before it uses a permit.
+type claim struct {
+	asks []*pendingAsk
+	// informed is true once a relay has answered that knows who may hold the permit.
+	informed  bool
+	witnesses int
+	warm      []wire.WarmTarget
+}
+
+// pendingAsk is the ask to one relay.
+type pendingAsk struct {
+	relay string
+	since time.Time
+	// first and last bound the sequence numbers of the asks sent; 0 if none.
+	// An answer to an earlier one doesn't count.
+	first, last uint64
+	next        time.Time
+	interval    time.Duration
+	released    bool
+	// witness marks a relay that was asked for its knowledge alone.
+	witness bool
+}
+
+func (t *Table) newClaim(now time.Time, k Key, r *record) *claim {
+	c := &claim{}
+	for _, name := range t.mayHold(now, k, r, "") {
+		c.add(now, name)
+	}
+	if !t.informed(now) {
+		t.addWitness(now, k, c)
+	}
+	return c
+}
+
+// add adds a relay to ask, unless it is asked already.
+func (c *claim) add(now time.Time, relay string) *pendingAsk {
+	for _, p := range c.asks {
+		if p.relay == relay {
+			return p
+		}
+	}
+	p := &pendingAsk{relay: relay, since: now, next: now, interval: minAskInterval}
+	c.asks = append(c.asks, p)
+	return p
+}
+
+// restart asks the relay anew: earlier answers don't count any more.
+func (c *claim) restart(now time.Time, relay string) {
+	p := c.add(now, relay)
+	*p = pendingAsk{relay: relay, since: now, next: now.Add(minAskInterval), interval: minAskInterval}
+}
+
+// addWitness adds the relay that would own the permit without those asked so
+// far. It reports whether there was one.
+func (t *Table) addWitness(now time.Time, k Key, c *claim) bool {
+	if c.witnesses >= maxWitnesses {
+		return false
+	}
+	skip := map[string]bool{t.opts.Self: true}
+	for _, p := range c.asks {
+		skip[p.relay] = true
+	}
+	name := t.rank.owner(k, skip)
+	if name == "" {
+		return false
+	}
+	c.witnesses++
+	c.add(now, name).witness = true
+	return true
+}
+
+// waitFor lists the relays that haven't released the permit yet.
+func (c *claim) waitFor(except string) []string {
+	var names []string
+	for _, p := range c.asks {
+		if !p.released && p.relay != except {
+			names = append(names, p.relay)
+		}
+	}
+	return names
+}
+
+// answer takes an answer; self is left out of the relays to wait for.
+func (c *claim) answer(from string, a wire.ReleaseAnswer, self string) {
+	i := slices.IndexFunc(c.asks, func(p *pendingAsk) bool { return p.relay == from })
+	if i < 0 {
+		return
+	}
+	p := c.asks[i]
+	if p.first == 0 || a.Seq < p.first || a.Seq > p.last {
+		return
+	}
+	for _, name := range a.WaitFor {
+		if name != self {
+			c.add(p.since, name)
+		}
+	}
+	if !a.Released {
+		p.witness = false
+		return
+	}
+	p.released = true
+	if !a.Young {
+		c.informed = true
+	}
+	if len(a.Warm) > 0 {
+		c.warm = a.Warm
+	}
+}
+
+// advance sends due asks, and acquires the permit when nothing stands against it.
+func (t *Table) advance(now time.Time, k Key, r *record) []Action {
+	c := r.claim
+	informed := t.informed(now)
+	var out []Action
+	for _, p := range c.asks {
+		if p.released || t.absent(now, k, r, p, informed) {
+			p.released = true
+			continue
+		}
+		out = t.sendAsk(now, k, p, out)
+	}
+	if len(c.waitFor("")) > 0 || t.Mode(now) != ModeFull || now.Before(t.quiet) {
+		return out
+	}
+	if informed || c.informed {
+		return append(out, t.acquire(k, r))
+	}
+	if t.addWitness(now, k, c) {
+		out = t.sendAsk(now, k, c.asks[len(c.asks)-1], out)
+	}
+	return out
+}
+
+func (t *Table) sendAsk(now time.Time, k Key, p *pendingAsk, out []Action) []Action {
+	if now.Before(p.next) {
+		return out
+	}
+	t.seq++
+	if p.first == 0 {
+		p.first = t.seq
+	}
+	p.last = t.seq
+	p.next = now.Add(p.interval)
+	p.interval = min(2*p.interval, maxAskInterval)
+	ask := wire.ReleaseAsk{Group: k.Group, Index: uint16(k.Index), Seq: t.seq}
+	return append(out, AskRelease{To: p.relay, Ask: ask})
+}
+
+// absent reports whether the relay needn't be waited for any longer: it was
+// dropped from the list for the fencing delay, or was asked as a witness that
+// isn't needed any more, or, for a permit above 0, was unreachable for the
+// fencing delay.
+func (t *Table) absent(now time.Time, k Key, r *record, p *pendingAsk, informed bool) bool {
+	if p.witness && informed {
+		return true
+	}
+	if !t.listed[p.relay] {
+		since, seen := t.dropped[p.relay]
+		if !seen {
+			since = p.since
+		}
+		return now.Sub(since) >= t.opts.FencingDelay
+	}
+	if k.Index == 0 || !t.suspects[p.relay] {
+		return false
+	}
+	t.overlaps++
+	r.suspicion = true
+	return true
+}
+
+func (t *Table) acquire(k Key, r *record) Action {
+	warm := r.claim.warm
+	r.state = stateHeld
+	r.claim = nil
+	r.lost = time.Time{}
+	r.promised = nil
+	r.warm, r.heir = nil, ""
+	return Acquired{Key: k, Warm: warm}
+}
+
+// NextTick returns when Tick is due at the latest, or the zero time if nothing
+// waits for time to pass.
+func (t *Table) NextTick(now time.Time) time.Time {
+	var next time.Time
+	soonest := func(at time.Time) {
+		if at.After(now) && (next.IsZero() || at.Before(next)) {
+			next = at
+		}
+	}
+	if !t.haveView {
+		return next
+	}
+	soonest(t.quiet)
+	soonest(t.since.Add(t.opts.StartDelay))
+	soonest(t.view.AsOf.Add(t.opts.ViewMaxAge + 1))
+	for _, at := range t.unreachable {
+		soonest(at.Add(t.opts.FencingDelay))
+	}
+	for _, at := range t.dropped {
+		soonest(at.Add(t.opts.FencingDelay))
+	}
+	for _, r := range t.records {
+		if r.state == stateHeld && !r.lost.IsZero() {
+			soonest(r.lost.Add(t.opts.HandoverWait))
+		}
+		if r.state == stateWaiting {
+			r.claim.eachDue(t.opts.FencingDelay, soonest)
+		}
+	}
+	return next
+}
+
+func (c *claim) eachDue(fence time.Duration, due func(time.Time)) {
+	for _, p := range c.asks {
+		if !p.released {
+			due(p.next)
+			due(p.since.Add(fence))
+		}
+	}
+}
+
+// Info describes one permit for the dump of a process's state.
+type Info struct {
+	Key   Key
+	Owner string
+	State string
+	// WaitFor lists the relays whose release is awaited.
+	WaitFor []string
+}
+
+// Infos describes the permits that this relay holds, drains or waits for.
+func (t *Table) Infos() []Info {
+	var infos []Info
+	for _, k := range t.keys() {
+		r := t.records[k]
+		if r.state == stateIdle {
+			continue
+		}
+		info := Info{Key: k, Owner: r.owner, State: r.state.String()}
+		if r.claim != nil {
+			info.WaitFor = r.claim.waitFor("")
+		}
+		infos = append(infos, info)
+	}
+	return infos
+}
--- /dev/null
+++ b/permit/permit.go
@@ -0,0 +1,157 @@
+// Package permit decides which relay may use which permit of a target group.
+//
+// Each group of targets has numbered permits. Every relay computes from the VM
+// list which relay owns a permit (rendezvous hashing, spread over data
+// centres). Views of the list differ for a while, so a relay that gains a
+// permit first collects the release of each relay that may still hold it, or
+// waits until such a relay must have stopped by itself. See
+// docs/design/permits.md for the bound and its proof.
+//
+// The package is pure: no goroutine, socket or clock. The caller serialises
+// all calls on a Table.
+package permit
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/goldcrestmux/goldcrestmux/wire"
+)
+
+// Key names one permit: number Index of a target group.
+type Key struct {
+	Group string
+	Index int
+}
+
+// Relay is a relay of the VM list.
+type Relay struct {
+	// Name is the process name, as of wire.Process.Name.
+	Name       string
+	DataCentre string
+	// Leaving is true once the platform has decided to stop the VM. A leaving
+	// relay owns nothing.
+	Leaving bool
+}
+
+// View is the VM list as one relay has read it.
+type View struct {
+	// Sequence grows with each change of the list. A lower one is ignored.
+	Sequence uint64
+	// AsOf is when the read was sent; zero means the time of the event.
+	AsOf   time.Time
+	Relays []Relay
+}
+
+// Default times. They satisfy the conditions that Options.check states.
+const (
+	DefaultFencingDelay = 15 * time.Second
+	DefaultViewMaxAge   = 3 * time.Second
+	DefaultListLag      = 4 * time.Second
+	DefaultHandoverWait = 5 * time.Second
+	DefaultQuietPeriod  = 2 * time.Second
+)
+
+// Intervals between repeated asks, and the number of relays that a young relay
+// asks at most beside those that it knows of.
+const (
+	minAskInterval = 100 * time.Millisecond
+	maxAskInterval = 2 * time.Second
+	maxWitnesses   = 3
+)
+
+// clockRateMargin is the divisor that gives the share of a delay by which two
+// clocks may drift apart over that delay: 1%.
+const clockRateMargin = 100
+
+// Options configures a Table. Zero durations mean the Default constants.
+type Options struct {
+	// Self is the process name of this relay.
+	Self string
+	// FencingDelay is how long after it was first seen dropped from the list a
+	// relay may still use permits. Also the age from which a relay's own
+	// history of views suffices to know who may hold a permit.
+	FencingDelay time.Duration
+	// ViewMaxAge is the age of the view above which all use is suspended.
+	ViewMaxAge time.Duration
+	// ListLag bounds how far the platform's answer lags behind its own list.
+	ListLag time.Duration
+	// HandoverWait is how long a relay goes on using a permit that the list
+	// gives to another relay which hasn't asked for it yet.
+	HandoverWait time.Duration
+	// QuietPeriod bounds how long work runs at a target after it was sent. A
+	// started process waits as long for the work of its former run.
+	QuietPeriod time.Duration
+	// StartDelay is how long a relay that knows no informed relay waits after
+	// its first view; zero means FencingDelay. A lower value risks that a relay
+	// that was dropped shortly before is still at work.
+	StartDelay time.Duration
+}
+
+// ErrOptions is the error of options that break the conditions of the fencing proof.
+const ErrOptions = errors.ConstError("permit options break the fencing conditions")
+
+func (o Options) withDefaults() Options {
+	o.FencingDelay = orDefault(o.FencingDelay, DefaultFencingDelay)
+	o.ViewMaxAge = orDefault(o.ViewMaxAge, DefaultViewMaxAge)
+	o.ListLag = orDefault(o.ListLag, DefaultListLag)
+	o.HandoverWait = orDefault(o.HandoverWait, DefaultHandoverWait)
+	o.QuietPeriod = orDefault(o.QuietPeriod, DefaultQuietPeriod)
+	o.StartDelay = orDefault(o.StartDelay, o.FencingDelay)
+	return o
+}
+
+// check returns ErrOptions unless a relay that is dropped, or that the list no
+// longer names, has surely stopped before another may take its permits.
+func (o Options) check() error {
+	fence := o.FencingDelay - o.FencingDelay/clockRateMargin
+	stop := o.ListLag + o.ViewMaxAge + o.HandoverWait + o.QuietPeriod
+	if fence < stop {
+		return errors.Annotatef(ErrOptions, "fencing delay %v, stop within %v", o.FencingDelay, stop)
+	}
+	resume := 2 * (o.ListLag + o.ViewMaxAge)
+	if fence < resume {
+		return errors.Annotatef(ErrOptions, "fencing delay %v, resume within %v", o.FencingDelay, resume)
+	}
+	return nil
+}
+
+func orDefault(d, def time.Duration) time.Duration {
+	if d == 0 {
+		return def
+	}
+	return d
+}
+
+// Action is something that the caller of a Table has to do: AskRelease,
+// SendAnswer, Acquired or Draining.
+type Action interface{ action() }
+
+// AskRelease sends an ask to a relay.
+type AskRelease struct {
+	To  string
+	Ask wire.ReleaseAsk
+}
+
+// SendAnswer sends the final answer to an earlier ask.
+type SendAnswer struct {
+	To     string
+	Answer wire.ReleaseAnswer
+}
+
+// Acquired tells that the permit is usable from now on. Warm lists targets that
+// former holders handed over as warm.
+type Acquired struct {
+	Key  Key
+	Warm []wire.WarmTarget
+}
+
+// Draining tells to start no more work on the permit and to call
+// Table.Returned when the work in progress has ended.
+type Draining struct{ Key Key }
+
+func (AskRelease) action() {}
+func (SendAnswer) action() {}
+func (Acquired) action()   {}
+func (Draining) action()   {}
--- /dev/null
+++ b/permit/record.go
@@ -0,0 +1,241 @@
+package permit
+
+import (
+	"time"
+
+	"github.com/goldcrestmux/goldcrestmux/wire"
+)
+
+// state is what this relay does with a permit.
+type state uint8
+
+const (
+	stateIdle     state = iota // neither holds nor claims it
+	stateWaiting               // claims it
+	stateHeld                  // may use it
+	stateDraining              // starts no more work on it
+)
+
+func (s state) String() string {
+	return [...]string{"idle", "waiting", "held", "draining"}[s]
+}
+
+// record is the state of one permit at this relay.
+type record struct {
+	owner string // by the current view
+	state state
+	claim *claim // while waiting
+	// lost is when the view first gave the held permit to another relay.
+	lost time.Time
+	// suspicion is true if the permit was taken from an unreachable relay.
+	suspicion bool
+	// asker and askSeq name the ask that waits for the drain.
+	asker  string
+	askSeq uint64
+	// promised lists the relays that were told that this one doesn't use the
+	// permit; any of them may hold it.
+	promised []promise
+	// warm is handed over to the relay heir until warmUntil.
+	warm      []wire.WarmTarget
+	heir      string
+	warmUntil time.Time
+}
+
+type promise struct {
+	to string
+	at time.Time
+}
+
+func (t *Table) record(k Key) *record {
+	r := t.records[k]
+	if r == nil {
+		r = &record{}
+		t.records[k] = r
+	}
+	return r
+}
+
+// settleAll brings each permit in line with its owner, and forgets permits
+// that no group has any more.
+func (t *Table) settleAll(now time.Time) []Action {
+	var out []Action
+	for _, k := range t.keys() {
+		r := t.records[k]
+		out = append(out, t.settle(now, k, r)...)
+		t.prune(now, r)
+		if r.state == stateIdle && len(r.promised) == 0 && k.Index >= t.slots[k.Group] {
+			delete(t.records, k)
+		}
+	}
+	return out
+}
+
+func (t *Table) prune(now time.Time, r *record) {
+	kept := r.promised[:0]
+	for _, p := range r.promised {
+		if now.Sub(p.at) <= t.opts.FencingDelay {
+			kept = append(kept, p)
+		}
+	}
+	r.promised = kept
+}
+
+// settle moves one permit on.
+func (t *Table) settle(now time.Time, k Key, r *record) []Action {
+	mine := r.owner == t.opts.Self && t.listed[t.opts.Self]
+	switch r.state {
+	case stateIdle:
+		if !mine || t.Mode(now) != ModeFull {
+			return nil
+		}
+		r.state = stateWaiting
+		r.suspicion = false
+		r.claim = t.newClaim(now, k, r)
+		return t.advance(now, k, r)
+	case stateWaiting:
+		if mine {
+			return t.advance(now, k, r)
+		}
+		r.state = stateIdle
+		r.claim = nil
+	case stateHeld:
+		return t.settleHeld(now, k, r, mine)
+	}
+	return nil
+}
+
+// settleHeld drains a held permit that has another owner: at once if the list
+// doesn't name this relay or the permit was taken on suspicion or is gone,
+// else after HandoverWait.
+func (t *Table) settleHeld(now time.Time, k Key, r *record, mine bool) []Action {
+	if mine {
+		r.lost = time.Time{}
+		return nil
+	}
+	if r.lost.IsZero() {
+		r.lost = now
+	}
+	gone := k.Index >= t.slots[k.Group]
+	overdue := now.Sub(r.lost) >= t.opts.HandoverWait
+	if gone || overdue || r.suspicion || !t.listed[t.opts.Self] {
+		return []Action{t.drain(k, r)}
+	}
+	return nil
+}
+
+func (t *Table) drain(k Key, r *record) Action {
+	r.state = stateDraining
+	r.lost = time.Time{}
+	r.suspicion = false
+	return Draining{Key: k}
+}
+
+// Returned tells that a draining permit isn't used any more. Warm lists the
+// targets of the group that are warm here, for the next owner.
+func (t *Table) Returned(now time.Time, k Key, warm []wire.WarmTarget) []Action {
+	r := t.records[k]
+	if r == nil || r.state != stateDraining {
+		return nil
+	}
+	var out []Action
+	r.state = stateIdle
+	r.warm, r.heir = warm, r.owner
+	r.warmUntil = now.Add(t.opts.FencingDelay)
+	if r.asker != "" {
+		r.heir = r.asker
+		r.promise(now, r.asker)
+		a := wire.ReleaseAnswer{
+			Group: k.Group, Index: uint16(k.Index), Seq: r.askSeq,
+			Released: true, Warm: warm, Young: !t.informed(now),
+		}
+		out = append(out, SendAnswer{To: r.asker, Answer: a})
+		r.asker = ""
+	}
+	return append(out, t.settle(now, k, r)...)
+}
+
+// promise notes that relay to was told that this one doesn't use the permit.
+func (r *record) promise(now time.Time, to string) {
+	for i := range r.promised {
+		if r.promised[i].to == to {
+			r.promised[i].at = now
+			return
+		}
+	}
+	r.promised = append(r.promised, promise{to: to, at: now})
+}
+
+// Ask takes another relay's ask to release a permit. It returns the answer to
+// send at once. If the permit has to drain first, the answer says that it isn't
+// released, and Returned sends the final one.
+func (t *Table) Ask(now time.Time, from string, ask wire.ReleaseAsk) (wire.ReleaseAnswer, []Action) {
+	k := Key{Group: ask.Group, Index: int(ask.Index)}
+	a := wire.ReleaseAnswer{Group: ask.Group, Index: ask.Index, Seq: ask.Seq, Young: !t.informed(now)}
+	if now.Before(t.quiet) || from == t.opts.Self {
+		return a, nil
+	}
+	r := t.record(k)
+	switch r.state {
+	case stateIdle:
+		a.Released = true
+		a.WaitFor = t.mayHold(now, k, r, from)
+		if r.heir == from && now.Before(r.warmUntil) {
+			a.Warm = r.warm
+		}
+		r.promise(now, from)
+	case stateWaiting:
+		a.Released = prefers(from, t.opts.Self, k)
+		a.WaitFor = r.claim.waitFor(from)
+		if a.Released {
+			r.claim.restart(now, from)
+		}
+	case stateHeld, stateDraining:
+		return a, t.askHeld(now, k, r, from, ask.Seq)
+	}
+	return a, nil
+}
+
+// askHeld drains a held permit for the relay that owns it by the view, or for
+// any relay if this one may not use it anyway.
+func (t *Table) askHeld(now time.Time, k Key, r *record, from string, seq uint64) []Action {
+	suspended := t.Mode(now) == ModeSuspended
+	if r.owner != from && !suspended {
+		return nil
+	}
+	if r.asker == "" || r.asker == from {
+		r.asker, r.askSeq = from, seq
+	}
+	if r.state == stateDraining {
+		return nil
+	}
+	return []Action{t.drain(k, r)}
+}
+
+// mayHold lists the relays other than this one and except that may hold the
+// permit, by the history of views and by the promises made.
+func (t *Table) mayHold(now time.Time, k Key, r *record, except string) []string {
+	var names []string
+	add := func(name string) {
+		if name == "" || name == t.opts.Self || name == except {
+			return
+		}
+		for _, known := range names {
+			if known == name {
+				return
+			}
+		}
+		names = append(names, name)
+	}
+	add(t.rank.owner(k, nil))
+	for _, p := range t.past {
+		if now.Sub(p.until) <= t.opts.FencingDelay {
+			add(p.rank.owner(k, nil))
+		}
+	}
+	for _, p := range r.promised {
+		if now.Sub(p.at) <= t.opts.FencingDelay {
+			add(p.to)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/target/machine.go
@@ -0,0 +1,308 @@
+package target
+
+import (
+	"slices"
+	"time"
+
+	"github.com/goldcrestmux/goldcrestmux/wire"
+)
+
+// Machine is one relay's state machine of one target. The caller serialises
+// all calls. Each event returns the actions that it causes.
+type Machine struct {
+	opts     Options
+	contract Contract
+	permits  Permits
+	inflight int
+
+	admin    bool   // the operators' settings allow use
+	adminWhy string // why not
+
+	warm   bool
+	signed bool   // cold by a sign, not for want of knowledge
+	proved bool   // a request that was sent since the turn to cold was completed
+	why    string // reason for the state
+	epoch  Ticket // grows with each turn to cold
+	ramp   int    // the permit-0 holder's allowance while cold
+	done   int    // completed requests since the last step of the ramp
+
+	lost    bool // nothing listens, or it drains: try with single requests
+	tryDue  bool
+	tryAt   time.Time
+	tryWait time.Duration
+
+	boot      string
+	pastBoots []string
+
+	seq     uint64            // of the last notice sent
+	coldSeq uint64            // a grant has to acknowledge it
+	sign    wire.TargetNotice // what is repeated while cold; has coldSeq
+	heard   map[string]uint64 // highest Seq by sender
+	askAt   time.Time
+
+	probing   bool
+	lastOK    time.Time
+	unheld    time.Time // when the last permit was given up
+	abandoned time.Time // the last timeout
+	latency   latency
+}
+
+// New returns a machine that knows nothing of the target: cold, not held, and
+// taken out until SetAdmin allows its use.
+func New(opts Options) *Machine {
+	opts = opts.withDefaults()
+	return &Machine{
+		opts:     opts,
+		contract: opts.Contract,
+		ramp:     opts.Contract.ColdSlots,
+		epoch:    1,
+		adminWhy: "not yet in service",
+		why:      "not yet proved warm",
+		heard:    map[string]uint64{},
+	}
+}
+
+// SetContract puts a contract in force.
+func (m *Machine) SetContract(now time.Time, c Contract) []Action {
+	m.contract = c
+	m.ramp = min(max(m.ramp, c.ColdSlots), max(c.Slots, c.ColdSlots))
+	return m.settle(now)
+}
+
+// SetAdmin says whether the operators allow use, and if not, why. A warm
+// target that returns to service is cold.
+func (m *Machine) SetAdmin(now time.Time, in bool, why string) []Action {
+	returned := in && !m.admin
+	m.admin = in
+	m.adminWhy = why
+	if !returned {
+		return nil
+	}
+	if m.warm {
+		m.renounce(now, "back in service")
+		m.signed = true
+	}
+	return m.ask(now)
+}
+
+// SetPermits says what this relay may use.
+func (m *Machine) SetPermits(now time.Time, p Permits) []Action {
+	before := m.permits
+	m.permits = p
+	resumed := before.Held == 0 && p.Held > 0
+	if before.Held > 0 && p.Held == 0 {
+		m.unheld = now
+	}
+	if resumed && !p.Zero && m.warm {
+		m.renounce(now, "waits for a grant after a suspension")
+	}
+	gainedZero := p.Zero && !before.Zero
+	if gainedZero && !m.warm {
+		m.restartRamp()
+	}
+	if resumed || gainedZero {
+		return append(m.ask(now), m.settle(now)...)
+	}
+	return m.settle(now)
+}
+
+// Adopt takes over the former holder's proof that the target is warm in this boot.
+func (m *Machine) Adopt(now time.Time, boot string) []Action {
+	if m.warm || m.signed || slices.Contains(m.pastBoots, boot) {
+		return nil
+	}
+	if m.boot != "" && m.boot != boot {
+		return nil
+	}
+	return m.turnWarm(now, boot, "taken over as warm")
+}
+
+// Limit returns the number of requests that this relay may run at once now.
+func (m *Machine) Limit() int {
+	switch {
+	case !m.admin || m.permits.Held == 0:
+		return 0
+	case m.warm:
+		return m.permits.Held
+	case !m.permits.Zero:
+		return 0
+	case m.lost && m.tryDue:
+		return 1
+	case m.lost:
+		return 0
+	case m.ramp >= m.contract.Slots:
+		return m.permits.Held
+	default:
+		return m.ramp
+	}
+}
+
+// Inflight returns the number of requests in progress.
+func (m *Machine) Inflight() int { return m.inflight }
+
+// State returns the target's state for the gateways.
+func (m *Machine) State() wire.TargetState {
+	switch {
+	case !m.admin:
+		return wire.TargetOut
+	case m.warm:
+		return wire.TargetWarm
+	case m.lost:
+		return wire.TargetOut
+	default:
+		return wire.TargetCold
+	}
+}
+
+// Why returns the reason for the state, for logs and dumps.
+func (m *Machine) Why() string {
+	if !m.admin {
+		return m.adminWhy
+	}
+	return m.why
+}
+
+// Warm returns the boot in which the target is proved warm, for a hand-over.
+// The proof ends some time after the last permit was given up.
+func (m *Machine) Warm(now time.Time) (boot string, ok bool) {
+	current := m.permits.Held > 0 || now.Sub(m.unheld) < proofTrust
+	return m.boot, m.warm && current
+}
+
+// Sent tells that a request is about to be written.
+func (m *Machine) Sent(time.Time) Ticket {
+	m.inflight++
+	m.tryDue = false
+	return m.epoch
+}
+
+// Done tells how a request ended.
+func (m *Machine) Done(now time.Time, o Outcome) []Action {
+	m.inflight--
+	out := m.seeBoot(now, o.Boot)
+	stale := slices.Contains(m.pastBoots, o.Boot)
+	switch {
+	case stale:
+	case o.Draining:
+		out = append(out, m.lose(now, "draining")...)
+	case o.Kind == OK:
+		out = append(out, m.completed(now, o)...)
+	case o.Kind == Shed:
+		out = append(out, m.shed(now, o)...)
+	case o.Kind == Refused:
+		out = append(out, m.lose(now, "connection refused")...)
+	case o.Kind == Reset && o.Ticket == m.epoch:
+		out = append(out, m.turnCold(now, "connection reset", false)...)
+	case o.Kind == Timeout:
+		m.abandoned = now
+		out = append(out, m.probe()...)
+	}
+	if m.lost && !m.tryDue && !m.tryAt.After(now) {
+		m.delayTry(now)
+	}
+	return append(out, m.settle(now)...)
+}
+
+// completed counts a full answer: for the ramp only if it was sent since the
+// target turned cold.
+func (m *Machine) completed(now time.Time, o Outcome) []Action {
+	m.lastOK = now
+	if m.latency.jumped(o.Service, m.opts.JumpFactor, m.opts.JumpCount) && m.warm {
+		return m.turnCold(now, "latency jump", false)
+	}
+	if m.warm || o.Ticket != m.epoch {
+		return nil
+	}
+	m.lost = false
+	m.proved = true
+	m.done++
+	if m.done < m.contract.WarmAfter {
+		return nil
+	}
+	m.done = 0
+	m.ramp = min(m.ramp+1, max(m.contract.Slots, m.contract.ColdSlots))
+	return nil
+}
+
+// shed takes shedding for a sign of coldness unless this relay's own work
+// explains it: more in progress than the limit, or a request given up on.
+func (m *Machine) shed(now time.Time, o Outcome) []Action {
+	if o.Ticket != m.epoch || m.inflight+1 > m.Limit() {
+		return nil
+	}
+	if !m.abandoned.IsZero() && now.Sub(m.abandoned) < abandonGrace {
+		return nil
+	}
+	return m.turnCold(now, "sudden shedding", false)
+}
+
+// seeBoot takes note of the boot that an answer shows.
+func (m *Machine) seeBoot(now time.Time, boot string) []Action {
+	if boot == "" || boot == m.boot || slices.Contains(m.pastBoots, boot) {
+		return nil
+	}
+	known := m.boot != ""
+	m.setBoot(boot)
+	if !known {
+		return nil
+	}
+	return m.turnCold(now, "new boot", true)
+}
+
+func (m *Machine) setBoot(boot string) {
+	if boot == "" || boot == m.boot {
+		return
+	}
+	if m.boot != "" {
+		m.pastBoots = append(m.pastBoots, m.boot)
+	}
+	if len(m.pastBoots) > maxPastBoots {
+		m.pastBoots = m.pastBoots[1:]
+	}
+	m.boot = boot
+}
+
+// Probe tells the result of a health request on a new connection. A claim to be
+// warm counts for nothing.
+func (m *Machine) Probe(now time.Time, ok bool, boot string, claimsWarm bool) []Action {
+	m.probing = false
+	if !ok {
+		return append(m.lose(now, "probe failed"), m.settle(now)...)
+	}
+	out := m.seeBoot(now, boot)
+	if !claimsWarm && m.warm && now.Sub(m.lastOK) > claimTrust {
+		out = append(out, m.turnCold(now, "claims to be cold", false)...)
+	}
+	return append(out, m.settle(now)...)
+}
+
+func (m *Machine) probe() []Action {
+	if m.probing {
+		return nil
+	}
+	m.probing = true
+	return []Action{ProbeNow{Target: m.opts.Name}}
+}
+
+// Tick lets time take effect. Call it at NextTick at the latest.
+func (m *Machine) Tick(now time.Time) []Action {
+	if m.lost && !m.tryAt.After(now) && m.inflight == 0 {
+		m.tryDue = true
+	}
+	if m.wantsGrant() && !m.askAt.After(now) {
+		return append(m.ask(now), m.settle(now)...)
+	}
+	return m.settle(now)
+}
+
+// NextTick returns when Tick is due at the latest, or the zero time.
+func (m *Machine) NextTick() time.Time {
+	var next time.Time
+	if m.lost && !m.tryDue {
+		next = m.tryAt
+	}
+	if m.wantsGrant() && (next.IsZero() || m.askAt.Before(next)) {
+		next = m.askAt
+	}
+	return next
+}
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -171,6 +171,8 @@
 type ReleaseAsk struct {
 	Group string `cbor:"1,keyasint"`
 	Index uint16 `cbor:"2,keyasint"`
+	// Seq orders the asks of one sender; the answer repeats it.
+	Seq uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // ReleaseAnswer answers a ReleaseAsk.
@@ -183,6 +185,11 @@
 	WaitFor []string `cbor:"4,keyasint,omitempty"`
 	// Warm hands over the state of the group's targets that were warm.
 	Warm []WarmTarget `cbor:"5,keyasint,omitempty"`
+	// Seq repeats the ask's.
+	Seq uint64 `cbor:"6,keyasint,omitempty"`
+	// Young is true if the sender hasn't followed the VM list for long enough
+	// to know every relay that may hold the permit.
+	Young bool `cbor:"7,keyasint,omitempty"`
 }
 
 // WarmTarget names a warm target and the boot in which it was proved warm.
@@ -202,6 +209,10 @@
 	Owner bool `cbor:"5,keyasint,omitempty"`
 	// Ask is true if the sender wants the receiver's own view in return.
 	Ask bool `cbor:"6,keyasint,omitempty"`
+	// Ack is the highest Seq that the sender has seen from the receiver.
+	Ack uint64 `cbor:"7,keyasint,omitempty"`
+	// NewBoot is true if the sign of coldness is that Boot replaced another boot.
+	NewBoot bool `cbor:"8,keyasint,omitempty"`
 }
 
 // MemberStatus is the state of a member as heartbeats spread it.
