--- /dev/null
+++ b/gateway/exec.go
@@ -0,0 +1,254 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/goldcrestmux/goldcrestmux/code"
+	"github.com/goldcrestmux/goldcrestmux/coverage"
+	"github.com/goldcrestmux/goldcrestmux/folder"
+	"github.com/goldcrestmux/goldcrestmux/link"
+	"github.com/goldcrestmux/goldcrestmux/query"
+	"github.com/goldcrestmux/goldcrestmux/wire"
+	"github.com/juju/errors"
+)
+
+// attemptBits is the number of low bits of a sub-request's ID that hold the
+// attempt; the rest is the query.
+const attemptBits = 20
+
+// event is something that happens to a query in progress. Exactly one of
+// reply, dropped and lost is set.
+type event struct {
+	reply   *wire.Reply
+	dropped *wire.Batch
+	lost    string // a relay
+}
+
+// mailbox takes the events of one query.
+type mailbox struct {
+	mu     sync.Mutex
+	events []event
+	wake   chan struct{}
+}
+
+func newMailbox() *mailbox { return &mailbox{wake: make(chan struct{}, 1)} }
+
+func (m *mailbox) put(e event) {
+	m.mu.Lock()
+	m.events = append(m.events, e)
+	m.mu.Unlock()
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (m *mailbox) take() []event {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	events := m.events
+	m.events = nil
+	return events
+}
+
+// inflight finds the mailbox of a query. It is locked inside; its lock is a
+// leaf lock.
+type inflight struct {
+	next atomic.Uint64
+	mu   sync.RWMutex
+	byID map[uint64]*mailbox
+}
+
+func (f *inflight) open() (uint64, *mailbox) {
+	id := f.next.Add(1)
+	box := newMailbox()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.byID[id] = box
+	return id, box
+}
+
+func (f *inflight) close(id uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.byID, id)
+}
+
+func (f *inflight) find(id uint64) *mailbox {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.byID[id]
+}
+
+func (f *inflight) all() []*mailbox {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	out := make([]*mailbox, 0, len(f.byID))
+	for _, box := range f.byID {
+		out = append(out, box)
+	}
+	return out
+}
+
+// len returns the number of queries in progress.
+func (f *inflight) len() int {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return len(f.byID)
+}
+
+// task is one search or action as admitted.
+type task struct {
+	search   folder.Search
+	version  string
+	shards   []query.Shard
+	payload  []byte
+	wait     time.Time
+	deadline time.Time
+	action   bool
+}
+
+// outcome is how a run of a task ended.
+type outcome struct {
+	status   query.Status
+	ledger   *coverage.Ledger
+	run      code.Run
+	attempts int
+}
+
+// execute runs a task on one pinned version to its end.
+func (g *Gateway) execute(ctx context.Context, t *task) outcome {
+	id, box := g.inflight.open()
+	defer g.inflight.close(id)
+	names := make([]string, len(t.shards))
+	for i, s := range t.shards {
+		names[i] = s.Name
+	}
+	view := searchRoutes{routes: g.routes, search: t.search.Name}
+	m := query.New(query.Options{
+		Version:     t.version,
+		Shards:      t.shards,
+		Ledger:      coverage.New(names),
+		Wait:        t.wait,
+		Deadline:    t.deadline,
+		MinCoverage: t.search.MinCoverage,
+		Hedge:       view.hedgeDelay,
+		Action:      t.action,
+		Router:      view,
+		Budget:      view,
+	})
+	x := &execution{gateway: g, task: t, id: id, box: box, machine: m}
+	x.run(ctx)
+	return outcome{status: m.Status(), ledger: m.Ledger(), run: m.NotRun(), attempts: m.Attempts()}
+}
+
+// execution drives the state machine of one query. Only its own goroutine uses it.
+type execution struct {
+	gateway *Gateway
+	task    *task
+	id      uint64
+	box     *mailbox
+	machine *query.Machine
+}
+
+func (x *execution) run(ctx context.Context) {
+	x.perform(x.machine.Start(time.Now()))
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for x.machine.Status() == query.Running {
+		now := time.Now()
+		timer.Reset(x.machine.NextTick(now).Sub(now))
+		select {
+		case <-ctx.Done():
+			x.perform(x.machine.Abort(time.Now()))
+		case <-x.box.wake:
+			x.drain()
+		case <-timer.C:
+			x.perform(x.machine.Tick(time.Now()))
+		}
+	}
+}
+
+func (x *execution) drain() {
+	for _, e := range x.box.take() {
+		now := time.Now()
+		switch {
+		case e.reply != nil:
+			x.gateway.routes.learn(now, x.task.search.Name, x.task.version, e.reply)
+			x.perform(x.machine.Reply(now, attemptOf(e.reply.ID), e.reply))
+		case e.dropped != nil:
+			for _, sub := range e.dropped.Subs {
+				x.perform(x.machine.NotSent(now, attemptOf(sub.ID), code.Unreachable))
+			}
+		default:
+			x.perform(x.machine.Lost(now, e.lost))
+		}
+	}
+}
+
+// perform sends what the machine asks for, one batch for each relay.
+func (x *execution) perform(a query.Actions) {
+	for _, c := range a.Cancel {
+		if l := x.gateway.links.Get(c.Route.Relay); l != nil {
+			_ = l.Send(&wire.Frame{Cancels: []wire.Cancel{{ID: x.subID(c), Target: c.Route.Target}}})
+		}
+	}
+	if len(a.Send) == 0 {
+		return
+	}
+	batches := make(map[string]*wire.Batch)
+	for _, s := range a.Send {
+		metrics.attempts.Add(1)
+		if s.Hedge {
+			metrics.extras.Add(1)
+		}
+		b := batches[s.Route.Relay]
+		if b == nil {
+			b = x.newBatch()
+			batches[s.Route.Relay] = b
+		}
+		b.Subs = append(b.Subs, wire.SubRequest{ID: x.subID(s), Shard: s.Shard, Target: s.Route.Target, Hedge: s.Hedge})
+	}
+	for relay, b := range batches {
+		if err := x.send(relay, b); err != nil {
+			x.notSent(b, err)
+		}
+	}
+}
+
+func (x *execution) send(relay string, b *wire.Batch) error {
+	l := x.gateway.links.Get(relay)
+	if l == nil {
+		return link.ErrClosed
+	}
+	return l.Send(&wire.Frame{Batches: []wire.Batch{*b}})
+}
+
+// notSent tells the machine of a batch that was not queued.
+func (x *execution) notSent(b *wire.Batch, err error) {
+	why := code.Unreachable
+	if errors.Is(err, link.ErrNoCredit) || errors.Is(err, link.ErrFull) {
+		why = code.Overloaded
+	}
+	for _, sub := range b.Subs {
+		x.perform(x.machine.NotSent(time.Now(), attemptOf(sub.ID), why))
+	}
+}
+
+func (x *execution) newBatch() *wire.Batch {
+	return &wire.Batch{
+		Query:    x.id,
+		Search:   x.task.search.Name,
+		Version:  x.task.version,
+		Payload:  x.task.payload,
+		Deadline: x.task.deadline,
+		Action:   x.task.action,
+	}
+}
+
+func (x *execution) subID(a query.Attempt) uint64 { return x.id<<attemptBits | uint64(a.ID) }
+
+func attemptOf(subID uint64) uint32 { return uint32(subID & (1<<attemptBits - 1)) }
--- /dev/null
+++ b/gateway/metrics.go
@@ -0,0 +1,31 @@
+package gateway
+
+import "expvar"
+
+// metrics counts the requests of the process's gateway, published under "gateway".
+var metrics = newMetrics()
+
+type gatewayMetrics struct {
+	requests expvar.Int // requests received
+	answers  expvar.Int // requests answered with 200
+	partial  expvar.Int // answers with less than complete coverage
+	errors   expvar.Map // requests answered with an error, by code
+	attempts expvar.Int // sub-requests sent
+	extras   expvar.Int // of these, hedges and budgeted retries
+	restarts expvar.Int // queries restarted on another index version
+	stray    expvar.Int // replies to queries that have ended
+}
+
+func newMetrics() *gatewayMetrics {
+	m := &gatewayMetrics{}
+	published := expvar.NewMap("gateway")
+	published.Set("requests", &m.requests)
+	published.Set("answers", &m.answers)
+	published.Set("partial", &m.partial)
+	published.Set("errors", &m.errors)
+	published.Set("attempts", &m.attempts)
+	published.Set("extras", &m.extras)
+	published.Set("restarts", &m.restarts)
+	published.Set("stray", &m.stray)
+	return m
+}
--- /dev/null
+++ b/gateway/routes.go
@@ -0,0 +1,197 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/goldcrestmux/goldcrestmux/budget"
+	"github.com/goldcrestmux/goldcrestmux/code"
+	"github.com/goldcrestmux/goldcrestmux/folder"
+	"github.com/goldcrestmux/goldcrestmux/hedge"
+	"github.com/goldcrestmux/goldcrestmux/query"
+	"github.com/goldcrestmux/goldcrestmux/replica"
+	"github.com/goldcrestmux/goldcrestmux/snapshot"
+	"github.com/goldcrestmux/goldcrestmux/wire"
+)
+
+// routes holds what all queries of a gateway share: the routes to targets, the
+// budgets, and per search the hedge delay and the choice of index versions.
+// It is locked inside; its lock is a leaf lock.
+type routes struct {
+	mu       sync.Mutex
+	rng      *rand.Rand
+	table    *replica.Table
+	budgets  *budget.Table
+	hedging  hedge.Options
+	searches map[string]*searchState
+	targets  map[string]struct{}
+}
+
+// searchState is what a gateway has learned about one search. It is guarded by
+// routes.mu.
+type searchState struct {
+	hedge    *hedge.Estimator
+	versions *snapshot.Chooser
+}
+
+func newRoutes(seed uint64, dataCentre string, hedging hedge.Options) *routes {
+	return &routes{
+		rng:      rand.New(rand.NewPCG(seed, 2)),
+		table:    replica.New(replica.Options{DataCentre: dataCentre}),
+		budgets:  budget.NewTable(budget.Options{}),
+		hedging:  hedging,
+		searches: make(map[string]*searchState),
+		targets:  make(map[string]struct{}),
+	}
+}
+
+// setContracts puts contracts in force.
+func (r *routes) setContracts(now time.Time, c *folder.Contracts) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for name, t := range c.Targets {
+		in := t.State != folder.StateLeaving && c.DataCentres[t.DataCentre].State != folder.StateOut
+		r.table.SetTarget(name, t.DataCentre, in)
+		r.targets[name] = struct{}{}
+	}
+	for name := range r.targets {
+		if _, ok := c.Targets[name]; !ok {
+			r.table.RemoveTarget(name)
+			r.budgets.ForgetTarget(name)
+			delete(r.targets, name)
+		}
+	}
+	r.setSearches(now, c.Searches)
+}
+
+func (r *routes) setSearches(now time.Time, searches map[string]folder.Search) {
+	for name, s := range searches {
+		state := r.searches[name]
+		if state == nil {
+			state = &searchState{hedge: hedge.New(r.hedging), versions: snapshot.New(snapshot.Options{})}
+			r.searches[name] = state
+		}
+		state.versions.SetVersions(now, s)
+		r.budgets.SetShare(name, s.HedgeShare)
+	}
+	for name := range r.searches {
+		if _, ok := searches[name]; !ok {
+			r.budgets.ForgetSearch(name)
+			delete(r.searches, name)
+		}
+	}
+}
+
+func (r *routes) setHoldings(relay string, holdings []wire.Holding) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.table.SetHoldings(relay, holdings)
+}
+
+func (r *routes) dropRelay(relay string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.table.DropRelay(relay)
+}
+
+// choose returns the index version that a new query pins.
+func (r *routes) choose(now time.Time, search string) (version string, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.searches[search]
+	if s == nil {
+		return "", false
+	}
+	version, _ = s.versions.Choose(now)
+	return version, version != ""
+}
+
+// restart returns another version for a query whose pinned one has vanished.
+func (r *routes) restart(now time.Time, search, pinned string) (version string, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.searches[search]
+	if s == nil {
+		return "", false
+	}
+	version, ok = s.versions.Restart(now, pinned)
+	return version, ok && version != pinned
+}
+
+// learn notes what a reply says about the index versions of a target.
+func (r *routes) learn(now time.Time, search, version string, reply *wire.Reply) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.searches[search]
+	if s == nil {
+		return
+	}
+	switch reply.Code {
+	case code.OK:
+		s.versions.Loaded(now, reply.Target, version)
+	case code.VersionGone, code.VersionNotLoaded:
+		s.versions.Report(now, reply.Target, version, reply.Code, reply.Versions)
+	}
+}
+
+// searchRoutes is the view that one query has of the routes: it implements
+// query.Router and query.Budget for one search.
+type searchRoutes struct {
+	*routes
+	search string
+}
+
+// Pick implements query.Router.
+func (s searchRoutes) Pick(now time.Time, targets []string, purpose replica.Purpose, avoid []replica.Avoid) (replica.Choice, code.Code) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Pick(now, s.rng, targets, purpose, avoid)
+}
+
+// Sent implements query.Router.
+func (s searchRoutes) Sent(_ time.Time, c replica.Choice) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Sent(c.Relay, c.Target)
+}
+
+// Done implements query.Router.
+func (s searchRoutes) Done(now time.Time, c replica.Choice, o query.Outcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Done(now, c.Relay, c.Target, replica.Outcome{
+		Code:       o.Code,
+		Queue:      o.Queue,
+		Service:    o.Service,
+		RetryAfter: o.RetryAfter,
+	})
+	if state := s.searches[s.search]; state != nil && o.Code == code.OK {
+		state.hedge.Observe(now, o.Took)
+	}
+}
+
+// First implements query.Budget.
+func (s searchRoutes) First(now time.Time, target string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budgets.First(now, s.search, target)
+}
+
+// TryExtra implements query.Budget.
+func (s searchRoutes) TryExtra(now time.Time, target string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budgets.TryExtra(now, s.search, target)
+}
+
+// hedgeDelay returns the delay after which an attempt is hedged now.
+func (s searchRoutes) hedgeDelay(now time.Time) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state := s.searches[s.search]
+	if state == nil {
+		return 0, false
+	}
+	return state.hedge.Delay(now)
+}
--- a/query/query.go
+++ b/query/query.go
@@ -324,3 +324,12 @@
 	m.conclude(now, a, r)
 	return m.actions
 }
+
+// Abort ends the query because its caller has gone.
+func (m *Machine) Abort(now time.Time) Actions {
+	m.reset()
+	if m.status == Running {
+		m.finish(now)
+	}
+	return m.actions
+}
--- /dev/null
+++ b/relay/entry.go
@@ -0,0 +1,210 @@
+package relay
+
+import (
+	"sync"
+	"time"
+
+	"github.com/goldcrestmux/goldcrestmux/code"
+	"github.com/goldcrestmux/goldcrestmux/folder"
+	"github.com/goldcrestmux/goldcrestmux/link"
+	"github.com/goldcrestmux/goldcrestmux/platform"
+	"github.com/goldcrestmux/goldcrestmux/target"
+	"github.com/goldcrestmux/goldcrestmux/wire"
+)
+
+// entry is one target as this relay serves it. Lock order: see Relay.
+type entry struct {
+	relay  *Relay
+	name   string
+	client *platform.TargetClient
+
+	mu       sync.Mutex
+	contract folder.Target
+	machine  *target.Machine
+	queue    jobQueue
+	running  map[jobID]*job
+	told     wire.Holding // what gateways were told last
+	gone     bool         // no longer in the contracts
+}
+
+func (r *Relay) newEntry(c folder.Target, contract target.Contract) *entry {
+	return &entry{
+		relay:    r,
+		name:     c.Name,
+		contract: c,
+		client: platform.NewTargetClient(platform.TargetOptions{
+			Address:     c.Address,
+			DataCentre:  r.opts.Self.DataCentre,
+			Relay:       r.opts.Self.Name(),
+			Connections: max(1, c.Connections/max(1, c.Slots)),
+		}),
+		machine: target.New(target.Options{Name: c.Name, Contract: contract}),
+		running: make(map[jobID]*job),
+		told:    wire.Holding{Target: c.Name},
+	}
+}
+
+// submit queues a job, or refuses it at once if the target can't be used here.
+func (e *entry) submit(now time.Time, j *job) {
+	e.mu.Lock()
+	refusal := e.refusal(now, j)
+	if refusal == code.OK {
+		e.queue.add(j)
+	}
+	depth := len(e.queue) + len(e.running)
+	ready := e.pump(now)
+	e.mu.Unlock()
+	if refusal != code.OK {
+		j.refuse(refusal, depth)
+	}
+	e.relay.dispatch(ready)
+}
+
+// refusal returns why a job can't be queued, or code.OK.
+func (e *entry) refusal(now time.Time, j *job) code.Code {
+	switch {
+	case !now.Before(j.deadline):
+		return code.DeadlinePassed
+	case e.gone:
+		return code.NotHeld
+	case e.machine.State() == wire.TargetOut:
+		return code.TargetOut
+	case e.machine.Limit() == 0 && e.machine.State() == wire.TargetCold:
+		return code.TargetCold
+	case e.machine.Limit() == 0:
+		return code.NotHeld
+	case len(e.queue) >= e.relay.opts.QueuePerTarget:
+		return code.Overloaded
+	default:
+		return code.OK
+	}
+}
+
+// readyJob is a job that a worker has to run, or to refuse if run is false.
+type readyJob struct {
+	entry  *entry
+	job    *job
+	ticket target.Ticket
+	refuse code.Code
+}
+
+// pump takes jobs from the queue while the limit allows. Entry.mu is held; the
+// caller passes the result to Relay.dispatch after unlocking.
+func (e *entry) pump(now time.Time) []readyJob {
+	var ready []readyJob
+	for len(e.queue) > 0 {
+		if e.machine.Limit() == 0 {
+			return append(ready, e.evict()...)
+		}
+		if e.machine.Inflight() >= e.machine.Limit() {
+			break
+		}
+		j := e.queue.next()
+		if !now.Before(j.deadline) {
+			ready = append(ready, readyJob{entry: e, job: j, refuse: code.DeadlinePassed})
+			continue
+		}
+		e.running[j.id] = j
+		ready = append(ready, readyJob{entry: e, job: j, ticket: e.machine.Sent(now)})
+	}
+	return ready
+}
+
+// evict refuses all waiting jobs, so that gateways send them elsewhere.
+func (e *entry) evict() []readyJob {
+	why := code.NotHeld
+	switch e.machine.State() {
+	case wire.TargetOut:
+		why = code.TargetOut
+	case wire.TargetCold:
+		why = code.TargetCold
+	}
+	var out []readyJob
+	for len(e.queue) > 0 {
+		out = append(out, readyJob{entry: e, job: e.queue.next(), refuse: why})
+	}
+	return out
+}
+
+// change applies an event to the machine and carries out what follows from it.
+func (e *entry) change(event func(now time.Time, m *target.Machine) []target.Action) {
+	now := time.Now()
+	e.mu.Lock()
+	actions := event(now, e.machine)
+	ready := e.pump(now)
+	e.tell()
+	drained := e.machine.Inflight() <= e.machine.Limit()
+	group := e.contract.Group
+	e.mu.Unlock()
+	e.relay.dispatch(ready)
+	e.relay.perform(e, actions)
+	if drained {
+		e.relay.permits.drained(group)
+	}
+}
+
+// tell pushes the target's holding to every gateway if it has changed.
+// Entry.mu is held, so that gateways get changes in order.
+func (e *entry) tell() {
+	h := wire.Holding{Target: e.name, State: e.machine.State(), Limit: uint16(e.machine.Limit())}
+	if h == e.told {
+		return
+	}
+	e.told = h
+	f := &wire.Frame{Holdings: []wire.Holding{h}}
+	for _, l := range e.relay.opts.Links.Links() {
+		if l.Peer().Role == wire.RoleGateway {
+			_ = l.Send(f)
+		}
+	}
+}
+
+// tellTo tells one gateway the target's holding.
+func (e *entry) tellTo(l *link.Link) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_ = l.Send(&wire.Frame{Holdings: []wire.Holding{e.told}})
+}
+
+// withdraw cancels a job that waits or runs.
+func (e *entry) withdraw(id jobID) {
+	e.mu.Lock()
+	var waiting *job
+	for _, j := range e.queue {
+		if j.id == id {
+			waiting = j
+			break
+		}
+	}
+	if waiting != nil {
+		e.queue.remove(waiting)
+	}
+	running := e.running[id]
+	e.mu.Unlock()
+	if waiting != nil {
+		waiting.refuse(code.Canceled, 0)
+	}
+	if running != nil && !running.batch.Action {
+		running.cancel()
+	}
+}
+
+// abandon withdraws all jobs of a link that is gone.
+func (e *entry) abandon(l *link.Link) {
+	e.mu.Lock()
+	var ids []jobID
+	for _, j := range e.queue {
+		if j.id.link == l {
+			ids = append(ids, j.id)
+		}
+	}
+	for id := range e.running {
+		if id.link == l {
+			ids = append(ids, id)
+		}
+	}
+	e.mu.Unlock()
+	for _, id := range ids {
+		e.withdraw(id)
+	}
+}
--- /dev/null
+++ b/relay/metrics.go
@@ -0,0 +1,23 @@
+package relay
+
+import "expvar"
+
+// metrics counts the work of the process's relay, published under "relay".
+var metrics = newMetrics()
+
+type relayMetrics struct {
+	received expvar.Int // sub-requests received
+	sent     expvar.Int // requests handed to target clients
+	refused  expvar.Map // sub-requests refused as not run, by code
+	outcomes expvar.Map // ends of requests to targets, by code
+}
+
+func newMetrics() *relayMetrics {
+	m := &relayMetrics{}
+	published := expvar.NewMap("relay")
+	published.Set("received", &m.received)
+	published.Set("sent", &m.sent)
+	published.Set("refused", &m.refused)
+	published.Set("outcomes", &m.outcomes)
+	return m
+}
--- /dev/null
+++ b/relay/work.go
@@ -0,0 +1,206 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/goldcrestmux/goldcrestmux/code"
+	"github.com/goldcrestmux/goldcrestmux/platform"
+	"github.com/goldcrestmux/goldcrestmux/target"
+	"github.com/goldcrestmux/goldcrestmux/wire"
+	"github.com/juju/errors"
+)
+
+// workQueue holds the jobs that wait for a worker. It is bounded by the sum of
+// the targets' limits, since only jobs with a permit get into it.
+type workQueue struct {
+	mu     sync.Mutex
+	filled sync.Cond
+	jobs   []readyJob
+	closed bool
+}
+
+func newWorkQueue() *workQueue {
+	q := &workQueue{}
+	q.filled.L = &q.mu
+	return q
+}
+
+func (q *workQueue) put(w readyJob) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.jobs = append(q.jobs, w)
+	q.filled.Signal()
+}
+
+// take waits for a job; it returns false once the queue is closed.
+func (q *workQueue) take() (readyJob, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for len(q.jobs) == 0 && !q.closed {
+		q.filled.Wait()
+	}
+	if q.closed {
+		return readyJob{}, false
+	}
+	w := q.jobs[0]
+	q.jobs = q.jobs[1:]
+	return w, true
+}
+
+func (q *workQueue) close() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.closed = true
+	q.filled.Broadcast()
+}
+
+// dispatch hands jobs to the workers and refuses those that must not run.
+func (r *Relay) dispatch(ready []readyJob) {
+	for _, w := range ready {
+		if w.refuse != "" {
+			w.job.refuse(w.refuse, 0)
+			continue
+		}
+		r.work.put(w)
+	}
+}
+
+// worker runs jobs until the relay stops.
+func (r *Relay) worker() error {
+	for {
+		w, ok := r.work.take()
+		if !ok {
+			return nil
+		}
+		r.run(w)
+	}
+}
+
+// run sends one job to its target and answers it.
+func (r *Relay) run(w readyJob) {
+	e, j := w.entry, w.job
+	if !r.permits.mayStart(e) {
+		r.finish(w, platform.Result{Code: code.NotHeld, Run: code.NotRun})
+		return
+	}
+	path := platform.PathSearch
+	if j.batch.Action {
+		path = platform.PathAction
+	}
+	request := &platform.TargetRequest{
+		ID:      fmt.Sprintf("%d-%s-%d", j.id.link.Peer().Incarnation, j.id.link.Peer().VM, j.sub.ID),
+		Search:  j.batch.Search,
+		Version: j.batch.Version,
+		Shard:   j.sub.Shard,
+		Payload: j.batch.Payload,
+	}
+	metrics.sent.Add(1)
+	r.finish(w, e.client.Do(j.ctx, path, request, j.deadline))
+}
+
+// finish tells the target's machine how a job ended, then the gateway.
+func (r *Relay) finish(w readyJob, result platform.Result) {
+	e, j := w.entry, w.job
+	metrics.outcomes.Add(string(result.Code), 1)
+	var depth int
+	e.mu.Lock()
+	delete(e.running, j.id)
+	depth = len(e.queue) + len(e.running)
+	e.mu.Unlock()
+	reply := newReply(result, depth)
+	e.change(func(now time.Time, m *target.Machine) []target.Action {
+		return m.Done(now, outcome(w.ticket, result))
+	})
+	j.reply(reply)
+}
+
+func newReply(result platform.Result, depth int) wire.Reply {
+	reply := wire.Reply{
+		Code:          result.Code,
+		Run:           result.Run,
+		Queue:         uint16(depth),
+		ServiceMicros: uint32(result.Service.Microseconds()),
+	}
+	if a := result.Answer; a != nil {
+		reply.Records = a.Records
+		reply.Matched = a.Matched
+	}
+	if f := result.Refusal; f != nil {
+		reply.RetryAfterMillis = f.RetryAfterMillis
+		reply.Versions = f.Versions
+	}
+	if result.Err != nil {
+		reply.Detail = result.Err.Error()
+	}
+	return reply
+}
+
+// outcome turns a result into what the target's machine learns from.
+func outcome(ticket target.Ticket, result platform.Result) target.Outcome {
+	return target.Outcome{
+		Kind:     kind(result),
+		Ticket:   ticket,
+		Boot:     result.Boot,
+		Service:  result.Service,
+		Draining: result.Draining,
+	}
+}
+
+func kind(result platform.Result) target.Kind {
+	switch result.Code {
+	case code.OK, code.BadAnswer:
+		return target.OK
+	case code.Shed, code.Overloaded, code.TargetCold:
+		return target.Shed
+	case code.VersionGone, code.VersionNotLoaded, code.BadRequest:
+		return target.VersionMiss
+	case code.Broken:
+		return target.Reset
+	case code.Timeout:
+		return target.Timeout
+	case code.Unreachable:
+		return unreachableKind(result.Err)
+	default:
+		return target.Canceled
+	}
+}
+
+// unreachableKind tells a target that refuses connections from one to which no
+// connection could be made in time.
+func unreachableKind(err error) target.Kind {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return target.Timeout
+	}
+	return target.Refused
+}
+
+// perform carries out what a target's machine asks for. No lock is held.
+func (r *Relay) perform(e *entry, actions []target.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case target.Notify:
+			_ = r.opts.Links.Send(a.To, &wire.Frame{TargetNotices: []wire.TargetNotice{a.Notice}})
+		case target.ProbeNow:
+			r.probe(e)
+		}
+	}
+}
+
+// probe asks a target for its health on a new connection.
+func (r *Relay) probe(e *entry) {
+	r.tomb.Go(func() error {
+		ctx, cancel := context.WithTimeout(r.tomb.Context(context.Background()), probeTimeout)
+		defer cancel()
+		health, err := e.client.Probe(ctx)
+		e.change(func(now time.Time, m *target.Machine) []target.Action {
+			if err != nil {
+				return m.Probe(now, false, "", false)
+			}
+			return m.Probe(now, true, health.Boot, health.Claim.Warm)
+		})
+		return nil
+	})
+}
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -144,7 +144,8 @@
 
 // Cancel withdraws a sub-request. The relay still answers it.
 type Cancel struct {
-	ID uint64 `cbor:"1,keyasint"`
+	ID     uint64 `cbor:"1,keyasint"`
+	Target string `cbor:"2,keyasint"`
 }
 
 // Ping asks for a Pong with the same sequence number.
