Read the settings of a process from flags, environment and a file

ff stops at the first value that a flag refuses, so the flags take any text and a second pass reports every fault with its file and line. The file is read by the folder's parser, which also refuses duplicate keys.

The fencing delay has to be above the VM list's greatest age: else a paused owner could still use permits that another relay has taken over.

--- a/folder/load.go
+++ b/folder/load.go
@@ -42,7 +42,7 @@
 	contracts := d.contracts(m.root)
 	d.checkReferences(contracts)
 	if len(d.faults) > 0 {
-		return nil, newFaultError(d.faults)
+		return nil, &FaultError{Faults: jsonc.SortFaults(d.faults)}
 	}
 	slices.SortFunc(d.fields, func(a, b Field) int { return strings.Compare(a.Path, b.Path) })
 	return &Merged{Contracts: contracts, Fields: d.fields}, nil
--- /dev/null
+++ b/settings/parser.go
@@ -0,0 +1,208 @@
+package settings
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	"github.com/juju/errors"
+	"github.com/peterbourgon/ff/v3"
+
+	"github.com/goldcrestmux/goldcrestmux/jsonc"
+	"github.com/goldcrestmux/goldcrestmux/wire"
+)
+
+// Error is the error of Parse. It holds at least one fault, whose file is the
+// settings file, or the flag and the environment variable.
+type Error struct {
+	Faults []jsonc.Fault
+}
+
+// Error returns the faults, one a line.
+func (e *Error) Error() string { return jsonc.JoinFaults(e.Faults) }
+
+// configFlag names the flag that holds the path of the settings file.
+const configFlag = "config"
+
+// parser reads the settings of one process from all sources.
+type parser struct {
+	name     string
+	settings *Settings
+	options  []*option
+	flags    *flag.FlagSet
+	path     string // of the settings file
+	// origin is the place that Set is called from: zero outside of a file.
+	origin jsonc.Origin
+	faults []jsonc.Fault
+	// unread is true if the settings file could not be read.
+	unread bool
+}
+
+func newParser(name string, s *Settings) *parser {
+	p := &parser{name: name, settings: s, options: options(s)}
+	p.flags = flag.NewFlagSet(name, flag.ContinueOnError)
+	p.flags.SetOutput(io.Discard)
+	p.flags.StringVar(&p.path, configFlag, "", "")
+	for _, o := range p.options {
+		o.text = o.fallback
+		o.from = &p.origin
+		p.flags.Var(o, o.name, o.help)
+	}
+	return p
+}
+
+// parse reads all sources and stores the settings. It reports whether help was
+// asked for.
+func (p *parser) parse(args []string) (help bool, err error) {
+	command := jsonc.Origin{File: p.name}
+	if role := p.settings.Role; role != wire.RoleGateway && role != wire.RoleRelay {
+		p.fault(command, "", "the program has no role", "a name that ends in -gateway or -relay")
+		return false, &Error{Faults: p.faults}
+	}
+	err = ff.Parse(p.flags, args,
+		ff.WithEnvVarPrefix(EnvPrefix),
+		ff.WithConfigFileFlag(configFlag),
+		ff.WithConfigFileParser(p.parseFile))
+	if errors.Is(err, flag.ErrHelp) {
+		return true, nil
+	}
+	if err != nil {
+		p.fault(command, "", err.Error(), "a readable file, and the settings that --help lists")
+		p.unread = true
+	}
+	if rest := p.flags.Args(); len(rest) > 0 {
+		p.fault(command, "", fmt.Sprintf("unexpected argument %q", rest[0]), "flags only")
+	}
+	p.storeAll()
+	if len(p.faults) > 0 {
+		return false, &Error{Faults: jsonc.SortFaults(p.faults)}
+	}
+	return false, nil
+}
+
+func (p *parser) fault(o jsonc.Origin, field, problem, allowed string) {
+	p.faults = append(p.faults, o.Fault(field, problem, allowed))
+}
+
+// parseFile is the ff.ConfigFileParser of JSON with comments. set ignores
+// settings that a flag or the environment has set already.
+func (p *parser) parseFile(r io.Reader, set func(name, value string) error) error {
+	data, err := io.ReadAll(r)
+	if err != nil {
+		return errors.Annotatef(err, "read %s", p.path)
+	}
+	root, faults := jsonc.Parse(p.path, data)
+	p.faults = append(p.faults, faults...)
+	if root == nil {
+		p.unread = true
+		return nil
+	}
+	defer func() { p.origin = jsonc.Origin{} }()
+	for key, n := range root.Members {
+		p.origin = n.Origin
+		if err := p.setFromFile(key, n, set); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (p *parser) setFromFile(key string, n *jsonc.Node, set func(name, value string) error) error {
+	i := slices.IndexFunc(p.options, func(o *option) bool { return o.fileKey() == key })
+	if i < 0 {
+		p.fault(p.origin, key, "unknown setting", p.keys())
+		return nil
+	}
+	o := p.options[i]
+	text, ok := fileText(n, o.kind)
+	if !ok {
+		p.fault(p.origin, key, "is "+n.Kind.String(), o.allowed)
+		return nil
+	}
+	return set(o.name, text)
+}
+
+// fileText returns the text of a value in a file. It reports whether the value
+// is of the wanted kind.
+func fileText(n *jsonc.Node, kind jsonc.Kind) (string, bool) {
+	if n.Kind != kind {
+		return "", false
+	}
+	if kind != jsonc.Array {
+		return n.Text, true
+	}
+	words := make([]string, len(n.Items))
+	for i, item := range n.Items {
+		if item.Kind != jsonc.String {
+			return "", false
+		}
+		words[i] = item.Text
+	}
+	return strings.Join(words, ","), true
+}
+
+func (p *parser) keys() string {
+	keys := make([]string, len(p.options))
+	for i, o := range p.options {
+		keys[i] = o.fileKey()
+	}
+	slices.Sort(keys)
+	return strings.Join(keys, ", ")
+}
+
+// storeAll parses the text of each setting and checks settings against each other.
+func (p *parser) storeAll() {
+	for _, o := range p.options {
+		switch {
+		case o.text == "" && (p.unread || p.faulty(o)):
+			// The fault that was reported explains the absence.
+		case o.text == "":
+			p.fault(p.place(o), o.fileKey(), "is missing", o.allowed)
+		case !o.store(o.text):
+			p.fault(p.place(o), o.fileKey(), fmt.Sprintf("%q is not accepted", o.text), o.allowed)
+		}
+	}
+	if s := p.settings; len(p.faults) == 0 {
+		p.requireAbove("fencing_delay", s.FencingDelay > s.VMListMaxAge, "above vm_list_max_age, "+s.VMListMaxAge.String())
+		p.requireAbove("vm_list_max_age", s.VMListMaxAge >= 2*s.VMListPoll, "at least twice vm_list_poll, "+s.VMListPoll.String())
+	}
+}
+
+// requireAbove reports the setting unless ok holds.
+func (p *parser) requireAbove(key string, ok bool, allowed string) {
+	if ok {
+		return
+	}
+	i := slices.IndexFunc(p.options, func(o *option) bool { return o.fileKey() == key })
+	o := p.options[i]
+	p.fault(p.place(o), key, fmt.Sprintf("%q is too short", o.text), allowed)
+}
+
+// faulty tells whether a fault of the setting was reported already.
+func (p *parser) faulty(o *option) bool {
+	return slices.ContainsFunc(p.faults, func(f jsonc.Fault) bool { return f.Field == o.fileKey() })
+}
+
+// place names where the setting was set, or may be set.
+func (p *parser) place(o *option) jsonc.Origin {
+	if o.origin != (jsonc.Origin{}) {
+		return o.origin
+	}
+	return jsonc.Origin{File: fmt.Sprintf("-%s or %s", o.name, o.envKey())}
+}
+
+func (p *parser) printHelp(w io.Writer) {
+	fmt.Fprintf(w, "Usage: %s [-%s FILE] [-SETTING VALUE]...\n\n", p.name, configFlag)
+	fmt.Fprintf(w, "A setting is a flag, an environment variable (-vm-list-url is %s_VM_LIST_URL),\n", EnvPrefix)
+	fmt.Fprintf(w, "or a key of the JSON-with-comments FILE (vm_list_url). The first one found counts.\n\n")
+	fmt.Fprintf(w, "  -%s FILE (%s_CONFIG)\n        the settings file\n", configFlag, EnvPrefix)
+	for _, o := range p.options {
+		state := "required"
+		if o.fallback != "" {
+			state = "default " + o.fallback
+		}
+		fmt.Fprintf(w, "  -%s (%s)\n        %s\n        %s\n", o.name, state, o.help, o.allowed)
+	}
+}
