--- /dev/null
+++ b/cmd/gcmuxctl/main.go
@@ -0,0 +1,18 @@
+// Command gcmuxctl checks, prints and compares folders, and asks running
+// processes for their state.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+
+	"github.com/goldcrestmux/goldcrestmux/ctl"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	code := ctl.Run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
