--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -2,15 +2,19 @@
 
 import (
 	"bytes"
+	"cmp"
 	"flag"
 	"log/slog"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/sebdah/goldie/v2"
+
+	"github.com/goldcrestmux/goldcrestmux/wire"
 )
 
 const valid = `{
@@ -90,3 +94,24 @@
 		goldie.New(t).Assert(t, program, b.Bytes())
 	}
 }
+
+// TestDocumented checks that the reference page holds each setting with its
+// default, and that the shipped settings files are accepted.
+func TestDocumented(t *testing.T) {
+	page, err := os.ReadFile("../docs/CONFIGURATION.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, reference, _ := strings.Cut(string(page), "## The settings of a process")
+	for _, role := range []string{"gateway", "relay"} {
+		if _, err := Parse("gcmux-"+role, []string{"-config", "../examples/settings/" + role + ".jsonc"}, nil); err != nil {
+			t.Error(err)
+		}
+		for _, o := range newParser(role, &Settings{Role: wire.Role(role)}).options {
+			row := regexp.MustCompile(`(?m)^\| ` + "`" + o.fileKey() + "` .*$").FindString(reference)
+			if value := cmp.Or(o.fallback, "required"); !strings.Contains(row, value) {
+				t.Errorf("the page does not tell the default %s of %s: %q", value, o.fileKey(), row)
+			}
+		}
+	}
+}
