Test the stand-in through the target client

Each fault that the stand-in offers is set by the admin client and seen by the client that the relay will use, and the ledger agrees. Waits poll the ledger in place of sleeping.

--- /dev/null
+++ b/standin/standin_test.go
@@ -0,0 +1,325 @@
+package standin_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/goldcrestmux/goldcrestmux/code"
+	"github.com/goldcrestmux/goldcrestmux/corpus"
+	"github.com/goldcrestmux/goldcrestmux/platform"
+	"github.com/goldcrestmux/goldcrestmux/standin"
+	"github.com/goldcrestmux/goldcrestmux/wire"
+)
+
+const ample = time.Minute
+
+// bench is a stand-in with a client of its admin API and of one target.
+type bench struct {
+	*testing.T
+	ctx    context.Context
+	s      *standin.Standin
+	admin  *standin.Admin
+	name   string // of the target
+	shard  string
+	client *platform.TargetClient
+	sent   int
+}
+
+func newBench(t *testing.T, o standin.Options) *bench {
+	s, err := standin.New(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	ctx, cancel := context.WithTimeout(context.Background(), ample)
+	t.Cleanup(cancel)
+	shard := s.Layout().Searches[0].Versions[0].Shards[0]
+	b := &bench{T: t, ctx: ctx, s: s, admin: standin.NewAdmin(s.AdminAddress()), name: shard.Targets[0], shard: shard.Name}
+	for _, target := range s.Layout().Targets {
+		if target.Name == b.name {
+			b.client = platform.NewTargetClient(platform.TargetOptions{Address: target.Address, DataCentre: target.DataCentre, Connections: 20})
+		}
+	}
+	return b
+}
+
+func (b *bench) request(version string) *platform.TargetRequest {
+	b.sent++
+	return &platform.TargetRequest{
+		ID: fmt.Sprintf("r%d", b.sent), Search: "small", Version: version, Shard: b.shard,
+		Payload: wire.RawJSON(`{"limit":5}`),
+	}
+}
+
+func (b *bench) do(want code.Code) platform.Result {
+	b.Helper()
+	result := b.client.Do(b.ctx, platform.PathSearch, b.request("v1"), time.Now().Add(ample))
+	if result.Code != want {
+		b.Fatalf("got %s, want %s: %v", result.Code, want, result.Err)
+	}
+	return result
+}
+
+func (b *bench) change(c standin.TargetChange) {
+	b.Helper()
+	c.Targets = []string{b.name}
+	if n, err := b.admin.ChangeTargets(b.ctx, c); err != nil || n != 1 {
+		b.Fatalf("changed %d targets: %v", n, err)
+	}
+}
+
+func (b *bench) detail() standin.TargetDetail {
+	b.Helper()
+	detail, err := b.admin.Target(b.ctx, b.name)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return detail
+}
+
+// holdOne starts a request that runs until the returned function stops it.
+func (b *bench) holdOne() (release func() platform.Result) {
+	ctx, cancel := context.WithCancel(b.ctx)
+	done := make(chan platform.Result, 1)
+	started := b.detail().Stats.Started
+	req := b.request("v1")
+	go func() { done <- b.client.Do(ctx, platform.PathSearch, req, time.Now().Add(ample)) }()
+	for b.detail().Stats.Started == started {
+		if b.ctx.Err() != nil {
+			b.Fatal("the request didn't start")
+		}
+	}
+	return func() platform.Result {
+		cancel()
+		return <-done
+	}
+}
+
+var slow = standin.Service{Median: standin.Duration(time.Hour)}
+
+func TestAnswersAreExpected(t *testing.T) {
+	b := newBench(t, standin.Options{Seed: 3, Warm: true})
+	result := b.do(code.OK)
+	layout := b.s.Layout()
+	version := layout.Searches[0].Versions[0]
+	c := corpus.New(corpus.Options{Seed: 3, Search: "small", Kind: layout.Searches[0].Kind, Records: layout.Records})
+	matched, top := corpus.Search(c.Shard("v1", version.ShardNames(), b.shard), platform.Query{Limit: 5})
+	if int(result.Answer.Matched) != matched || !reflect.DeepEqual(result.Answer.Records, top) {
+		t.Fatalf("got %+v, want %d: %+v", result.Answer, matched, top)
+	}
+}
+
+func TestWarmTargetShedsBeyondSlots(t *testing.T) {
+	b := newBench(t, standin.Options{Warm: true, Service: slow})
+	first, second := b.holdOne(), b.holdOne()
+	if shed := b.do(code.Shed); shed.Run != code.NotRun {
+		t.Fatalf("a shed request has run %d", shed.Run)
+	}
+	first()
+	if canceled := second(); canceled.Code != code.Canceled || canceled.Run != code.RunUnknown {
+		t.Fatalf("got %s, run %d: %v", canceled.Code, canceled.Run, canceled.Err)
+	}
+	if stats := b.detail().Stats; stats.Peak != 2 || stats.SlotBreaches != 1 || stats.ColdBreaches != 0 {
+		t.Fatalf("got %+v", stats)
+	}
+}
+
+func TestColdTargetFallsOverAndWarmsByWork(t *testing.T) {
+	b := newBench(t, standin.Options{Service: slow, WarmAfter: 1})
+	release := b.holdOne()
+	boot := b.detail().Stats.Boot
+	b.do(code.Broken)
+	release()
+	for b.detail().Stats.Boot == boot {
+		if b.ctx.Err() != nil {
+			t.Fatal("the target didn't start again")
+		}
+	}
+	if stats := b.detail().Stats; stats.ColdBreaches != 1 || stats.ColdSurprises != 0 || stats.Warm {
+		t.Fatalf("got %+v", stats)
+	}
+	b.change(standin.TargetChange{Service: &standin.Service{}})
+	b.do(code.OK)
+	if !b.detail().Stats.Warm {
+		t.Fatal("the target isn't warm after its work")
+	}
+	b.change(standin.TargetChange{TurnCold: true, Service: &slow})
+	b.holdOne()
+	b.do(code.Broken)
+	if stats := b.detail().Stats; stats.ColdBreaches != 2 || stats.ColdSurprises != 1 {
+		t.Fatalf("got %+v", stats)
+	}
+}
+
+func TestFaultyAnswers(t *testing.T) {
+	b := newBench(t, standin.Options{Warm: true})
+	b.do(code.OK)
+	for _, faults := range []standin.AnswerFaults{{Crossed: 1}, {Short: 1}, {Garbage: 1}} {
+		b.change(standin.TargetChange{Faults: &faults})
+		b.do(code.BadAnswer)
+	}
+	b.change(standin.TargetChange{Faults: &standin.AnswerFaults{}})
+	b.do(code.OK)
+}
+
+func TestTargetStates(t *testing.T) {
+	b := newBench(t, standin.Options{Warm: true})
+	yes, no := true, false
+	b.change(standin.TargetChange{Drain: &yes, DrainFor: standin.Duration(ample)})
+	if !b.do(code.OK).Draining {
+		t.Fatal("the answer doesn't tell that the target drains")
+	}
+	b.change(standin.TargetChange{Drain: &yes})
+	b.do(code.TargetOut)
+	b.change(standin.TargetChange{Drain: &no, Drop: []string{"v1"}, Load: []string{"v2"}})
+	if gone := b.do(code.VersionNotLoaded); !reflect.DeepEqual(gone.Refusal.Versions, []string{"v2"}) {
+		t.Fatalf("versions %v", gone.Refusal.Versions)
+	}
+	b.change(standin.TargetChange{Load: []string{"v1"}, Crash: true})
+	if refused := b.do(code.Unreachable); refused.Sent {
+		t.Fatal("a byte left for a crashed target")
+	}
+	b.change(standin.TargetChange{Return: true})
+	b.do(code.OK)
+	b.change(standin.TargetChange{Silence: 1})
+	if result := b.client.Do(b.ctx, platform.PathSearch, b.request("v1"), time.Now().Add(500*time.Millisecond)); result.Code != code.Timeout {
+		t.Fatalf("a silent connection gave %s", result.Code)
+	}
+	b.do(code.OK)
+	// A silent connection swallows the request, so that it doesn't run.
+	if n := len(b.detail().Executions); n != 3 {
+		t.Fatalf("the ledger has %d executions", n)
+	}
+}
+
+func TestActionsAreCounted(t *testing.T) {
+	b := newBench(t, standin.Options{Warm: true})
+	for range 2 {
+		req := b.request("v1")
+		req.Payload = wire.RawJSON(`{"id":"a1","key":"C-000001","score":4}`)
+		if result := b.client.Do(b.ctx, platform.PathAction, req, time.Now().Add(ample)); result.Code != code.OK {
+			t.Fatalf("got %s: %v", result.Code, result.Err)
+		}
+	}
+	runs, err := b.admin.ActionRuns(b.ctx, []string{"a1", "a2"})
+	if want := []standin.ActionRuns{{Action: "a1", Runs: 2}, {Action: "a2"}}; err != nil || !reflect.DeepEqual(runs, want) {
+		t.Fatalf("got %v, %v", runs, err)
+	}
+}
+
+func TestConfigurationFaults(t *testing.T) {
+	b := newBench(t, standin.Options{})
+	config := platform.NewConfig(platform.ClientOptions{Address: b.s.PlatformAddress(), DataCentre: "dc1"})
+	other := platform.NewConfig(platform.ClientOptions{Address: b.s.PlatformAddress(), DataCentre: "dc2"})
+	watched := make(chan platform.Manifest, 1)
+	go func() {
+		m, _, _ := config.Watch(b.ctx, 1, ample)
+		watched <- m
+	}()
+	name := "50-note.json"
+	for _, data := range []string{`{"a":1}`, `{"a":2}`} {
+		if _, err := b.admin.PutFile(b.ctx, name, []byte(data)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if m := <-watched; m.Revision < 2 {
+		t.Fatalf("the watch gave revision %d", m.Revision)
+	}
+
+	fault := func(f standin.ConfigFault) {
+		if err := b.admin.SetConfig(b.ctx, f); err != nil {
+			t.Fatal(err)
+		}
+	}
+	read := func(c *platform.Config) (uint64, error) {
+		m, err := c.Manifest(b.ctx)
+		if err != nil {
+			return 0, err
+		}
+		for _, f := range m.Files {
+			if _, err := c.File(b.ctx, f); err != nil {
+				return 0, err
+			}
+		}
+		return m.Revision, nil
+	}
+	fault(standin.ConfigFault{Mode: standin.ConfigTorn})
+	var torn *platform.TornReadError
+	if _, err := read(config); !errors.As(err, &torn) || torn.Name != name {
+		t.Fatalf("a torn read gave %v", err)
+	}
+	fault(standin.ConfigFault{Mode: standin.ConfigStale, Revision: 1})
+	if revision, err := read(config); err != nil || revision != 1 {
+		t.Fatalf("stale: revision %d, %v", revision, err)
+	}
+	fault(standin.ConfigFault{Mode: standin.ConfigUp})
+	fault(standin.ConfigFault{Mode: standin.ConfigDown, DataCentres: []string{"dc1"}})
+	var down *platform.DownError
+	if _, err := read(config); !errors.As(err, &down) {
+		t.Fatalf("down: %v", err)
+	}
+	if revision, err := read(other); err != nil || revision != 3 {
+		t.Fatalf("another data centre: revision %d, %v", revision, err)
+	}
+}
+
+func TestCablesCutDataCentres(t *testing.T) {
+	b := newBench(t, standin.Options{})
+	yes := true
+	links := map[wire.Role]string{wire.RoleRelay: b.s.AdminAddress()} // any listener will do
+	change := standin.VMsChange{Cables: &yes, VMs: []platform.VM{{Name: "vm1", DataCentre: "dc1", Links: links}}}
+	if err := b.admin.SetVMs(b.ctx, change); err != nil {
+		t.Fatal(err)
+	}
+	through := func(from string) *standin.Admin {
+		list, err := platform.NewVMs(platform.ClientOptions{Address: b.s.PlatformAddress(), DataCentre: from}).List(b.ctx)
+		if err != nil || len(list.VMs) != 1 {
+			t.Fatalf("list %v, %v", list, err)
+		}
+		return standin.NewAdmin(list.VMs[0].Links[wire.RoleRelay])
+	}
+	works := func(a *standin.Admin) bool {
+		_, err := a.Layout(b.ctx)
+		return err == nil
+	}
+	cut := through("dc2")
+	for _, mode := range []standin.CableMode{standin.CableUp, standin.CableCut, standin.CableUp} {
+		if err := b.admin.SetCables(b.ctx, standin.CableChange{Mode: mode, From: "dc1", To: "dc2"}); err != nil {
+			t.Fatal(err)
+		}
+		if works(cut) != (mode == standin.CableUp) || !works(through("dc3")) {
+			t.Fatalf("cable is %s: the wrong data centre is cut off", mode)
+		}
+	}
+}
+
+func TestLayoutsSpreadReplicas(t *testing.T) {
+	for _, setup := range []standin.Setup{standin.SetupCompetitions, standin.SetupHrabovsky, standin.SetupSmall} {
+		layout, err := standin.NewLayout(1, 0, setup)
+		if err != nil {
+			t.Fatal(err)
+		}
+		places := make(map[string]string)
+		for _, target := range layout.Targets {
+			places[target.Name] = target.DataCentre
+		}
+		for _, search := range layout.Searches {
+			for _, shard := range search.Versions[0].Shards {
+				if len(shard.Targets) != 2 || places[shard.Targets[0]] == places[shard.Targets[1]] {
+					t.Errorf("%s/%s is on %v", search.Name, shard.Name, shard.Targets)
+				}
+			}
+		}
+		for _, f := range standin.FolderFiles(layout, 1) {
+			if !json.Valid(f.Data) {
+				t.Errorf("file %s isn't JSON", f.Name)
+			}
+		}
+	}
+}
