--- a/admission/controller.go
+++ b/admission/controller.go
@@ -159,7 +159,7 @@
 	if len(c.running) >= c.limit.value() {
 		start = now.Add(c.limit.wait(c.queue.ahead(k.lane) + 1))
 	}
-	return !start.Add(c.limit.expected(r.Search)).After(r.Deadline)
+	return start.Add(c.limit.expected(r.Search)).Before(r.Deadline)
 }
 
 func (c *Controller) newEntry(now time.Time, k *caller, r Request) *entry {
@@ -214,8 +214,7 @@
 	if e == nil {
 		return time.Time{}, false
 	}
-	// A request may still start at startBy itself.
-	return e.startBy.Add(1), true
+	return e.startBy, true
 }
 
 // dispatch drops what can't be met and admits what may run.
@@ -242,7 +241,7 @@
 	var actions []Action
 	for {
 		e := c.queue.earliest()
-		if e == nil || !now.After(e.startBy) {
+		if e == nil || now.Before(e.startBy) {
 			return actions
 		}
 		c.unqueue(e)
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -14,8 +14,8 @@
 	id     uint64
 	caller *caller
 	search string
-	// startBy is the latest time at which the request may start and still be
-	// answered in time. It orders a lane.
+	// startBy is the time before which the request must start to be answered in
+	// time. It orders a lane.
 	startBy time.Time
 	lane    *lane
 	index   int
