--- /dev/null
+++ b/budget/budget_test.go
@@ -0,0 +1,99 @@
+package budget
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func init() { _ = flag.Set("rapid.seed", "1") }
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+// In every 10 s window that ends with an extra attempt, extras are at most the
+// share of first attempts or the floor; for random schedules with gaps.
+func TestShareInAnyWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		floor := rapid.IntRange(0, 2).Draw(t, "floor")
+		w := NewWindow(MaxShare, uint32(floor))
+		now := epoch
+		var firsts, extras []time.Time
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "gap")) * time.Millisecond)
+			for range rapid.IntRange(0, 60).Draw(t, "firsts") {
+				w.First(now)
+				firsts = append(firsts, now)
+			}
+			for range rapid.IntRange(0, 6).Draw(t, "asked") {
+				if w.TryExtra(now) {
+					extras = append(extras, now)
+				}
+			}
+			f, e := within(firsts, now), within(extras, now)
+			last := len(extras) > 0 && extras[len(extras)-1].Equal(now)
+			if last && float64(e) > max(MaxShare*float64(f), float64(floor)) {
+				t.Fatalf("%d extras for %d first attempts", e, f)
+			}
+		}
+	})
+}
+
+// within counts the times in the window that ends now.
+func within(times []time.Time, now time.Time) int {
+	count := 0
+	for _, at := range times {
+		if now.Sub(at) < Span {
+			count++
+		}
+	}
+	return count
+}
+
+// Under steady load the budget can be used nearly in full.
+func TestSteadyLoadUsesBudget(t *testing.T) {
+	w := NewWindow(MaxShare, 0)
+	firsts, extras := 0, 0
+	for now := epoch; now.Before(epoch.Add(time.Minute)); now = now.Add(5 * time.Millisecond) {
+		w.First(now)
+		firsts++
+		if w.TryExtra(now) {
+			extras++
+		}
+	}
+	if share := float64(extras) / float64(firsts); share > MaxShare || share < 0.9*MaxShare {
+		t.Errorf("extras are %.4f of first attempts", share)
+	}
+}
+
+// An extra needs the budget of its search and of its target, and a denied one
+// uses up neither.
+func TestTableNeedsBoth(t *testing.T) {
+	table := NewTable(Options{})
+	for range 40 {
+		table.First(epoch, "search", "busy")
+	}
+	table.First(epoch, "search", "idle")
+	for range 5 {
+		if table.TryExtra(epoch, "search", "idle") {
+			t.Fatal("extra at a target without budget")
+		}
+	}
+	granted := 0
+	for range 5 {
+		if table.TryExtra(epoch, "search", "busy") {
+			granted++
+		}
+	}
+	if granted != 2 {
+		t.Errorf("granted %d extras for 41 first attempts", granted)
+	}
+	table.SetShare("strict", 0)
+	for range 100 {
+		table.First(epoch, "strict", "other")
+	}
+	if table.TryExtra(epoch, "strict", "other") {
+		t.Error("extra for a search with share 0")
+	}
+}
