--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -15,7 +15,10 @@
 	"github.com/goldcrestmux/goldcrestmux/folder"
 )
 
-func init() { _ = flag.Set("rapid.seed", "1") }
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "1000")
+}
 
 // Each request gets exactly one final outcome, none is admitted after its
 // deadline, and no limit is exceeded, whatever the order of events.
--- a/attempt/attempt_test.go
+++ b/attempt/attempt_test.go
@@ -10,7 +10,10 @@
 	"github.com/goldcrestmux/goldcrestmux/code"
 )
 
-func init() { _ = flag.Set("rapid.seed", "1") }
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "1000")
+}
 
 var deadline = time.Unix(1_700_000_000, 0)
 
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -8,7 +8,10 @@
 	"pgregory.net/rapid"
 )
 
-func init() { _ = flag.Set("rapid.seed", "1") }
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "1000")
+}
 
 var epoch = time.Unix(1_700_000_000, 0)
 
--- a/coverage/coverage_test.go
+++ b/coverage/coverage_test.go
@@ -13,7 +13,10 @@
 	"github.com/goldcrestmux/goldcrestmux/wire"
 )
 
-func init() { _ = flag.Set("rapid.seed", "1") }
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "1000")
+}
 
 // The merge equals sorting all records and keeping the first of each key.
 func TestMergeEqualsNaive(t *testing.T) {
