--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -137,15 +137,31 @@
 	check(offer(10, "urgent", time.Second), Refuse, code.Stopping)
 }
 
-// A request that can't be met by the measured service time is refused on arrival.
+// A request that can't be met by the measured service time and the requests
+// ahead of it is refused on arrival.
 func TestRefusedOnArrival(t *testing.T) {
 	c := New(Options{Mode: ModeFixed, StartLimit: 1}, rand.New(rand.NewPCG(1, 2)))
 	c.SetCallers(epoch, map[string]folder.Caller{"a": {Name: "a"}})
-	c.Offer(epoch, Request{ID: 1, Caller: "a", Search: "s", Deadline: epoch.Add(time.Second)})
+	offer := func(id uint64, left time.Duration) Action {
+		own, _ := c.Offer(epoch, Request{ID: id, Caller: "a", Search: "s", Deadline: epoch.Add(left)})
+		return own
+	}
+	offer(1, time.Second)
 	c.Done(epoch, 1, true, 100*time.Millisecond)
-	own, _ := c.Offer(epoch, Request{ID: 2, Caller: "a", Search: "s", Deadline: epoch.Add(50 * time.Millisecond)})
-	if own.Verdict != Refuse || own.Code != code.Overloaded || own.RetryAfter == 0 {
-		t.Errorf("got %+v", own)
+	for i, tt := range []struct {
+		left time.Duration
+		want Verdict
+	}{
+		{50 * time.Millisecond, Refuse}, // shorter than one service time
+		{150 * time.Millisecond, Admit},
+		{150 * time.Millisecond, Refuse}, // one runs before it
+		{250 * time.Millisecond, Queue},
+		{250 * time.Millisecond, Refuse}, // one waits before it too
+	} {
+		own := offer(uint64(i+2), tt.left)
+		if own.Verdict != tt.want || own.Verdict == Refuse && (own.Code != code.Overloaded || own.RetryAfter == 0) {
+			t.Errorf("case %d: got %+v, want %v", i, own, tt.want)
+		}
 	}
 }
 
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -76,6 +76,7 @@
 		c.queue.remove(e)
 	}
 	k.lane.priority = priority
+	k.lane.turn = 0
 	for _, e := range waiting {
 		c.queue.push(e)
 	}
@@ -157,7 +158,7 @@
 	}
 	start := now
 	if len(c.running) >= c.limit.value() {
-		start = now.Add(c.limit.wait(c.queue.ahead(k.lane) + 1))
+		start = now.Add(c.limit.wait(c.queue.ahead(k.lane, c.lowEvery()) + 1))
 	}
 	return start.Add(c.limit.expected(r.Search)).Before(r.Deadline)
 }
--- a/admission/overload_test.go
+++ b/admission/overload_test.go
@@ -28,11 +28,12 @@
 	caller   string
 	priority int
 	share    float64
+	deadline time.Duration
 }{
-	{urgentCaller, 0, 0.10},
-	{"judges", 3, 0.40},
-	{"entrants", 6, 0.05},
-	{"entrants-greedy", 6, 0.45},
+	{urgentCaller, 0, 0.10, simDeadline},
+	{"judges", 3, 0.40, simDeadline},
+	{"entrants", 6, 0.05, simDeadline * 3 / 4},
+	{"entrants-greedy", 6, 0.45, simDeadline * 3 / 4},
 }
 
 // event is an arrival (done false) or the end of a request in the simulation.
@@ -56,8 +57,8 @@
 }
 
 type job struct {
-	caller            string
-	arrived, admitted time.Time
+	caller                      string
+	arrived, admitted, deadline time.Time
 }
 
 type result struct {
@@ -89,7 +90,7 @@
 		for at := epoch; at.Before(epoch.Add(simLength)); {
 			at = at.Add(time.Duration(rng.ExpFloat64() / rate * float64(time.Second)))
 			id := uint64(len(jobs) + 1)
-			jobs[id] = &job{caller: l.caller, arrived: at}
+			jobs[id] = &job{caller: l.caller, arrived: at, deadline: at.Add(l.deadline)}
 			timeline = append(timeline, event{at: at, id: id})
 		}
 	}
@@ -112,7 +113,7 @@
 		var actions []Action
 		if e.done {
 			running--
-			inTime := e.at.Sub(j.arrived) <= simDeadline
+			inTime := !e.at.After(j.deadline)
 			if inTime {
 				r.good[j.caller]++
 				r.total++
@@ -122,7 +123,7 @@
 		} else {
 			r.offered[j.caller]++
 			var own Action
-			own, actions = c.Offer(e.at, Request{ID: e.id, Caller: j.caller, Search: "s", Deadline: e.at.Add(simDeadline)})
+			own, actions = c.Offer(e.at, Request{ID: e.id, Caller: j.caller, Search: "s", Deadline: j.deadline})
 			admit(e.at, own)
 		}
 		for _, a := range actions {
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -25,6 +25,9 @@
 type lane struct {
 	priority int
 	entries  []*entry
+	// turn is the lane's place in the order of service within its priority; it
+	// grows with each request served.
+	turn int
 }
 
 func (l *lane) Len() int           { return len(l.entries) }
@@ -52,11 +55,14 @@
 	return e
 }
 
-// class holds the lanes of one priority that aren't empty, the next to be
-// served first.
+// class holds the lanes of one priority that aren't empty. The lane with the
+// lowest turn is served next. A lane that joins takes the class's turn, so that a caller who rarely waits is served before one who
+// always does, and gains nothing from the time that it was away.
 type class struct {
 	active []*lane
 	queued int
+	// turn is the highest of the lanes served so far.
+	turn int
 	// servedAt is the count of admissions when the class was last served.
 	servedAt uint64
 }
@@ -73,6 +79,7 @@
 func (q *queue) push(e *entry) {
 	c := &q.classes[e.lane.priority]
 	if len(e.lane.entries) == 0 {
+		e.lane.turn = c.nextTurn(e.lane)
 		c.active = append(c.active, e.lane)
 	}
 	heap.Push(e.lane, e)
@@ -90,14 +97,23 @@
 	}
 }
 
+// nextTurn returns the turn at which the lane's first request is served.
+func (c *class) nextTurn(l *lane) int {
+	if len(l.entries) > 0 {
+		return l.turn
+	}
+	return max(l.turn, c.turn)
+}
+
 // ready returns the class's next lane whose head may run; nil if there is none.
 func (c *class) ready() *lane {
+	var next *lane
 	for _, l := range c.active {
-		if l.entries[0].caller.hasRoom() {
-			return l
+		if l.entries[0].caller.hasRoom() && (next == nil || l.turn < next.turn) {
+			next = l
 		}
 	}
-	return nil
+	return next
 }
 
 // next removes and returns the request to admit, or nil if none may run. It is
@@ -137,35 +153,35 @@
 	return top, low
 }
 
-// serve removes the head of the class's next lane and moves the lane to the end.
+// serve removes the head of the class's next lane.
 func (q *queue) serve(c *class) *entry {
 	l := c.ready()
 	e := l.entries[0]
-	at := slices.Index(c.active, l)
-	copy(c.active[at:], c.active[at+1:])
-	c.active[len(c.active)-1] = l
+	c.turn = max(c.turn, l.turn)
+	l.turn = c.turn + 1
 	q.remove(e)
 	q.served++
 	c.servedAt = q.served
 	return e
 }
 
-// ahead returns how many waiting requests are served before a new one of the
-// lane: all that are more urgent, and its callers' turns within the priority.
-func (q *queue) ahead(l *lane) int {
-	count := 0
-	for i := 0; i < l.priority; i++ {
-		count += q.classes[i].queued
-	}
-	own := len(l.entries)
-	for _, other := range q.classes[l.priority].active {
-		if other == l {
-			count += own
-		} else {
-			count += min(len(other.entries), own+1)
+// ahead returns about how many waiting requests are served before a new one of
+// the lane: the callers' turns within its priority and all that are more
+// urgent, but no more than its guaranteed share of admissions lets pass.
+func (q *queue) ahead(l *lane, lowEvery uint64) int {
+	c := &q.classes[l.priority]
+	turns := len(l.entries)
+	turn := c.nextTurn(l) + turns
+	for _, other := range c.active {
+		if other != l && other.turn <= turn {
+			turns += min(len(other.entries), turn-other.turn+1)
 		}
 	}
-	return count
+	urgent := 0
+	for i := range l.priority {
+		urgent += q.classes[i].queued
+	}
+	return min(turns+urgent, (turns+1)*int(lowEvery))
 }
 
 // victim returns the request to drop in favour of a new one of the lane when
