--- a/admission/controller.go
+++ b/admission/controller.go
@@ -76,6 +76,7 @@
 		c.queue.remove(e)
 	}
 	k.lane.priority = priority
+	k.lane.turn = 0
 	for _, e := range waiting {
 		c.queue.push(e)
 	}
@@ -157,9 +158,9 @@
 	}
 	start := now
 	if len(c.running) >= c.limit.value() {
-		start = now.Add(c.limit.wait(c.queue.ahead(k.lane) + 1))
+		start = now.Add(c.limit.wait(c.queue.ahead(k.lane, c.lowEvery()) + 1))
 	}
-	return !start.Add(c.limit.expected(r.Search)).After(r.Deadline)
+	return start.Add(c.limit.expected(r.Search)).Before(r.Deadline)
 }
 
 func (c *Controller) newEntry(now time.Time, k *caller, r Request) *entry {
@@ -214,8 +215,7 @@
 	if e == nil {
 		return time.Time{}, false
 	}
-	// A request may still start at startBy itself.
-	return e.startBy.Add(1), true
+	return e.startBy, true
 }
 
 // dispatch drops what can't be met and admits what may run.
@@ -242,7 +242,7 @@
 	var actions []Action
 	for {
 		e := c.queue.earliest()
-		if e == nil || !now.After(e.startBy) {
+		if e == nil || now.Before(e.startBy) {
 			return actions
 		}
 		c.unqueue(e)
