Test the query state machine; retries come before hedges

Cause: a tick walked the shards in order, so a hedge for an early shard took the last of the budget and a failed later shard stayed without an attempt. Before: the scripted test saw the extra go to the hedge of s0; after: to the retry of s1.

--- a/query/query.go
+++ b/query/query.go
@@ -182,19 +182,34 @@
 		m.finish(now)
 		return m.actions
 	}
-	delay, hedge := m.hedgeDelay(now)
+	m.retryDue(now)
+	m.hedgeDue(now)
+	m.settleFinished(now)
+	return m.actions
+}
+
+// retryDue sends the retries that are due. They come before hedges, so that a
+// shard that failed is not left without budget by one that is merely late.
+func (m *Machine) retryDue(now time.Time) {
 	for i := range m.shards {
 		s := &m.shards[i]
-		switch {
-		case s.settled:
-		case !s.retryAt.IsZero() && !now.Before(s.retryAt):
+		if !s.settled && !s.retryAt.IsZero() && !now.Before(s.retryAt) {
 			m.try(now, i)
-		case hedge && s.hedgeDue(now, delay):
+		}
+	}
+}
+
+func (m *Machine) hedgeDue(now time.Time) {
+	delay, ok := m.hedgeDelay(now)
+	if !ok {
+		return
+	}
+	for i := range m.shards {
+		s := &m.shards[i]
+		if !s.settled && s.canHedge() && !now.Before(s.hedgeFrom.Add(delay)) {
 			m.hedge(now, i)
 		}
 	}
-	m.settleFinished(now)
-	return m.actions
 }
 
 // NextTick returns when Tick is due.
@@ -241,10 +256,6 @@
 	return !s.hedged && s.running > 0
 }
 
-func (s *shard) hedgeDue(now time.Time, delay time.Duration) bool {
-	return s.canHedge() && !now.Before(s.hedgeFrom.Add(delay))
-}
-
 func (m *Machine) reset() {
 	m.actions.Send = m.actions.Send[:0]
 	m.actions.Cancel = m.actions.Cancel[:0]
--- /dev/null
+++ b/query/query_test.go
@@ -0,0 +1,188 @@
+package query
+
+import (
+	"testing"
+	"time"
+
+	"github.com/goldcrestmux/goldcrestmux/code"
+	"github.com/goldcrestmux/goldcrestmux/coverage"
+	"github.com/goldcrestmux/goldcrestmux/replica"
+	"github.com/goldcrestmux/goldcrestmux/wire"
+)
+
+// scripted is a Router and Budget: it picks the first replica that is not
+// avoided, by relay "r" and then "q", and grants a fixed number of extras.
+type scripted struct {
+	extras int
+	firsts int
+}
+
+func (s *scripted) Pick(_ time.Time, targets []string, _ replica.Purpose, avoid []replica.Avoid) (replica.Choice, code.Code) {
+	for _, target := range targets {
+		for _, relay := range []string{"r", "q"} {
+			if !avoided(avoid, relay, target) {
+				return replica.Choice{Relay: relay, Target: target}, code.OK
+			}
+		}
+	}
+	return replica.Choice{}, code.NoReplica
+}
+
+func avoided(avoid []replica.Avoid, relay, target string) bool {
+	for _, a := range avoid {
+		if (a.Relay == "" || a.Relay == relay) && (a.Target == "" || a.Target == target) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *scripted) Sent(time.Time, replica.Choice)          {}
+func (s *scripted) Done(time.Time, replica.Choice, Outcome) {}
+func (s *scripted) First(time.Time, string)                 { s.firsts++ }
+
+func (s *scripted) TryExtra(time.Time, string) bool {
+	s.extras--
+	return s.extras >= 0
+}
+
+var epoch = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
+
+func newMachine(s *scripted, action bool) *Machine {
+	return New(Options{
+		Version:  "v1",
+		Shards:   []Shard{{Name: "s0", Replicas: []string{"a0", "b0"}}, {Name: "s1", Replicas: []string{"a1", "b1"}}},
+		Ledger:   coverage.New([]string{"s0", "s1"}),
+		Wait:     at(100),
+		Deadline: at(200),
+		Hedge:    func(time.Time) (time.Duration, bool) { return 10 * time.Millisecond, true },
+		Action:   action,
+		Router:   s,
+		Budget:   s,
+	})
+}
+
+func reply(a Attempt, c code.Code, run code.Run) *wire.Reply {
+	return &wire.Reply{Shard: a.Shard, Target: a.Route.Target, Version: "v1", Code: c, Run: run}
+}
+
+func TestQueryFinishesWhenEveryShardAnswers(t *testing.T) {
+	m := newMachine(&scripted{}, false)
+	sent := append([]Attempt(nil), m.Start(at(0)).Send...)
+	for _, a := range sent {
+		m.Reply(at(5), a.ID, reply(a, code.OK, code.Ran))
+	}
+	if m.Status() != Finished || !m.Ledger().Complete() {
+		t.Fatalf("status %v, complete %v; want finished and complete", m.Status(), m.Ledger().Complete())
+	}
+}
+
+func TestCrossedReplyIsNotMerged(t *testing.T) {
+	m := newMachine(&scripted{}, false)
+	sent := append([]Attempt(nil), m.Start(at(0)).Send...)
+	crossed := reply(sent[1], code.OK, code.Ran)
+	m.Reply(at(1), sent[0].ID, crossed)
+	other := reply(sent[1], code.OK, code.Ran)
+	other.Version = "v2"
+	m.Reply(at(1), sent[1].ID, other)
+	if n := m.Ledger().Answered(); n != 0 {
+		t.Fatalf("%d shards answered by replies to other requests, want 0", n)
+	}
+}
+
+func TestLateShardIsHedgedOnceWithinBudget(t *testing.T) {
+	s := &scripted{extras: 1}
+	m := newMachine(s, false)
+	first := append([]Attempt(nil), m.Start(at(0)).Send...)
+	hedges := append([]Attempt(nil), m.Tick(at(10)).Send...)
+	if len(hedges) != 1 || !hedges[0].Hedge || hedges[0].Route.Target != "b0" {
+		t.Fatalf("hedges %+v, want one to b0", hedges)
+	}
+	canceled := m.Reply(at(12), hedges[0].ID, reply(hedges[0], code.OK, code.Ran)).Cancel
+	if len(canceled) != 1 || canceled[0].ID != first[0].ID {
+		t.Fatalf("canceled %+v, want the slow first attempt", canceled)
+	}
+	if more := m.Tick(at(50)).Send; len(more) != 0 {
+		t.Fatalf("sent %+v beyond the budget", more)
+	}
+}
+
+func TestRefusedWorkMovesFreelyAndFailedWorkDrawsBudget(t *testing.T) {
+	s := &scripted{extras: 0}
+	m := newMachine(s, false)
+	sent := append([]Attempt(nil), m.Start(at(0)).Send...)
+	moved := m.Reply(at(1), sent[0].ID, reply(sent[0], code.NotHeld, code.NotRun)).Send
+	if len(moved) != 1 || moved[0].Route != (replica.Choice{Relay: "q", Target: "a0"}) {
+		t.Fatalf("moved to %+v, want the other relay of a0", moved)
+	}
+	if retried := m.Reply(at(1), sent[1].ID, reply(sent[1], code.Broken, code.RunUnknown)).Send; len(retried) != 0 {
+		t.Fatalf("retried %+v without budget", retried)
+	}
+	s.extras = 1
+	if retried := m.Tick(at(30)).Send; len(retried) != 1 || retried[0].Route.Target != "b1" {
+		t.Fatalf("retried %+v, want b1 once the budget allows", retried)
+	}
+}
+
+func TestPartialAnswerNamesWhatIsMissing(t *testing.T) {
+	m := newMachine(&scripted{}, false)
+	sent := append([]Attempt(nil), m.Start(at(0)).Send...)
+	m.Reply(at(5), sent[0].ID, reply(sent[0], code.OK, code.Ran))
+	if next := m.NextTick(at(20)); next.After(at(100)) {
+		t.Fatalf("next tick at %v, want the wait to end at %v", next, at(100))
+	}
+	m.Tick(at(100))
+	report := m.Ledger().Report()
+	if m.Status() != Finished || len(report.Missing) != 1 || report.Missing[0].Shard != "s1" || report.Missing[0].Reason != code.Timeout {
+		t.Fatalf("status %v, report %+v; want s1 missing for a timeout", m.Status(), report)
+	}
+}
+
+func TestVersionThatNoReplicaServesRestartsTheQuery(t *testing.T) {
+	m := newMachine(&scripted{}, false)
+	sent := append([]Attempt(nil), m.Start(at(0)).Send...)
+	second := append([]Attempt(nil), m.Reply(at(1), sent[0].ID, reply(sent[0], code.VersionGone, code.NotRun)).Send...)
+	if len(second) != 1 || second[0].Route.Target != "b0" {
+		t.Fatalf("sent %+v, want the other replica", second)
+	}
+	canceled := m.Reply(at(2), second[0].ID, reply(second[0], code.VersionGone, code.NotRun)).Cancel
+	if m.Status() != Restart || len(canceled) != 1 {
+		t.Fatalf("status %v, canceled %+v; want a restart that cancels s1", m.Status(), canceled)
+	}
+}
+
+func TestActionIsSentAgainOnlyIfItDidNotRun(t *testing.T) {
+	for _, tc := range []struct {
+		run  code.Run
+		code code.Code
+		want code.Run
+		sent int
+	}{
+		{run: code.NotRun, code: code.Unreachable, want: code.RunUnknown, sent: 1},
+		{run: code.RunUnknown, code: code.Broken, want: code.RunUnknown, sent: 0},
+	} {
+		m := newMachine(&scripted{extras: 9}, true)
+		sent := append([]Attempt(nil), m.Start(at(0)).Send...)
+		if got := len(m.Tick(at(50)).Send); got != 0 {
+			t.Fatalf("an action was hedged")
+		}
+		again := m.Reply(at(51), sent[0].ID, reply(sent[0], tc.code, tc.run)).Send
+		if len(again) != tc.sent {
+			t.Errorf("%s: sent again %d times, want %d", tc.code, len(again), tc.sent)
+		}
+		if got := m.NotRun(); got != tc.want {
+			t.Errorf("%s: run %v, want %v", tc.code, got, tc.want)
+		}
+	}
+}
+
+func TestLostLinkLeavesTheOutcomeUnknown(t *testing.T) {
+	m := newMachine(&scripted{}, true)
+	m.Start(at(0))
+	m.Lost(at(1), "r")
+	if m.Status() != Finished || m.NotRun() != code.RunUnknown {
+		t.Fatalf("status %v, run %v; want finished with an unknown outcome", m.Status(), m.NotRun())
+	}
+}
--- /dev/null
+++ b/relay/state.go
@@ -0,0 +1,70 @@
+package relay
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/goldcrestmux/goldcrestmux/permit"
+	"github.com/goldcrestmux/goldcrestmux/wire"
+)
+
+// State is the dump of a relay's state.
+type State struct {
+	Leaving bool          `json:"leaving"`
+	Mode    string        `json:"permit_mode"`
+	Permits []permit.Info `json:"permits"`
+	// Overlaps counts permits taken from an unreachable relay that the VM list
+	// still names.
+	Overlaps uint64        `json:"permit_overlaps"`
+	Targets  []TargetState `json:"targets"`
+}
+
+// TargetState is one target as the relay sees it.
+type TargetState struct {
+	Target  string `json:"target"`
+	State   string `json:"state"`
+	Why     string `json:"why"`
+	Limit   int    `json:"limit"`
+	Running int    `json:"running"`
+	Queued  int    `json:"queued"`
+}
+
+// stateNames are the names of target states in dumps.
+var stateNames = map[wire.TargetState]string{
+	wire.TargetUnknown: "unknown",
+	wire.TargetOut:     "out",
+	wire.TargetCold:    "cold",
+	wire.TargetWarm:    "warm",
+}
+
+// State returns a dump of the relay's state.
+func (r *Relay) State() State {
+	var s State
+	r.mu.RLock()
+	s.Leaving = r.leaving
+	r.mu.RUnlock()
+	r.permits.mu.Lock()
+	s.Mode = r.permits.table.Mode(time.Now()).String()
+	s.Permits = r.permits.table.Infos()
+	s.Overlaps = r.permits.table.Overlaps()
+	r.permits.mu.Unlock()
+	for _, e := range r.all() {
+		s.Targets = append(s.Targets, e.state())
+	}
+	slices.SortFunc(s.Targets, func(a, b TargetState) int { return strings.Compare(a.Target, b.Target) })
+	return s
+}
+
+func (e *entry) state() TargetState {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return TargetState{
+		Target:  e.name,
+		State:   stateNames[e.machine.State()],
+		Why:     e.machine.Why(),
+		Limit:   e.machine.Limit(),
+		Running: len(e.running),
+		Queued:  len(e.queue),
+	}
+}
