Keep only the contracts of a folder in memory

Processes need the contracts, operators the origins. The origins are now worked out when they are asked for, and the parser builds paths only for faults.

--- a/ctl/folder.go
+++ b/ctl/folder.go
@@ -136,14 +136,15 @@
 	if err != nil {
 		return err
 	}
+	fields := merged.Fields()
 	if c.json {
-		fields := make([]fieldJSON, len(merged.Fields))
-		for i, f := range merged.Fields {
-			fields[i] = fieldJSON{f.Path, json.RawMessage(f.Value), f.Origin.String()}
+		list := make([]fieldJSON, len(fields))
+		for i, f := range fields {
+			list[i] = fieldJSON{f.Path, json.RawMessage(f.Value), f.Origin.String()}
 		}
-		return c.printJSON(fields)
+		return c.printJSON(list)
 	}
-	for _, f := range merged.Fields {
+	for _, f := range fields {
 		fmt.Fprintf(c.stdout, "%s = %s  (%s)\n", f.Path, f.Value, f.Origin)
 	}
 	return nil
--- a/folder/diff.go
+++ b/folder/diff.go
@@ -16,7 +16,7 @@
 // their paths. A value that merely moved to another file is no change.
 func Diff(a, b *Merged) []Change {
 	var changes []Change
-	before, after := a.Fields, b.Fields
+	before, after := a.Fields(), b.Fields()
 	for len(before) > 0 || len(after) > 0 {
 		switch order := comparePaths(before, after); {
 		case order < 0:
--- a/folder/load.go
+++ b/folder/load.go
@@ -9,23 +9,20 @@
 )
 
 // Merged is what a folder amounts to. A process that only enforces the
-// contracts keeps Contracts and drops the rest.
+// contracts keeps Contracts and drops the rest, which is several times larger.
 type Merged struct {
 	Contracts *Contracts
-	// Fields holds each value in force with its origin, in the order of paths.
-	Fields []Field
+
+	root *jsonc.Node
 }
 
-// Origin returns the place that set the field at path. It is false for a path
-// that holds no value.
-func (m *Merged) Origin(path string) (Origin, bool) {
-	i, ok := slices.BinarySearchFunc(m.Fields, path, func(f Field, path string) int {
-		return strings.Compare(f.Path, path)
-	})
-	if !ok {
-		return Origin{}, false
-	}
-	return m.Fields[i].Origin, true
+// Fields returns each value in force with its origin, in the order of paths.
+// It works them out anew each time.
+func (m *Merged) Fields() []Field {
+	d := &decoder{recording: true}
+	d.contracts(m.root)
+	slices.SortFunc(d.fields, func(a, b Field) int { return strings.Compare(a.Path, b.Path) })
+	return d.fields
 }
 
 // Load merges files in the order of their names, whatever their order in the
@@ -44,8 +41,7 @@
 	if len(d.faults) > 0 {
 		return nil, &FaultError{Faults: jsonc.SortFaults(d.faults)}
 	}
-	slices.SortFunc(d.fields, func(a, b Field) int { return strings.Compare(a.Path, b.Path) })
-	return &Merged{Contracts: contracts, Fields: d.fields}, nil
+	return &Merged{Contracts: contracts, root: m.root}, nil
 }
 
 func (d *decoder) contracts(root *jsonc.Node) *Contracts {
@@ -90,7 +86,7 @@
 			"at most "+s.Deadline.String())
 	}
 	if _, ok := s.Versions[s.Current]; !ok && s.Current != "" {
-		d.refer("version of this search", s.Current, o.at("current"), o.node.Members["current"])
+		d.refer("version of this search", s.Current, o.at("current"), noIndex, o.node.Members["current"])
 	}
 	o.finish()
 	return s
@@ -181,7 +177,7 @@
 	}
 	o.finish()
 	if t.DataCentre != "" {
-		d.refer("data centre", t.DataCentre, o.at("data_centre"), o.node.Members["data_centre"])
+		d.refer("data centre", t.DataCentre, o.at("data_centre"), noIndex, o.node.Members["data_centre"])
 	}
 	d.checkLimits(o, t)
 	if other, ok := addresses[t.Address]; ok && t.Address != "" {
@@ -217,7 +213,7 @@
 	}
 	for _, r := range d.references {
 		if !defined(c, r) {
-			d.fault(r.node.Origin, r.path, fmt.Sprintf("there is no %s %q", r.kind, r.name),
+			d.fault(r.node.Origin, r.field(), fmt.Sprintf("there is no %s %q", r.kind, r.name),
 				"the name of a "+r.kind+" that the folder defines")
 		}
 	}
--- a/folder/object.go
+++ b/folder/object.go
@@ -18,11 +18,13 @@
 	Origin Origin
 }
 
-// decoder turns the merged tree into contracts. It collects faults and fields.
+// decoder turns the merged tree into contracts. It collects faults, and fields
+// if recording is true.
 type decoder struct {
 	faults     []Fault
-	fields     []Field
 	references []reference
+	recording  bool
+	fields     []Field
 	// incomplete is true if a file could not be read. Absent values and unknown
 	// names are then not reported, since that file may define them.
 	incomplete bool
@@ -30,10 +32,22 @@
 
 // reference is the use of a name that another part of the folder must define.
 type reference struct {
-	kind string
-	name string
-	path string
-	node *jsonc.Node
+	kind  string
+	name  string
+	path  string
+	index int // in the list at path, or noIndex
+	node  *jsonc.Node
+}
+
+// noIndex is the index of a reference outside of a list.
+const noIndex = -1
+
+// field returns the path of the reference.
+func (r reference) field() string {
+	if r.index == noIndex {
+		return r.path
+	}
+	return jsonc.Index(r.path, r.index)
 }
 
 func (d *decoder) fault(o Origin, field, problem, allowed string) {
@@ -44,8 +58,8 @@
 	d.fields = append(d.fields, Field{Path: path, Value: format(value), Origin: o})
 }
 
-func (d *decoder) refer(kind, name, path string, n *jsonc.Node) {
-	d.references = append(d.references, reference{kind, name, path, n})
+func (d *decoder) refer(kind, name, path string, index int, n *jsonc.Node) {
+	d.references = append(d.references, reference{kind, name, path, index, n})
 }
 
 // object reads the fields of one object of the tree.
@@ -112,7 +126,7 @@
 	if n == nil {
 		if r.required {
 			o.missing(name, r.allowed)
-		} else {
+		} else if o.recording {
 			o.record(o.at(name), r.fallback, Origin{})
 		}
 		return r.fallback
@@ -122,7 +136,9 @@
 		o.fault(n.Origin, o.at(name), problem, r.allowed)
 		return r.fallback
 	}
-	o.record(o.at(name), v, n.Origin)
+	if o.recording {
+		o.record(o.at(name), v, n.Origin)
+	}
 	return v
 }
 
@@ -169,7 +185,7 @@
 		d.fault(n.Origin, path, "is empty", allowed)
 		return nil
 	}
-	var list []string
+	list := make([]string, 0, len(n.Items))
 	for i, item := range n.Items {
 		switch {
 		case item.Kind != jsonc.String:
@@ -180,8 +196,10 @@
 			continue
 		}
 		list = append(list, item.Text)
-		d.refer(kind, item.Text, jsonc.Index(path, i), item)
+		d.refer(kind, item.Text, path, i, item)
+	}
+	if d.recording {
+		d.record(path, list, n.Origin)
 	}
-	d.record(path, list, n.Origin)
 	return list
 }
--- a/jsonc/parse.go
+++ b/jsonc/parse.go
@@ -1,10 +1,13 @@
 package jsonc
 
 import (
+	"bytes"
 	"fmt"
 	"regexp"
 	"sort"
 	"strconv"
+	"strings"
+	"unicode/utf8"
 
 	"github.com/tailscale/hujson"
 )
@@ -13,7 +16,8 @@
 type parser struct {
 	file   string
 	data   []byte
-	lines  []int // offsets at which lines start
+	lines  []int    // offsets at which lines start
+	path   []string // keys from the root to the current value
 	faults []Fault
 }
 
@@ -42,7 +46,7 @@
 		return nil
 	}
 	p.indexLines()
-	root := p.node(value, "")
+	root := p.node(value)
 	if root.Kind != Object {
 		p.fault(root.Origin.Line, "", "the file holds "+root.Kind.String(), "one object")
 		return nil
@@ -77,36 +81,46 @@
 	return sort.SearchInts(p.lines, offset+1)
 }
 
-func (p *parser) node(v hujson.Value, path string) *Node {
+func (p *parser) node(v hujson.Value) *Node {
 	n := &Node{
 		Kind:   Kind(v.Value.Kind()),
 		Origin: Origin{p.file, p.line(v.StartOffset)},
 	}
 	switch value := v.Value.(type) {
 	case hujson.Literal:
-		n.Text = value.String()
+		n.Text = text(value)
 	case *hujson.Object:
 		n.Members = make(map[string]*Node, len(value.Members))
 		for _, m := range value.Members {
-			p.member(n, m, path)
+			p.member(n, m)
 		}
 	case *hujson.Array:
-		for i, e := range value.Elements {
-			n.Items = append(n.Items, p.node(e, Index(path, i)))
+		for _, e := range value.Elements {
+			n.Items = append(n.Items, p.node(e))
 		}
 	}
 	return n
 }
 
-func (p *parser) member(object *Node, m hujson.ObjectMember, path string) {
-	name := m.Name.Value.(hujson.Literal).String()
-	field := Join(path, name)
+// text returns what value.String does, and is quicker for strings that need no
+// unquoting.
+func text(value hujson.Literal) string {
+	if value[0] != '"' || bytes.IndexByte(value, '\\') >= 0 || !utf8.Valid(value) {
+		return value.String()
+	}
+	return string(value[1 : len(value)-1])
+}
+
+func (p *parser) member(object *Node, m hujson.ObjectMember) {
+	name := text(m.Name.Value.(hujson.Literal))
+	p.path = append(p.path, name)
 	if first, ok := object.Members[name]; ok {
-		p.fault(p.line(m.Name.StartOffset), field,
+		p.fault(p.line(m.Name.StartOffset), strings.Join(p.path, "."),
 			fmt.Sprintf("the key stands twice, first in line %d", first.Origin.Line),
 			"each key once in an object")
 	}
-	object.Members[name] = p.node(m.Value, field)
+	object.Members[name] = p.node(m.Value)
+	p.path = p.path[:len(p.path)-1]
 }
 
 // Join returns the path of a member of the object at path.
