--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,104 @@
+// Package daemon assembles a process of the system from its parts: settings,
+// listeners, links, the node that follows the platform, and one role.
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/goldcrestmux/goldcrestmux/link"
+	"github.com/goldcrestmux/goldcrestmux/settings"
+	"github.com/goldcrestmux/goldcrestmux/wire"
+	"github.com/juju/errors"
+	"gopkg.in/tomb.v2"
+)
+
+// Exit codes of a process.
+const (
+	ExitOK      = 0
+	ExitFailure = 1
+	ExitUsage   = 2
+	// ExitCutOff tells that the graceful stop ran over its bound, or that a
+	// second signal ended it, with work in progress.
+	ExitCutOff = 3
+)
+
+// server is one HTTP listener of a process.
+type server struct {
+	name     string
+	listener net.Listener
+	http     *http.Server
+}
+
+// listen opens a listener for a handler.
+func listen(name, address string, h http.Handler) (*server, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Annotatef(err, "listen for %s on %s", name, address)
+	}
+	return &server{
+		name:     name,
+		listener: l,
+		http:     &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout},
+	}, nil
+}
+
+// readHeaderTimeout bounds the time that a client takes to send its headers.
+const readHeaderTimeout = 5 * time.Second
+
+func (s *server) address() string { return s.listener.Addr().String() }
+
+// start serves until the tomb dies.
+func (s *server) start(t *tomb.Tomb) {
+	t.Go(func() error {
+		err := s.http.Serve(s.listener)
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return errors.Annotatef(err, "serve %s", s.name)
+	})
+}
+
+// stop closes the listener and waits for requests in progress until ctx ends.
+func (s *server) stop(ctx context.Context) {
+	if err := s.http.Shutdown(ctx); err != nil {
+		_ = s.http.Close()
+	}
+}
+
+// self returns the identity of this run of the process.
+func self(s *settings.Settings) wire.Process {
+	return wire.Process{
+		VM:          s.VM,
+		Role:        s.Role,
+		DataCentre:  s.DataCentre,
+		Incarnation: uint64(time.Now().UnixNano()),
+	}
+}
+
+// signals returns a channel of the signals that ask for a stop.
+func signals() <-chan os.Signal {
+	ch := make(chan os.Signal, 2)
+	signal.Notify(ch, syscall.SIGTERM, os.Interrupt)
+	return ch
+}
+
+// livenessOptions derives the bounds of links from the heartbeat interval.
+func livenessOptions(s *settings.Settings) link.LivenessOptions {
+	return link.LivenessOptions{IdlePing: idlePings * s.Heartbeat, IdleTimeout: 2 * idlePings * s.Heartbeat}
+}
+
+// idlePings is the number of heartbeat intervals after which an idle link is pinged.
+const idlePings = 10
+
+func logListening(log *slog.Logger, servers ...*server) {
+	for _, s := range servers {
+		log.Info("listening", "on", s.name, "address", s.address())
+	}
+}
--- a/permit/permit.go
+++ b/permit/permit.go
@@ -44,7 +44,7 @@
 	Relays []Relay
 }
 
-// Default times. They satisfy the conditions that Options.check states.
+// Default times. They satisfy the conditions that Options.Check states.
 const (
 	DefaultFencingDelay = 15 * time.Second
 	DefaultViewMaxAge   = 3 * time.Second
@@ -102,9 +102,9 @@
 	return o
 }
 
-// check returns ErrOptions unless a relay that is dropped, or that the list no
+// Check returns ErrOptions unless a relay that is dropped, or that the list no
 // longer names, has surely stopped before another may take its permits.
-func (o Options) check() error {
+func (o Options) Check() error {
 	fence := o.FencingDelay - o.FencingDelay/clockRateMargin
 	stop := o.ListLag + o.ViewMaxAge + o.HandoverWait + o.QuietPeriod
 	if fence < stop {
--- a/permit/table.go
+++ b/permit/table.go
@@ -62,7 +62,7 @@
 // the options break the fencing conditions.
 func New(now time.Time, opts Options) (*Table, error) {
 	opts = opts.withDefaults()
-	if err := opts.check(); err != nil {
+	if err := opts.Check(); err != nil {
 		return nil, err
 	}
 	return &Table{
--- a/settings/parser.go
+++ b/settings/parser.go
@@ -164,12 +164,20 @@
 			p.fault(p.place(o), o.fileKey(), fmt.Sprintf("%q is not accepted", o.text), o.allowed)
 		}
 	}
-	if s := p.settings; len(p.faults) == 0 {
-		p.requireAbove("fencing_delay", s.FencingDelay > s.VMListMaxAge, "above vm_list_max_age, "+s.VMListMaxAge.String())
-		p.requireAbove("vm_list_max_age", s.VMListMaxAge >= 2*s.VMListPoll, "at least twice vm_list_poll, "+s.VMListPoll.String())
+	if s := p.settings; len(p.faults) == 0 && s.Role == wire.RoleRelay {
+		p.checkFencing(s)
 	}
 }
 
+// checkFencing checks the times that keep two relays from using one permit.
+func (p *parser) checkFencing(s *Settings) {
+	p.requireAbove("vm_list_max_age", s.VMListMaxAge >= 2*s.VMListPoll,
+		"at least twice vm_list_poll, "+s.VMListPoll.String())
+	err := s.PermitOptions().Check()
+	p.requireAbove("fencing_delay", err == nil,
+		"1% above vm_list_lag, vm_list_max_age, handover_wait and quiet_period together, and above twice vm_list_lag and vm_list_max_age together")
+}
+
 // requireAbove reports the setting unless ok holds.
 func (p *parser) requireAbove(key string, ok bool, allowed string) {
 	if ok {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/goldcrestmux/goldcrestmux/permit"
 	"github.com/goldcrestmux/goldcrestmux/wire"
 )
 
@@ -50,6 +51,16 @@
 	FencingDelay time.Duration
 	// VMListMaxAge is the age of the VM list from which on permits stay unused.
 	VMListMaxAge time.Duration
+	// VMListLag bounds how far the platform's answer lags behind its own list.
+	VMListLag time.Duration
+	// HandoverWait is how long a relay goes on using a permit that has another
+	// owner by now and that the new owner hasn't asked for; relays only.
+	HandoverWait time.Duration
+	// QuietPeriod bounds how long work runs at a target after it was sent; relays only.
+	QuietPeriod time.Duration
+	// StartDelay is how long a relay that reaches no informed relay waits before
+	// it uses permits; relays only.
+	StartDelay time.Duration
 	// VMListPoll is the interval between two reads of the VM list.
 	VMListPoll time.Duration
 	// Heartbeat is the interval between two heartbeats to one peer or link.
@@ -144,6 +155,18 @@
 	return s, nil
 }
 
+// PermitOptions returns the times of the ownership of permits.
+func (s *Settings) PermitOptions() permit.Options {
+	return permit.Options{
+		FencingDelay: s.FencingDelay,
+		ViewMaxAge:   s.VMListMaxAge,
+		ListLag:      s.VMListLag,
+		HandoverWait: s.HandoverWait,
+		QuietPeriod:  s.QuietPeriod,
+		StartDelay:   s.StartDelay,
+	}
+}
+
 // Logger returns a logger that writes to w, and its level, which may be
 // changed while the process runs.
 func (s *Settings) Logger(w io.Writer) (*slog.Logger, *slog.LevelVar) {
