Drive gateways with an open loop and check every answer

Latency counts from the time at which a request was due; a request beyond the limit in progress is counted as dropped and not delayed. Each answer is compared with the corpus: echo, version, coverage, order, duplicates, and the exact records of the shards that it claims to cover. What was told of each action is compared with the stand-ins' ledgers afterwards.

--- /dev/null
+++ b/cmd/gcmux-load/main.go
@@ -0,0 +1,114 @@
+// Command gcmux-load drives gateways with scheduled requests, checks every
+// answer, and reports latency, coverage and the load at the targets. It exits
+// with 1 if the run couldn't be made and with 2 if a promise was broken.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/peterbourgon/ff/v3"
+
+	"github.com/goldcrestmux/goldcrestmux/load"
+	"github.com/goldcrestmux/goldcrestmux/standin"
+)
+
+const (
+	exitFailed = 1
+	exitBroken = 2
+)
+
+func main() {
+	broken, err := run(os.Args[1:])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "gcmux-load:", err)
+		os.Exit(exitFailed)
+	}
+	if len(broken) > 0 {
+		for _, line := range broken {
+			fmt.Fprintln(os.Stderr, "broken:", line)
+		}
+		os.Exit(exitBroken)
+	}
+}
+
+func run(args []string) (broken []string, err error) {
+	flags := flag.NewFlagSet("gcmux-load", flag.ContinueOnError)
+	file := flags.String("plan", "", "`file` with the plan in JSON with comments; the flags below add to it")
+	gateways := flags.String("gateways", "", "comma-separated `host:port` of the gateways")
+	standins := flags.String("standins", "", "comma-separated `host:port` of the stand-ins' admin APIs")
+	searches := flags.String("searches", "", "comma-separated searches; each gets a stream of requests")
+	rate := flags.Float64("rate", load.DefaultRate, "requests per second of each of -searches")
+	actions := flags.Float64("actions", 0, "share of the requests of -searches, 0 to 1, that are not idempotent")
+	deadline := flags.Duration("deadline", load.DefaultDeadline, "deadline of the requests of -searches")
+	duration := flags.Duration("duration", 0, "time over which requests are sent; 0 means the plan's, or "+load.DefaultDuration.String())
+	distance := flags.Duration("client-distance", 0, "time one way between clients and gateways")
+	seed := flags.Uint64("seed", 0, "seed of arrivals and queries; 0 means the plan's")
+	asJSON := flags.Bool("json", false, "report in JSON in place of a table")
+	if err := ff.Parse(flags, args, ff.WithEnvVarPrefix("GCMUX_LOAD")); err != nil {
+		return nil, err
+	}
+	plan, err := readPlan(*file)
+	if err != nil {
+		return nil, err
+	}
+	plan.Gateways = append(plan.Gateways, list(*gateways)...)
+	plan.Standins = append(plan.Standins, list(*standins)...)
+	for _, search := range list(*searches) {
+		plan.Streams = append(plan.Streams, load.Stream{
+			Search: search, Rate: *rate, Actions: *actions, Deadline: standin.Duration(*deadline),
+		})
+	}
+	override(&plan.Duration, standin.Duration(*duration))
+	override(&plan.ClientDistance, standin.Duration(*distance))
+	override(&plan.Seed, *seed)
+
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	report, err := load.Run(ctx, plan, os.Stderr)
+	if err != nil {
+		return nil, err
+	}
+	return report.Broken(), write(report, *asJSON)
+}
+
+func readPlan(file string) (load.Plan, error) {
+	if file == "" {
+		return load.Plan{Name: "load"}, nil
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return load.Plan{}, err
+	}
+	return load.ParsePlan(data)
+}
+
+func write(report *load.Report, asJSON bool) error {
+	if !asJSON {
+		return report.WriteTable(os.Stdout)
+	}
+	encoder := json.NewEncoder(os.Stdout)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(report)
+}
+
+func list(text string) []string {
+	if text == "" {
+		return nil
+	}
+	return strings.Split(text, ",")
+}
+
+// override sets the field if a flag gave it a value.
+func override[T comparable](field *T, value T) {
+	var zero T
+	if value != zero {
+		*field = value
+	}
+}
--- a/corpus/corpus.go
+++ b/corpus/corpus.go
@@ -87,6 +87,11 @@
 	}
 }
 
+// Key returns the key of the i-th record of any corpus of the kind.
+func Key(kind Kind, i int) string {
+	return fmt.Sprintf("%s-%06d", strings.ToUpper(string(kind[:1])), i)
+}
+
 // ShardOf returns the name of the shard that holds the key, in a version that
 // has the given shards in ascending order.
 func ShardOf(key string, sorted []string) string {
@@ -195,7 +200,7 @@
 // entry makes the i-th entry. Its key and words are the same in all versions;
 // its score and the field "version" are not.
 func (c *Corpus) entry(version string, i int) Entry {
-	key := fmt.Sprintf("%s-%06d", strings.ToUpper(string(c.options.Kind[:1])), i)
+	key := Key(c.options.Kind, i)
 	rng := rand.New(rand.NewPCG(c.options.Seed, xxhash.Sum64String(c.options.Search+"/"+key)))
 	e := describe(c.options.Kind, rng, version)
 	e.Record.Key = key
--- /dev/null
+++ b/load/plan.go
@@ -0,0 +1,140 @@
+// Package load drives gateways with an open loop of scheduled requests and
+// checks every answer against the corpus and the stand-ins' ledgers.
+//
+// Latency is counted from the time at which a request was scheduled, not from
+// when it was sent, so that a slow system can't hide its delays by slowing
+// down the generator.
+package load
+
+import (
+	"bytes"
+	"encoding/json"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/tailscale/hujson"
+
+	"github.com/goldcrestmux/goldcrestmux/standin"
+)
+
+// Bounds and defaults of a run.
+const (
+	MaxDuration        = 10 * time.Minute
+	MaxRequests        = 500_000
+	DefaultDuration    = 10 * time.Second
+	DefaultRate        = 20 // requests per second
+	DefaultDeadline    = time.Second
+	DefaultInFlight    = 256 // requests per stream
+	DefaultInterval    = time.Second
+	DefaultReadyPeriod = 200 * time.Millisecond
+)
+
+// Plan describes a run. In files it is JSON with comments.
+type Plan struct {
+	// Name is the title of the report.
+	Name string `json:"name"`
+	// Gateways are hosts and ports; requests go to the ready ones in turn.
+	Gateways []string `json:"gateways"`
+	// Standins are the admin addresses of the stand-ins that the gateways use.
+	Standins []string `json:"standins"`
+	// Seed selects arrivals and queries.
+	Seed uint64 `json:"seed"`
+	// Duration is the time over which requests are scheduled; zero means
+	// DefaultDuration, the largest is MaxDuration.
+	Duration standin.Duration `json:"duration"`
+	// Interval is the width of the report's steps over time; zero means DefaultInterval.
+	Interval standin.Duration `json:"interval"`
+	// ClientDistance is the time one way between clients and gateways, added
+	// before and after each request.
+	ClientDistance standin.Duration `json:"client_distance"`
+	// ReadyPeriod is how often each gateway's readiness is asked, as the
+	// platform's balancer does; zero means DefaultReadyPeriod.
+	ReadyPeriod standin.Duration `json:"ready_period"`
+	Streams     []Stream         `json:"streams"`
+	Events      []Event          `json:"events"`
+}
+
+// Stream is a flow of requests by one caller.
+type Stream struct {
+	// Caller names the caller; empty means the search's own.
+	Caller string `json:"caller"`
+	// Token is the caller's bearer token; empty means the stand-in's for the caller.
+	Token  string `json:"token"`
+	Search string `json:"search"`
+	// Rate is in requests per second; zero means DefaultRate.
+	Rate float64 `json:"rate"`
+	// Even spaces requests evenly; otherwise arrivals are random (Poisson).
+	Even bool `json:"even"`
+	// From and To bound the stream within the run; a zero To means its end.
+	From standin.Duration `json:"from"`
+	To   standin.Duration `json:"to"`
+	// Deadline is what the caller asks for; zero means DefaultDeadline.
+	Deadline standin.Duration `json:"deadline"`
+	// Actions is the share of requests, from 0 to 1, that are not idempotent.
+	Actions float64 `json:"actions"`
+	// InFlight is the largest number of requests in progress; one that is
+	// scheduled beyond is counted as dropped. Zero means DefaultInFlight.
+	InFlight int `json:"in_flight"`
+}
+
+// Event changes the stand-ins at a time of the run.
+type Event struct {
+	At   standin.Duration `json:"at"`
+	Name string           `json:"name"`
+	// The set ones of these changes are made at every stand-in.
+	Targets *standin.TargetChange `json:"targets,omitempty"`
+	Folder  *standin.FolderChange `json:"folder,omitempty"`
+	Config  *standin.ConfigFault  `json:"config,omitempty"`
+	Cables  *standin.CableChange  `json:"cables,omitempty"`
+}
+
+// ParsePlan parses a plan in JSON with comments. Unknown fields are refused.
+func ParsePlan(data []byte) (Plan, error) {
+	plain, err := hujson.Standardize(bytes.Clone(data))
+	if err != nil {
+		return Plan{}, errors.Annotate(err, "parse plan")
+	}
+	var p Plan
+	decoder := json.NewDecoder(bytes.NewReader(plain))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&p); err != nil {
+		return Plan{}, errors.Annotate(err, "parse plan")
+	}
+	return p, nil
+}
+
+// complete fills in defaults and checks the plan's bounds.
+func (p *Plan) complete() error {
+	setDefault(&p.Duration, standin.Duration(DefaultDuration))
+	setDefault(&p.Interval, standin.Duration(DefaultInterval))
+	setDefault(&p.ReadyPeriod, standin.Duration(DefaultReadyPeriod))
+	requests := 0.0
+	for i := range p.Streams {
+		s := &p.Streams[i]
+		setDefault(&s.Rate, DefaultRate)
+		setDefault(&s.Deadline, standin.Duration(DefaultDeadline))
+		setDefault(&s.InFlight, DefaultInFlight)
+		setDefault(&s.Caller, s.Search)
+		setDefault(&s.Token, standin.Token(s.Caller))
+		if s.To == 0 || s.To > p.Duration {
+			s.To = p.Duration
+		}
+		requests += s.Rate * (s.To - s.From).Std().Seconds()
+	}
+	switch {
+	case len(p.Gateways) == 0, len(p.Standins) == 0, len(p.Streams) == 0:
+		return errors.NotValidf("plan without gateways, stand-ins or streams")
+	case p.Duration.Std() > MaxDuration:
+		return errors.NotValidf("duration above %v", MaxDuration)
+	case requests > MaxRequests:
+		return errors.NotValidf("plan of %.0f requests (at most %d)", requests, MaxRequests)
+	}
+	return nil
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
