--- a/permit/claim.go
+++ b/permit/claim.go
@@ -115,6 +115,13 @@
 	if len(a.Warm) > 0 {
 		c.warm = a.Warm
 	}
+	if !a.Exclusive {
+		return
+	}
+	c.informed = true
+	for _, p := range c.asks {
+		p.released = true
+	}
 }
 
 // advance sends due asks, and acquires the permit when nothing stands against it.
@@ -184,6 +191,7 @@
 	r.state = stateHeld
 	r.claim = nil
 	r.lost = time.Time{}
+	r.exclusive = !r.suspicion
 	r.promised = nil
 	r.warm, r.heir = nil, ""
 	return Acquired{Key: k, Warm: warm}
@@ -210,7 +218,8 @@
 	for _, at := range t.dropped {
 		soonest(at.Add(t.opts.FencingDelay))
 	}
-	for _, r := range t.records {
+	for _, k := range t.active {
+		r := t.records[k]
 		if r.state == stateHeld && !r.lost.IsZero() {
 			soonest(r.lost.Add(t.opts.HandoverWait))
 		}
@@ -242,7 +251,7 @@
 // Infos describes the permits that this relay holds, drains or waits for.
 func (t *Table) Infos() []Info {
 	var infos []Info
-	for _, k := range t.keys() {
+	for _, k := range t.active {
 		r := t.records[k]
 		if r.state == stateIdle {
 			continue
--- a/permit/ranking.go
+++ b/permit/ranking.go
@@ -1,6 +1,7 @@
 package permit
 
 import (
+	"cmp"
 	"math"
 	"slices"
 
@@ -39,21 +40,19 @@
 	for name, members := range byName {
 		rk.centres = append(rk.centres, centre{hash: xxhash.Sum64String(name), relays: members})
 	}
-	slices.SortFunc(rk.centres, func(a, b centre) int { return compare(a.hash, b.hash) })
+	slices.SortFunc(rk.centres, func(a, b centre) int { return cmp.Compare(a.hash, b.hash) })
 	return rk
 }
 
 // owner returns the relay that owns the permit when the relays in skip are
 // left out, or "" if there is none. Permits 0, 1, 2, ... of a group go to
-// different data centres, in an order that prefers a data centre in proportion
-// to its number of relays.
+// different data centres as long as there are more.
 func (rk *ranking) owner(k Key, skip map[string]bool) string {
 	group := xxhash.Sum64String(k.Group)
-	order := rk.order(group, skip)
-	if len(order) == 0 {
+	c := rk.centre(group, k.Index, skip)
+	if c == nil {
 		return ""
 	}
-	c := order[k.Index%len(order)].centre
 	best, bestScore := "", uint64(0)
 	for _, r := range c.relays {
 		score := relayScore(r.hash, group, k.Index)
@@ -65,26 +64,46 @@
 	return best
 }
 
-type scoredCentre struct {
-	centre *centre
-	cost   float64
+// centre returns the data centre of a permit, or nil if there is none. Each
+// index chooses by weighted rendezvous hashing among the data centres that the
+// lower indices left over.
+func (rk *ranking) centre(group uint64, index int, skip map[string]bool) *centre {
+	weights := make([]int, len(rk.centres))
+	usable := 0
+	for i := range rk.centres {
+		weights[i] = rk.centres[i].weight(skip)
+		if weights[i] > 0 {
+			usable++
+		}
+	}
+	if usable == 0 {
+		return nil
+	}
+	chosen := -1
+	for j := index - index%usable; j <= index; j++ {
+		chosen = rk.choose(group, j, weights)
+		weights[chosen] = 0
+	}
+	return &rk.centres[chosen]
 }
 
-// order sorts the data centres for a group by weighted rendezvous hashing: the
-// cost is exponentially distributed with the number of relays as its rate.
-func (rk *ranking) order(group uint64, skip map[string]bool) []scoredCentre {
-	order := make([]scoredCentre, 0, len(rk.centres))
-	for i := range rk.centres {
-		c := &rk.centres[i]
-		weight := c.weight(skip)
+// choose returns the data centre of least cost among those with a weight above
+// 0. The cost is exponentially distributed with the weight as its rate, so that
+// a data centre is chosen in proportion to its number of relays.
+func (rk *ranking) choose(group uint64, index int, weights []int) int {
+	best, bestCost := -1, 0.0
+	for i, weight := range weights {
 		if weight == 0 {
 			continue
 		}
-		u := (float64(mix(c.hash^mix(group))>>11) + 0.5) / (1 << 53)
-		order = append(order, scoredCentre{centre: c, cost: -math.Log(u) / float64(weight)})
+		hash := relayScore(rk.centres[i].hash, group, index)
+		u := (float64(hash>>11) + 0.5) / (1 << 53)
+		cost := -math.Log(u) / float64(weight)
+		if best < 0 || cost < bestCost {
+			best, bestCost = i, cost
+		}
 	}
-	slices.SortFunc(order, func(a, b scoredCentre) int { return compare(a.cost, b.cost) })
-	return order
+	return best
 }
 
 func (c *centre) weight(skip map[string]bool) int {
@@ -120,14 +139,3 @@
 	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
 	return x ^ (x >> 31)
 }
-
-func compare[T uint64 | float64](a, b T) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
--- a/permit/record.go
+++ b/permit/record.go
@@ -1,6 +1,7 @@
 package permit
 
 import (
+	"slices"
 	"time"
 
 	"github.com/goldcrestmux/goldcrestmux/wire"
@@ -29,16 +30,19 @@
 	lost time.Time
 	// suspicion is true if the permit was taken from an unreachable relay.
 	suspicion bool
+	// exclusive is true while this relay is sure to be the only holder. After
+	// the release, at heldUntil, only those promised can hold the permit.
+	exclusive bool
+	heldUntil time.Time
 	// asker and askSeq name the ask that waits for the drain.
 	asker  string
 	askSeq uint64
 	// promised lists the relays that were told that this one doesn't use the
 	// permit; any of them may hold it.
 	promised []promise
-	// warm is handed over to the relay heir until warmUntil.
-	warm      []wire.WarmTarget
-	heir      string
-	warmUntil time.Time
+	// warm is handed over to the relay heir.
+	warm []wire.WarmTarget
+	heir string
 }
 
 type promise struct {
@@ -55,31 +59,15 @@
 	return r
 }
 
-// settleAll brings each permit in line with its owner, and forgets permits
-// that no group has any more.
+// settleAll brings each permit in line with its owner.
 func (t *Table) settleAll(now time.Time) []Action {
 	var out []Action
-	for _, k := range t.keys() {
-		r := t.records[k]
-		out = append(out, t.settle(now, k, r)...)
-		t.prune(now, r)
-		if r.state == stateIdle && len(r.promised) == 0 && k.Index >= t.slots[k.Group] {
-			delete(t.records, k)
-		}
+	for _, k := range t.active {
+		out = append(out, t.settle(now, k, t.records[k])...)
 	}
 	return out
 }
 
-func (t *Table) prune(now time.Time, r *record) {
-	kept := r.promised[:0]
-	for _, p := range r.promised {
-		if now.Sub(p.at) <= t.opts.FencingDelay {
-			kept = append(kept, p)
-		}
-	}
-	r.promised = kept
-}
-
 // settle moves one permit on.
 func (t *Table) settle(now time.Time, k Key, r *record) []Action {
 	mine := r.owner == t.opts.Self && t.listed[t.opts.Self]
@@ -140,14 +128,12 @@
 	var out []Action
 	r.state = stateIdle
 	r.warm, r.heir = warm, r.owner
-	r.warmUntil = now.Add(t.opts.FencingDelay)
+	r.heldUntil = now
+	r.exclusive = r.exclusive && t.Mode(now) == ModeFull
 	if r.asker != "" {
 		r.heir = r.asker
-		r.promise(now, r.asker)
-		a := wire.ReleaseAnswer{
-			Group: k.Group, Index: uint16(k.Index), Seq: r.askSeq,
-			Released: true, Warm: warm, Young: !t.informed(now),
-		}
+		a := wire.ReleaseAnswer{Group: k.Group, Index: uint16(k.Index), Seq: r.askSeq}
+		t.release(now, k, r, r.asker, &a)
 		out = append(out, SendAnswer{To: r.asker, Answer: a})
 		r.asker = ""
 	}
@@ -177,12 +163,7 @@
 	r := t.record(k)
 	switch r.state {
 	case stateIdle:
-		a.Released = true
-		a.WaitFor = t.mayHold(now, k, r, from)
-		if r.heir == from && now.Before(r.warmUntil) {
-			a.Warm = r.warm
-		}
-		r.promise(now, from)
+		t.release(now, k, r, from, &a)
 	case stateWaiting:
 		a.Released = prefers(from, t.opts.Self, k)
 		a.WaitFor = r.claim.waitFor(from)
@@ -195,6 +176,20 @@
 	return a, nil
 }
 
+// release completes the answer to a relay that asks for a permit that isn't
+// used here, and notes the promise.
+func (t *Table) release(now time.Time, k Key, r *record, to string, a *wire.ReleaseAnswer) {
+	a.Released = true
+	a.Young = !t.informed(now)
+	a.WaitFor = t.mayHold(now, k, r, to)
+	lately := now.Sub(r.heldUntil) <= t.opts.FencingDelay
+	a.Exclusive = r.exclusive && lately && len(a.WaitFor) == 0
+	if r.heir == to && lately {
+		a.Warm = r.warm
+	}
+	r.promise(now, to)
+}
+
 // askHeld drains a held permit for the relay that owns it by the view, or for
 // any relay if this one may not use it anyway.
 func (t *Table) askHeld(now time.Time, k Key, r *record, from string, seq uint64) []Action {
@@ -202,6 +197,7 @@
 	if r.owner != from && !suspended {
 		return nil
 	}
+	r.exclusive = r.exclusive && !suspended
 	if r.asker == "" || r.asker == from {
 		r.asker, r.askSeq = from, seq
 	}
@@ -212,30 +208,34 @@
 }
 
 // mayHold lists the relays other than this one and except that may hold the
-// permit, by the history of views and by the promises made.
+// permit, by the history of views and by the promises made. If this relay was
+// the only holder lately, only those promised can hold it.
 func (t *Table) mayHold(now time.Time, k Key, r *record, except string) []string {
 	var names []string
 	add := func(name string) {
 		if name == "" || name == t.opts.Self || name == except {
 			return
 		}
-		for _, known := range names {
-			if known == name {
-				return
-			}
+		if !slices.Contains(names, name) {
+			names = append(names, name)
 		}
-		names = append(names, name)
 	}
-	add(t.rank.owner(k, nil))
-	for _, p := range t.past {
+	rankings := t.past
+	if r.exclusive && now.Sub(r.heldUntil) <= t.opts.FencingDelay {
+		rankings = nil
+	} else {
+		add(t.rank.owner(k, nil))
+	}
+	for _, p := range rankings {
 		if now.Sub(p.until) <= t.opts.FencingDelay {
 			add(p.rank.owner(k, nil))
 		}
 	}
+	r.promised = slices.DeleteFunc(r.promised, func(p promise) bool {
+		return now.Sub(p.at) > t.opts.FencingDelay
+	})
 	for _, p := range r.promised {
-		if now.Sub(p.at) <= t.opts.FencingDelay {
-			add(p.to)
-		}
+		add(p.to)
 	}
 	return names
 }
--- a/permit/table.go
+++ b/permit/table.go
@@ -1,7 +1,9 @@
 package permit
 
 import (
+	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/goldcrestmux/goldcrestmux/wire"
@@ -32,6 +34,7 @@
 	opts     Options
 	slots    map[string]int
 	records  map[Key]*record
+	active   []Key     // permits owned, held, claimed or draining, in order
 	quiet    time.Time // until then work of a former run may be at targets
 	seq      uint64
 	overlaps uint64
@@ -127,8 +130,9 @@
 	t.past = nil
 	t.rank = &ranking{}
 	t.since = now
+	t.doubt()
 	var out []Action
-	for _, k := range t.keys() {
+	for _, k := range t.active {
 		r := t.records[k]
 		switch r.state {
 		case stateHeld:
@@ -154,6 +158,16 @@
 		}
 	}
 	t.listed = listed
+	if !listed[t.opts.Self] {
+		t.doubt()
+	}
+}
+
+// doubt notes that other relays may take, or have taken, any permit.
+func (t *Table) doubt() {
+	for _, r := range t.records {
+		r.exclusive = false
+	}
 }
 
 // replaceRanking puts the ranking of the current view in force.
@@ -167,9 +181,18 @@
 
 // rerank computes all owners anew.
 func (t *Table) rerank(now time.Time) []Action {
+	t.active = t.active[:0]
 	for k, r := range t.records {
 		r.owner = t.owner(k)
+		unknown := k.Index >= t.slots[k.Group]
+		switch {
+		case r.state != stateIdle || r.owner == t.opts.Self:
+			t.active = append(t.active, k)
+		case unknown && len(r.promised) == 0:
+			delete(t.records, k)
+		}
 	}
+	slices.SortFunc(t.active, compareKeys)
 	return t.settleAll(now)
 }
 
@@ -207,7 +230,8 @@
 
 // Idle reports whether this relay neither holds nor drains any permit.
 func (t *Table) Idle() bool {
-	for _, r := range t.records {
+	for _, k := range t.active {
+		r := t.records[k]
 		if r.state == stateHeld || r.state == stateDraining {
 			return false
 		}
@@ -332,20 +356,6 @@
 	return t.settle(now, k, r)
 }
 
-// keys returns the known permits in a fixed order.
-func (t *Table) keys() []Key {
-	keys := make([]Key, 0, len(t.records))
-	for k := range t.records {
-		keys = append(keys, k)
-	}
-	slices.SortFunc(keys, func(a, b Key) int {
-		if a.Group != b.Group {
-			if a.Group < b.Group {
-				return -1
-			}
-			return 1
-		}
-		return a.Index - b.Index
-	})
-	return keys
+func compareKeys(a, b Key) int {
+	return cmp.Or(strings.Compare(a.Group, b.Group), cmp.Compare(a.Index, b.Index))
 }
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -190,6 +190,9 @@
 	// Young is true if the sender hasn't followed the VM list for long enough
 	// to know every relay that may hold the permit.
 	Young bool `cbor:"7,keyasint,omitempty"`
+	// Exclusive is true if the sender was the permit's only holder up to its
+	// release and has released it to nobody else: no other relay can hold it.
+	Exclusive bool `cbor:"8,keyasint,omitempty"`
 }
 
 // WarmTarget names a warm target and the boot in which it was proved warm.
