Let the admission limit find a capacity far from its start

Finish takes the median latency of a request's sub-requests, which the limit follows, so that waiting for lost shards isn't taken for overload.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -123,6 +123,26 @@
 	RetryAfter time.Duration
 }
 
+// Result is what a controller learns from a finished request.
+type Result struct {
+	// OK is false if the request failed for lack of time or capacity; other
+	// failures, such as a bad request, count as ok.
+	OK bool
+	// Took is the time since the admission.
+	Took time.Duration
+	// Typical is the median latency of the request's sub-requests. The limit
+	// follows it rather than Took, so that waiting for shards that are lost
+	// isn't taken for overload. Zero stands for Took.
+	Typical time.Duration
+}
+
+func (r Result) typical() time.Duration {
+	if r.Typical > 0 {
+		return r.Typical
+	}
+	return r.Took
+}
+
 // New returns a controller for one gateway without callers. The random source
 // spreads the advice when to come back.
 func New(opts Options, rng *rand.Rand) *Controller {
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -153,7 +153,7 @@
 // inTime tells whether the request can be answered before its deadline, as far
 // as is known.
 func (c *Controller) inTime(now time.Time, k *caller, r Request) bool {
-	if c.opts.Mode == ModeFIFO {
+	if c.opts.Mode == ModeFIFO || c.nearlyIdle() {
 		return true
 	}
 	start := now
@@ -163,6 +163,12 @@
 	return start.Add(c.limit.expected(r.Search)).Before(r.Deadline)
 }
 
+// nearlyIdle tells whether so little runs that a request is admitted whatever
+// the estimates say: without answers they would never be corrected.
+func (c *Controller) nearlyIdle() bool {
+	return len(c.running) < min(c.opts.MinLimit, c.limit.value())
+}
+
 func (c *Controller) newEntry(now time.Time, k *caller, r Request) *entry {
 	e := &entry{id: r.ID, caller: k, search: r.Search, lane: k.lane}
 	if c.opts.Mode == ModeFIFO {
@@ -170,14 +176,20 @@
 		e.startBy = now
 		return e
 	}
-	e.startBy = r.Deadline.Add(-c.limit.expected(r.Search))
+	e.startBy = r.Deadline
+	if !c.nearlyIdle() {
+		e.startBy = r.Deadline.Add(-c.limit.expected(r.Search))
+	}
 	return e
 }
 
-// Done reports the end of an admitted request. Took is the time since its
-// admission. Ok is false if it failed for lack of time or capacity; other
-// failures, such as a bad request, count as ok.
+// Done reports the end of an admitted request, as Finish does.
 func (c *Controller) Done(now time.Time, id uint64, ok bool, took time.Duration) []Action {
+	return c.Finish(now, id, Result{OK: ok, Took: took})
+}
+
+// Finish reports the end of an admitted request.
+func (c *Controller) Finish(now time.Time, id uint64, result Result) []Action {
 	r, known := c.running[id]
 	if !known {
 		return nil
@@ -185,7 +197,7 @@
 	full := len(c.running) >= c.limit.value()
 	delete(c.running, id)
 	r.caller.running--
-	c.limit.observe(now, r.search, took, ok, full)
+	c.limit.observe(now, r.search, result, full)
 	return c.dispatch(now)
 }
 
--- a/admission/limit.go
+++ b/admission/limit.go
@@ -9,8 +9,13 @@
 const (
 	minWindowSamples = 20
 	maxWindow        = 5 * time.Second
-	decreaseFactor   = 0.9
-	increaseShare    = 0.02
+	// A decrease is by the ratio of the tolerated to the measured slowdown,
+	// within these bounds.
+	maxDecrease   = 0.5
+	minDecrease   = 0.9
+	increaseShare = 0.02
+	// startShare is the increase until the limit has been lowered once.
+	startShare = 0.25
 	// baselineRise is how much an unloaded latency may grow per window, so that
 	// a lasting change of the targets is learned in minutes.
 	baselineRise = 1.001
@@ -21,9 +26,9 @@
 	deviations = 2.0
 )
 
-// limiter adapts the number of requests in progress: it grows by a small step
-// while it is used up and latency stays near its unloaded value, and shrinks by
-// a factor when latency or failures rise.
+// limiter adapts the number of requests in progress: it grows while it is used
+// up and latency stays near its unloaded value, by large steps at first and by
+// small ones later, and shrinks by a factor when latency or failures rise.
 type limiter struct {
 	opts     Options
 	limit    float64
@@ -31,6 +36,8 @@
 	samples  int
 	failures int
 	full     bool
+	// settled is set once the limit has been lowered.
+	settled  bool
 	searches map[string]*service
 	// took is the moving mean over all searches, in nanoseconds.
 	took float64
@@ -40,7 +47,8 @@
 type service struct {
 	mean      float64
 	deviation float64
-	// baseline is the lowest mean of a window: the latency without load.
+	// baseline is the lowest mean of a window of typical shard latencies: the
+	// latency without load.
 	baseline float64
 	sum      float64
 	samples  int
@@ -55,19 +63,20 @@
 
 // observe learns from a finished request. Full tells whether the limit was
 // used up while it ran.
-func (l *limiter) observe(now time.Time, search string, took time.Duration, ok, full bool) {
+func (l *limiter) observe(now time.Time, search string, r Result, full bool) {
 	s, known := l.searches[search]
 	if !known {
 		s = &service{}
 		l.searches[search] = s
 	}
-	s.add(float64(took))
+	s.add(float64(r.Took))
+	s.addTypical(float64(r.typical()))
 	if l.took == 0 {
-		l.took = float64(took)
+		l.took = float64(r.Took)
 	}
-	l.took += serviceWeight * (float64(took) - l.took)
+	l.took += serviceWeight * (float64(r.Took) - l.took)
 	l.samples++
-	if !ok {
+	if !r.OK {
 		l.failures++
 	}
 	l.full = l.full || full
@@ -80,7 +89,10 @@
 	}
 	s.deviation += serviceWeight * (math.Abs(took-s.mean) - s.deviation)
 	s.mean += serviceWeight * (took - s.mean)
-	s.sum += took
+}
+
+func (s *service) addTypical(latency float64) {
+	s.sum += latency
 	s.samples++
 }
 
@@ -96,18 +108,23 @@
 	slowdown := l.slowdown()
 	failing := float64(l.failures) > l.opts.MaxFailures*float64(l.samples)
 	if l.opts.Mode == ModeAdaptive {
-		l.adapt(slowdown > l.opts.Tolerance || failing)
+		l.adapt(slowdown, failing)
 	}
 	l.started = now
 	l.samples, l.failures, l.full = 0, 0, false
 }
 
-func (l *limiter) adapt(overloaded bool) {
+func (l *limiter) adapt(slowdown float64, failing bool) {
+	share := increaseShare
+	if !l.settled {
+		share = startShare
+	}
 	switch {
-	case overloaded:
-		l.limit *= decreaseFactor
+	case failing || slowdown > l.opts.Tolerance:
+		l.limit *= min(max(l.opts.Tolerance/slowdown, maxDecrease), minDecrease)
+		l.settled = true
 	case l.full:
-		l.limit += max(1, l.limit*increaseShare)
+		l.limit += max(1, l.limit*share)
 	}
 	l.limit = min(max(l.limit, float64(l.opts.MinLimit)), float64(l.opts.MaxLimit))
 }
