Check the order of answered records without full comparisons

Half of the time of a query's ledger at 920 shards of 20 records went into checking that targets answered in order.

--- a/coverage/ledger.go
+++ b/coverage/ledger.go
@@ -135,10 +135,24 @@
 // inOrder returns the records in merge order, sorting a copy if a target
 // answered them otherwise.
 func inOrder(records []wire.Record) []wire.Record {
-	if slices.IsSortedFunc(records, compare) {
+	if isInOrder(records) {
 		return records
 	}
 	sorted := slices.Clone(records)
 	slices.SortStableFunc(sorted, compare)
 	return sorted
 }
+
+// isInOrder avoids a full comparison where the scores alone decide.
+func isInOrder(records []wire.Record) bool {
+	for i := 1; i < len(records); i++ {
+		before, after := &records[i-1], &records[i]
+		if before.Score > after.Score {
+			continue
+		}
+		if compare(*before, *after) > 0 {
+			return false
+		}
+	}
+	return true
+}
