--- a/permit/ranking_test.go
+++ b/permit/ranking_test.go
@@ -61,7 +61,7 @@
 
 func TestOptionsThatBreakTheFencingConditionsAreRefused(t *testing.T) {
 	opts := Options{Self: "a", FencingDelay: DefaultListLag + DefaultViewMaxAge}
-	if err := opts.withDefaults().check(); !errors.Is(err, ErrOptions) {
+	if err := opts.withDefaults().Check(); !errors.Is(err, ErrOptions) {
 		t.Fatalf("got %v", err)
 	}
 }
