Add the tracker of the VM list with copies from peers

A process that can't read the list itself would suspend its permits although its peers know the list. A copy from a peer keeps the time at which the platform was asked, so its age is never told as less than it is.

--- a/link/frame.go
+++ b/link/frame.go
@@ -93,4 +93,13 @@
 	if f.Refusal != nil {
 		out.Refusal = f.Refusal
 	}
+	if f.ViewOffer != nil {
+		out.ViewOffer = f.ViewOffer
+	}
+	if f.ViewAsk != nil {
+		out.ViewAsk = f.ViewAsk
+	}
+	if f.ViewAnswer != nil {
+		out.ViewAnswer = f.ViewAnswer
+	}
 }
--- /dev/null
+++ b/view/view_test.go
@@ -0,0 +1,106 @@
+package view
+
+import (
+	"testing"
+	"time"
+
+	"github.com/goldcrestmux/goldcrestmux/platform"
+	"github.com/goldcrestmux/goldcrestmux/wire"
+)
+
+var epoch = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
+
+func list(sequence uint64) platform.VMList {
+	return platform.VMList{Sequence: sequence, VMs: []platform.VM{{Name: "vm1"}}}
+}
+
+func TestProcessThatCannotReadTheListGetsItFromAPeer(t *testing.T) {
+	reader, cut := New(Options{}), New(Options{})
+	cut.Read(list(1), at(0))
+	reader.Read(list(2), at(1900))
+	o, _ := reader.Offer(at(2000))
+	cut.Offered(at(2010), "reader", o)
+	r := cut.Tick(at(2020))
+	if r.Ask != "reader" {
+		t.Fatalf("asked %q, want the peer with a fresh copy", r.Ask)
+	}
+	a, _ := reader.Asked(at(2100), r.Question)
+	if !cut.Answered("reader", a).Adopted {
+		t.Fatal("the peer's copy was not adopted")
+	}
+	got, asOf, _ := cut.List()
+	if got.Sequence != 2 || asOf.After(at(1900)) || asOf.Before(at(1800)) {
+		t.Fatalf("sequence %d as of %v, want 2 as of at most %v and little older", got.Sequence, asOf, at(1900))
+	}
+}
+
+func TestAgeNeverShrinksOnItsWay(t *testing.T) {
+	first := New(Options{})
+	first.Read(list(1), at(0))
+	from := first
+	now := 1600
+	for range 3 {
+		to := New(Options{})
+		o, _ := from.Offer(at(now))
+		to.Offered(at(now), "from", o)
+		r := to.Tick(at(now))
+		a, _ := from.Asked(at(now+30), r.Question)
+		now += 60
+		to.Answered("from", a)
+		if _, asOf, ok := to.List(); !ok || asOf.After(at(0)) {
+			t.Fatalf("copy is dated %v, want at most %v", asOf, at(0))
+		}
+		from = to
+	}
+}
+
+func TestOlderCopiesAreIgnored(t *testing.T) {
+	v := New(Options{})
+	v.Read(list(5), at(1000))
+	for name, r := range map[string]Result{
+		"lower sequence": v.Read(list(4), at(2000)),
+		"earlier read":   v.Read(list(5), at(900)),
+		"unasked answer": v.Answered("peer", wire.ViewAnswer{Sequence: 9}),
+	} {
+		if r.Adopted {
+			t.Errorf("%s was adopted", name)
+		}
+	}
+}
+
+func TestDownOnlyIfNobodyHasAFreshCopy(t *testing.T) {
+	v := New(Options{})
+	if v.Down(at(0)) {
+		t.Fatal("down before the first list")
+	}
+	v.Read(list(1), at(0))
+	v.Offered(at(3000), "peer", wire.ViewOffer{Sequence: 1, AgeMillis: 100})
+	if v.Down(at(3500)) {
+		t.Fatal("down while a peer has a fresh copy")
+	}
+	v.Offered(at(4000), "peer", wire.ViewOffer{Sequence: 1, AgeMillis: 3900})
+	if !v.Down(at(4100)) {
+		t.Fatal("not down although nobody has a fresh copy")
+	}
+	v.Read(list(1), at(4200))
+	if v.Down(at(4300)) {
+		t.Fatal("down after a fresh read")
+	}
+}
+
+func TestSilentPeerIsNotAskedAgainAtOnce(t *testing.T) {
+	v := New(Options{})
+	v.Offered(at(0), "a", wire.ViewOffer{AgeMillis: 10})
+	v.Offered(at(0), "b", wire.ViewOffer{AgeMillis: 20})
+	if r := v.Tick(at(1)); r.Ask != "a" {
+		t.Fatalf("asked %q, want a", r.Ask)
+	}
+	if r := v.Tick(at(100)); r.Ask != "" {
+		t.Fatalf("asked %q while a's answer is awaited", r.Ask)
+	}
+	if r := v.Tick(at(600)); r.Ask != "b" {
+		t.Fatalf("asked %q after a's silence, want b", r.Ask)
+	}
+}
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -61,6 +61,9 @@
 	FolderAnswer   *FolderAnswer    `cbor:"15,keyasint,omitempty"`
 	Leaving        *Leaving         `cbor:"16,keyasint,omitempty"`
 	Refusal        *ProtocolRefusal `cbor:"17,keyasint,omitempty"`
+	ViewOffer      *ViewOffer       `cbor:"18,keyasint,omitempty"`
+	ViewAsk        *ViewAsk         `cbor:"19,keyasint,omitempty"`
+	ViewAnswer     *ViewAnswer      `cbor:"20,keyasint,omitempty"`
 }
 
 // Hello opens a link in both directions and negotiates the protocol version.
@@ -285,3 +288,34 @@
 	// GraceMillis is the time, in milliseconds, after which the sender exits.
 	GraceMillis uint32 `cbor:"1,keyasint"`
 }
+
+// ViewOffer tells how fresh the sender's copy of the VM list is.
+type ViewOffer struct {
+	Sequence uint64 `cbor:"1,keyasint"`
+	// AgeMillis is the time since the platform was asked, in milliseconds.
+	AgeMillis uint32 `cbor:"2,keyasint"`
+}
+
+// ViewAsk asks for the receiver's copy of the VM list.
+type ViewAsk struct {
+	// Seq is repeated in the answer.
+	Seq uint64 `cbor:"1,keyasint"`
+}
+
+// ViewAnswer carries a copy of the VM list.
+type ViewAnswer struct {
+	Seq      uint64 `cbor:"1,keyasint"`
+	Sequence uint64 `cbor:"2,keyasint"`
+	// AgeMillis is the time since the platform was asked, in milliseconds.
+	AgeMillis uint32 `cbor:"3,keyasint"`
+	VMs       []VM   `cbor:"4,keyasint"`
+}
+
+// VM is one entry of a copy of the VM list.
+type VM struct {
+	Name       string          `cbor:"1,keyasint"`
+	DataCentre string          `cbor:"2,keyasint"`
+	Region     string          `cbor:"3,keyasint"`
+	Leaving    bool            `cbor:"4,keyasint,omitempty"`
+	Links      map[Role]string `cbor:"5,keyasint"`
+}
