Let relays of a data centre that is out own no permits

A data centre that operators take out must get no new work on its VMs either. Relays there count as leaving, by the folder that every relay reads, and hand their permits over as in a graceful stop. A relay without permits for a target closes its idle connections, which belong to the next owner's share.

--- a/relay/frames.go
+++ b/relay/frames.go
@@ -59,13 +59,6 @@
 	}
 }
 
-// SetPeerLeaving tells that another relay leaves, or that a new run of it has
-// started.
-func (r *Relay) SetPeerLeaving(relay string, leaving bool) {
-	r.permits.event(func(now time.Time, t *permit.Table) []permit.Action { return t.PeerLeaving(now, relay, leaving) })
-	r.permits.refresh()
-}
-
 func (r *Relay) answerAsk(peer string, ask wire.ReleaseAsk) {
 	var answer wire.ReleaseAnswer
 	r.permits.event(func(now time.Time, t *permit.Table) []permit.Action {
--- a/relay/permits.go
+++ b/relay/permits.go
@@ -130,6 +130,9 @@
 		e.change(func(now time.Time, m *target.Machine) []target.Action {
 			return m.SetPermits(now, usable)
 		})
+		if usable.Held == 0 {
+			e.client.Close() // the next owner needs the connections
+		}
 	}
 	p.drained(group)
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -58,10 +58,10 @@
 	tomb    tomb.Tomb
 	work    *workQueue
 	permits *permits
+	leaving *leaving
 
 	mu      sync.RWMutex
 	entries map[string]*entry
-	leaving bool
 }
 
 // New returns a relay that serves no target until it has contracts, a VM list
@@ -81,6 +81,7 @@
 	r := &Relay{
 		opts:    opts,
 		work:    newWorkQueue(),
+		leaving: newLeaving(),
 		entries: make(map[string]*entry),
 	}
 	r.permits = newPermits(r, table)
@@ -157,6 +158,8 @@
 		})
 	}
 	r.removeMissing(c)
+	r.leaving.setContracts(c)
+	r.applyLeaving()
 	r.permits.setGroups(groups, slots)
 }
 
@@ -236,7 +239,11 @@
 }
 
 // SetView takes a read of the VM list that was sent at asOf.
-func (r *Relay) SetView(list platform.VMList, asOf time.Time) { r.permits.setView(list, asOf) }
+func (r *Relay) SetView(list platform.VMList, asOf time.Time) {
+	r.leaving.setView(list)
+	r.permits.setView(list, asOf)
+	r.applyLeaving()
+}
 
 // Gap tells that the process was paused.
 func (r *Relay) Gap() {
@@ -258,14 +265,6 @@
 	})
 }
 
-// Leave starts the graceful stop: permits are handed to their next owners.
-func (r *Relay) Leave() {
-	r.mu.Lock()
-	r.leaving = true
-	r.mu.Unlock()
-	r.permits.event(func(now time.Time, t *permit.Table) []permit.Action { return t.Leave(now) })
-}
-
 // Idle reports whether all permits are handed over and no job waits or runs.
 func (r *Relay) Idle() bool {
 	r.permits.mu.Lock()
--- a/relay/state.go
+++ b/relay/state.go
@@ -41,9 +41,7 @@
 // State returns a dump of the relay's state.
 func (r *Relay) State() State {
 	var s State
-	r.mu.RLock()
-	s.Leaving = r.leaving
-	r.mu.RUnlock()
+	s.Leaving = r.leaving.relays()[r.opts.Self.Name()]
 	r.permits.mu.Lock()
 	s.Mode = r.permits.table.Mode(time.Now()).String()
 	s.Permits = r.permits.table.Infos()
