--- a/cmd/gcmux-load/main.go
+++ b/cmd/gcmux-load/main.go
@@ -13,6 +13,7 @@
 	"strings"
 	"syscall"
 
+	"github.com/juju/errors"
 	"github.com/peterbourgon/ff/v3"
 
 	"github.com/goldcrestmux/goldcrestmux/load"
@@ -26,6 +27,9 @@
 
 func main() {
 	broken, err := run(os.Args[1:])
+	if errors.Is(err, flag.ErrHelp) {
+		return
+	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "gcmux-load:", err)
 		os.Exit(exitFailed)
@@ -52,7 +56,7 @@
 	seed := flags.Uint64("seed", 0, "seed of arrivals and queries; 0 means the plan's")
 	asJSON := flags.Bool("json", false, "report in JSON in place of a table")
 	if err := ff.Parse(flags, args, ff.WithEnvVarPrefix("GCMUX_LOAD")); err != nil {
-		return nil, err
+		return nil, errors.Trace(err)
 	}
 	plan, err := readPlan(*file)
 	if err != nil {
--- a/cmd/gcmux-standin/main.go
+++ b/cmd/gcmux-standin/main.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/peterbourgon/ff/v3"
 
 	"github.com/goldcrestmux/goldcrestmux/corpus"
@@ -21,7 +22,11 @@
 const maxRun = time.Hour
 
 func main() {
-	if err := run(os.Args[1:]); err != nil {
+	err := run(os.Args[1:])
+	if errors.Is(err, flag.ErrHelp) {
+		return
+	}
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "gcmux-standin:", err)
 		os.Exit(1)
 	}
@@ -41,7 +46,7 @@
 	warm := flags.Bool("warm", false, "start the targets warm")
 	limit := flags.Duration("max-run", maxRun, "time after which the process exits by itself")
 	if err := ff.Parse(flags, args, ff.WithEnvVarPrefix("GCMUX_STANDIN")); err != nil {
-		return err
+		return errors.Trace(err)
 	}
 	o := standin.Options{
 		Seed: *seed, Records: *records, AdminAddress: *admin,
--- a/load/api.go
+++ b/load/api.go
@@ -208,15 +208,15 @@
 	o.Code, o.Run = e.Code, e.NotRun.Run
 }
 
-// clientFailure classifies a request that got no answer. No promise of the
-// system is made by it.
+// clientFailure classifies a request that got no answer. Without a connection
+// it can't have run.
 func clientFailure(err error) (code.Code, code.Run) {
 	var op *net.OpError
 	switch {
 	case errors.Is(err, context.DeadlineExceeded):
 		return clientPrefix + code.Timeout, code.RunUnknown
 	case errors.As(err, &op) && op.Op == "dial":
-		return clientPrefix + code.Unreachable, code.RunUnknown
+		return clientPrefix + code.Unreachable, code.NotRun
 	default:
 		return clientPrefix + code.Broken, code.RunUnknown
 	}
--- a/load/report.go
+++ b/load/report.go
@@ -157,9 +157,13 @@
 	return l
 }
 
-// Broken returns the promises that the run saw broken, each in one line.
+// Broken returns the promises that the run saw broken, and what keeps it from
+// being a valid check, each in one line.
 func (r *Report) Broken() []string {
 	var out []string
+	if r.Total.Answered == 0 {
+		out = append(out, "no request was answered")
+	}
 	for _, f := range r.Faults {
 		out = append(out, fmt.Sprintf("%d answers or actions with fault %s", f.Count, f.Name))
 	}
--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -182,6 +182,7 @@
 		t.Fatalf("versions %v", gone.Refusal.Versions)
 	}
 	b.change(standin.TargetChange{Load: []string{"v1"}, Crash: true})
+	b.client.Close() // it may not have seen the resets yet
 	if refused := b.do(code.Unreachable); refused.Sent {
 		t.Fatal("a byte left for a crashed target")
 	}
@@ -198,6 +199,49 @@
 	}
 }
 
+func TestHealthMisleadsAndListLags(t *testing.T) {
+	b := newBench(t, standin.Options{})
+	yes, hour := true, standin.Duration(time.Hour)
+	b.change(standin.TargetChange{ClaimWarm: &yes, HealthLag: &hour})
+	old, err := b.client.Probe(b.ctx)
+	if err != nil || !old.Claim.Warm || b.detail().Stats.Warm {
+		t.Fatalf("health %+v, %v", old, err)
+	}
+	b.change(standin.TargetChange{TurnCold: true})
+	now, err := b.client.Probe(b.ctx)
+	if err != nil || now.Claim.Boot != old.Boot || now.Boot == old.Boot {
+		t.Fatalf("health %+v after %+v, %v", now, old, err)
+	}
+
+	vms := platform.NewVMs(platform.ClientOptions{Address: b.s.PlatformAddress()})
+	for _, lag := range []standin.Duration{0, hour} {
+		if err := b.admin.SetVMs(b.ctx, standin.VMsChange{Lag: &lag, VMs: []platform.VM{{Name: "vm-" + lag.Std().String()}}}); err != nil {
+			t.Fatal(err)
+		}
+		list, err := vms.List(b.ctx)
+		if err != nil || len(list.VMs) != 1 || list.VMs[0].Name != "vm-0s" {
+			t.Fatalf("with lag %v: %+v, %v", lag.Std(), list, err)
+		}
+	}
+}
+
+func BenchmarkTargetRequest(b *testing.B) {
+	s, err := standin.New(standin.Options{Warm: true, Service: standin.Service{Median: 1}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer s.Close()
+	layout := s.Layout()
+	client := platform.NewTargetClient(platform.TargetOptions{Address: layout.Targets[0].Address})
+	req := platform.TargetRequest{ID: "r", Search: "small", Version: "v1", Shard: layout.Searches[0].Versions[0].Shards[0].Name, Payload: wire.RawJSON(`{"limit":10}`)}
+	b.ReportAllocs()
+	for b.Loop() {
+		if result := client.Do(b.Context(), platform.PathSearch, &req, time.Now().Add(ample)); result.Code != code.OK {
+			b.Fatal(result.Err)
+		}
+	}
+}
+
 func TestActionsAreCounted(t *testing.T) {
 	b := newBench(t, standin.Options{Warm: true})
 	for range 2 {
