permit, target: mend what the search of interleavings found

Notices carry signs by origin, so that a sign is told on until the holder of permit 0 knows it, and counts once. A permit above 0 moves on suspicion only from the suspect itself. A relay that was promised a permit is waited for even if the list dropped it before.

--- a/permit/claim.go
+++ b/permit/claim.go
@@ -18,8 +18,7 @@
 
 // pendingAsk is the ask to one relay.
 type pendingAsk struct {
-	relay string
-	since time.Time
+	candidate
 	// first and last bound the sequence numbers of the asks sent; 0 if none.
 	// An answer to an earlier one doesn't count.
 	first, last uint64
@@ -32,8 +31,8 @@
 
 func (t *Table) newClaim(now time.Time, k Key, r *record) *claim {
 	c := &claim{}
-	for _, name := range t.mayHold(now, k, r, "") {
-		c.add(now, name)
+	for _, found := range t.mayHold(now, k, r, "") {
+		c.add(now, found)
 	}
 	if !t.informed(now) {
 		t.addWitness(now, k, c)
@@ -42,21 +41,22 @@
 }
 
 // add adds a relay to ask, unless it is asked already.
-func (c *claim) add(now time.Time, relay string) *pendingAsk {
+func (c *claim) add(now time.Time, found candidate) *pendingAsk {
 	for _, p := range c.asks {
-		if p.relay == relay {
+		if p.relay == found.relay {
 			return p
 		}
 	}
-	p := &pendingAsk{relay: relay, since: now, next: now, interval: minAskInterval}
+	p := &pendingAsk{candidate: found, next: now, interval: minAskInterval}
 	c.asks = append(c.asks, p)
 	return p
 }
 
 // restart asks the relay anew: earlier answers don't count any more.
 func (c *claim) restart(now time.Time, relay string) {
-	p := c.add(now, relay)
-	*p = pendingAsk{relay: relay, since: now, next: now.Add(minAskInterval), interval: minAskInterval}
+	found := candidate{relay: relay, since: now, promised: true}
+	p := c.add(now, found)
+	*p = pendingAsk{candidate: found, next: now.Add(minAskInterval), interval: minAskInterval}
 }
 
 // addWitness adds the relay that would own the permit without those asked so
@@ -74,7 +74,7 @@
 		return false
 	}
 	c.witnesses++
-	c.add(now, name).witness = true
+	c.add(now, candidate{relay: name, since: now}).witness = true
 	return true
 }
 
@@ -90,7 +90,7 @@
 }
 
 // answer takes an answer; self is left out of the relays to wait for.
-func (c *claim) answer(from string, a wire.ReleaseAnswer, self string) {
+func (c *claim) answer(now time.Time, from string, a wire.ReleaseAnswer, self string) {
 	i := slices.IndexFunc(c.asks, func(p *pendingAsk) bool { return p.relay == from })
 	if i < 0 {
 		return
@@ -101,7 +101,7 @@
 	}
 	for _, name := range a.WaitFor {
 		if name != self {
-			c.add(p.since, name)
+			c.add(now, candidate{relay: name, since: now})
 		}
 	}
 	if !a.Released {
@@ -120,7 +120,7 @@
 	}
 	c.informed = true
 	for _, p := range c.asks {
-		p.released = true
+		p.released = p.released || !p.promised
 	}
 }
 
@@ -172,22 +172,26 @@
 		return true
 	}
 	if !t.listed[p.relay] {
-		since, seen := t.dropped[p.relay]
+		dropped, seen := t.dropped[p.relay]
 		if !seen {
-			since = p.since
+			dropped = t.since
 		}
-		return now.Sub(since) >= t.opts.FencingDelay
+		fenced := now.Sub(dropped) >= t.opts.FencingDelay
+		return fenced && now.Sub(p.since) >= t.opts.FencingDelay
 	}
 	if k.Index == 0 || !t.suspects[p.relay] {
 		return false
 	}
-	t.overlaps++
 	r.suspicion = true
 	return true
 }
 
 func (t *Table) acquire(k Key, r *record) Action {
 	warm := r.claim.warm
+	r.suspicion = r.suspicion || t.rank.owner(k, nil) != t.opts.Self
+	if r.suspicion {
+		t.overlaps++
+	}
 	r.state = stateHeld
 	r.claim = nil
 	r.lost = time.Time{}
--- a/permit/record.go
+++ b/permit/record.go
@@ -45,6 +45,16 @@
 	heir string
 }
 
+// candidate is a relay that may hold a permit. If it isn't in the list, it may
+// hold the permit up to the fencing delay after since at least.
+type candidate struct {
+	relay string
+	since time.Time
+	// promised is true if this relay told it that it doesn't use the permit:
+	// only its own answer counts.
+	promised bool
+}
+
 type promise struct {
 	to string
 	at time.Time
@@ -181,7 +191,9 @@
 func (t *Table) release(now time.Time, k Key, r *record, to string, a *wire.ReleaseAnswer) {
 	a.Released = true
 	a.Young = !t.informed(now)
-	a.WaitFor = t.mayHold(now, k, r, to)
+	for _, c := range t.mayHold(now, k, r, to) {
+		a.WaitFor = append(a.WaitFor, c.relay)
+	}
 	lately := now.Sub(r.heldUntil) <= t.opts.FencingDelay
 	a.Exclusive = r.exclusive && lately && len(a.WaitFor) == 0
 	if r.heir == to && lately {
@@ -210,32 +222,33 @@
 // mayHold lists the relays other than this one and except that may hold the
 // permit, by the history of views and by the promises made. If this relay was
 // the only holder lately, only those promised can hold it.
-func (t *Table) mayHold(now time.Time, k Key, r *record, except string) []string {
-	var names []string
-	add := func(name string) {
-		if name == "" || name == t.opts.Self || name == except {
+func (t *Table) mayHold(now time.Time, k Key, r *record, except string) []candidate {
+	var found []candidate
+	add := func(c candidate) {
+		if c.relay == "" || c.relay == t.opts.Self || c.relay == except {
 			return
 		}
-		if !slices.Contains(names, name) {
-			names = append(names, name)
+		known := func(other candidate) bool { return other.relay == c.relay }
+		if !slices.ContainsFunc(found, known) {
+			found = append(found, c)
 		}
 	}
+	r.promised = slices.DeleteFunc(r.promised, func(p promise) bool {
+		return now.Sub(p.at) > t.opts.FencingDelay
+	})
+	for _, p := range r.promised {
+		add(candidate{relay: p.to, since: p.at, promised: true})
+	}
 	rankings := t.past
 	if r.exclusive && now.Sub(r.heldUntil) <= t.opts.FencingDelay {
 		rankings = nil
 	} else {
-		add(t.rank.owner(k, nil))
+		add(candidate{relay: t.rank.owner(k, nil)})
 	}
 	for _, p := range rankings {
 		if now.Sub(p.until) <= t.opts.FencingDelay {
-			add(p.rank.owner(k, nil))
+			add(candidate{relay: p.rank.owner(k, nil)})
 		}
 	}
-	r.promised = slices.DeleteFunc(r.promised, func(p promise) bool {
-		return now.Sub(p.at) > t.opts.FencingDelay
-	})
-	for _, p := range r.promised {
-		add(p.to)
-	}
-	return names
+	return found
 }
--- a/permit/table.go
+++ b/permit/table.go
@@ -196,16 +196,17 @@
 	return t.settleAll(now)
 }
 
-// owner returns the relay that owns the permit by the current view. Only for
-// permits above 0 are suspects left out.
+// owner returns the relay that owns the permit by the current view. A permit
+// above 0 of a suspect goes to the relay that would own it without suspects.
 func (t *Table) owner(k Key) string {
 	if k.Index >= t.slots[k.Group] {
 		return ""
 	}
-	if k.Index == 0 {
-		return t.rank.owner(k, nil)
+	owner := t.rank.owner(k, nil)
+	if k.Index > 0 && t.suspects[owner] {
+		return t.rank.owner(k, t.suspects)
 	}
-	return t.rank.owner(k, t.suspects)
+	return owner
 }
 
 // PeerLeaving tells that a relay has said itself that it leaves, or, with
@@ -352,7 +353,7 @@
 	if r == nil || r.state != stateWaiting {
 		return nil
 	}
-	r.claim.answer(from, a, t.opts.Self)
+	r.claim.answer(now, from, a, t.opts.Self)
 	return t.settle(now, k, r)
 }
 
--- a/target/cold.go
+++ b/target/cold.go
@@ -15,7 +15,7 @@
 	if !tell {
 		return nil
 	}
-	return m.broadcastSign(now, wire.TargetNotice{State: wire.TargetCold, NewBoot: newBoot})
+	return m.sign(now, wire.TargetSign{NewBoot: newBoot})
 }
 
 func (m *Machine) becomeCold(why string) {
@@ -45,7 +45,7 @@
 	if !tell {
 		return nil
 	}
-	return m.broadcastSign(now, wire.TargetNotice{State: wire.TargetOut})
+	return m.sign(now, wire.TargetSign{Lost: true})
 }
 
 func (m *Machine) becomeLost(now time.Time, why string) {
@@ -66,6 +66,7 @@
 	m.setBoot(boot)
 	m.warm = true
 	m.signed = false
+	m.signs = nil
 	m.lost = false
 	m.why = why
 	m.latency.run = 0
@@ -100,38 +101,43 @@
 // renounce gives up the belief that the target is warm, without a sign that
 // would concern the other holders.
 func (m *Machine) renounce(now time.Time, why string) {
-	m.becomeCold(why)
-	m.signed = false
-	m.renew(now)
-}
-
-// renew makes grants void that were sent before the holder of permit 0 hears
-// from this relay again.
-func (m *Machine) renew(now time.Time) {
+	m.warm = false
+	m.proved = false
+	m.why = why
+	m.restartRamp()
 	m.coldSeq = m.nextSeq(now)
-	m.sign = wire.TargetNotice{State: wire.TargetUnknown, Boot: m.boot, Seq: m.coldSeq}
 }
 
-// ask asks the other holders for their view. A relay that is cold by a sign
-// repeats the sign, in case it was lost.
+// ask asks the other holders for their view, and repeats the known signs in
+// case that they were lost.
 func (m *Machine) ask(now time.Time) []Action {
 	m.askAt = now.Add(m.opts.AskInterval)
-	n := wire.TargetNotice{State: wire.TargetUnknown, Boot: m.boot, Seq: m.nextSeq(now)}
-	if m.coldSeq > 0 && !m.warm {
-		n = m.sign
-	}
-	n.Ask = true
+	n := wire.TargetNotice{State: wire.TargetUnknown, Boot: m.boot, Seq: m.nextSeq(now), Ask: true}
+	n.Signs = slices.Clone(m.signs)
 	return m.broadcast(n)
 }
 
-// broadcastSign tells the other holders of a sign of coldness. A later grant
-// has to acknowledge it.
-func (m *Machine) broadcastSign(now time.Time, n wire.TargetNotice) []Action {
-	n.Boot = m.boot
-	n.Seq = m.nextSeq(now)
-	m.coldSeq = n.Seq
-	m.sign = n
+// sign tells the other holders of a sign that this relay saw itself.
+func (m *Machine) sign(now time.Time, s wire.TargetSign) []Action {
+	s.Origin = m.opts.Self
+	s.Boot = m.boot
+	s.Seq = m.nextSeq(now)
+	m.addSign(s)
+	return m.announce(now)
+}
+
+// addSign keeps the last sign of each origin.
+func (m *Machine) addSign(s wire.TargetSign) {
+	m.signs = slices.DeleteFunc(m.signs, func(old wire.TargetSign) bool { return old.Origin == s.Origin })
+	m.signs = append(m.signs, s)
+}
+
+// announce tells the other holders of the known signs. A later grant has to
+// acknowledge that.
+func (m *Machine) announce(now time.Time) []Action {
+	m.coldSeq = m.nextSeq(now)
 	m.askAt = now.Add(m.opts.AskInterval)
+	n := wire.TargetNotice{State: wire.TargetCold, Boot: m.boot, Seq: m.coldSeq, Signs: slices.Clone(m.signs)}
 	return m.broadcast(n)
 }
 
@@ -167,13 +173,9 @@
 	if fresh {
 		m.heard[from] = n.Seq
 	}
-	var out []Action
-	switch {
-	case !fresh:
-	case n.State == wire.TargetWarm:
-		out = m.takeGrant(now, n)
-	case n.State == wire.TargetCold || n.State == wire.TargetOut:
-		out = m.takeSign(now, n)
+	out := m.takeSigns(now, n.Signs)
+	if fresh && n.State == wire.TargetWarm {
+		out = append(out, m.takeGrant(now, n)...)
 	}
 	if n.Ask && m.warm && m.permits.Held > 0 && (m.permits.Zero || n.Owner) {
 		out = append(out, m.grant(now, from))
@@ -185,7 +187,7 @@
 // The holder of permit 0 itself takes another holder's word only if it has
 // seen no sign.
 func (m *Machine) takeGrant(now time.Time, n wire.TargetNotice) []Action {
-	if m.warm || n.Ack < m.coldSeq || slices.Contains(m.pastBoots, n.Boot) {
+	if m.warm || n.Ack < m.coldSeq {
 		return nil
 	}
 	if m.permits.Zero && (m.signed || n.Owner) {
@@ -197,27 +199,41 @@
 	return m.turnWarm(now, n.Boot, "granted")
 }
 
-// takeSign takes another holder's sign of coldness, unless it is about a boot
-// that is past, or about the start of the boot that is known already. A relay
-// that turns cold by it tells the sign on, so that no holder misses it.
-func (m *Machine) takeSign(now time.Time, n wire.TargetNotice) []Action {
-	known := n.NewBoot && n.Boot == m.boot
-	if known || slices.Contains(m.pastBoots, n.Boot) {
+// takeSigns turns the target cold by signs that other holders saw, and tells
+// them on, so that no holder misses them.
+func (m *Machine) takeSigns(now time.Time, signs []wire.TargetSign) []Action {
+	news, lost := false, false
+	for _, s := range signs {
+		if s.Origin == m.opts.Self || s.Seq <= m.seen[s.Origin] {
+			continue
+		}
+		m.seen[s.Origin] = s.Seq
+		if m.outdated(s) {
+			continue
+		}
+		m.addSign(s)
+		news = true
+		lost = lost || s.Lost
+	}
+	if !news {
 		return nil
 	}
 	told := m.signed
-	m.setBoot(n.Boot)
-	if n.State == wire.TargetOut && m.lost {
-		return nil
-	}
-	if n.State == wire.TargetOut {
+	if lost && !m.lost {
 		m.becomeLost(now, "lost, as told by another holder")
 	} else {
 		m.becomeCold("cold, as told by another holder")
 	}
 	if told {
-		m.renew(now)
+		m.coldSeq = m.nextSeq(now)
 		return nil
 	}
-	return m.broadcastSign(now, wire.TargetNotice{State: n.State, NewBoot: n.NewBoot})
+	return m.announce(now)
+}
+
+// outdated reports whether a sign is about a boot that is past, or about the
+// start of the boot that is known already.
+func (m *Machine) outdated(s wire.TargetSign) bool {
+	known := s.NewBoot && s.Boot == m.boot
+	return known || slices.Contains(m.pastBoots, s.Boot)
 }
--- a/target/fleet_test.go
+++ b/target/fleet_test.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -16,7 +17,7 @@
 	start := f.now
 	for !done() {
 		if f.now.Sub(start) > limit {
-			f.t.Fatalf("%s: not within %v", what, limit)
+			f.t.Fatalf("%s: not within %v%s", what, limit, f.dump())
 		}
 		f.run(step)
 	}
@@ -174,3 +175,12 @@
 	zero.listCut = false
 	f.waitFor(10*time.Second, "agreement", f.allHeld)
 }
+
+func (f *fleet) dump() string {
+	s := fmt.Sprintf("\nat %v list %v", f.now.Sub(time.Unix(1e9, 0)), f.list)
+	for _, n := range f.nodes {
+		m := n.machine
+		s += fmt.Sprintf("\n%s up %v %v %v infos %v\n   limit %d state %v why %q held %+v lost %v warm %v ramp %d proved %v inflight %d boot %s past %v coldSeq %d heard %v", n.name, n.up, n.paused, n.table.Mode(f.now), n.table.Infos(), m.Limit(), m.State(), m.Why(), m.permits, m.lost, m.warm, m.ramp, m.proved, m.inflight, m.boot, m.pastBoots, m.coldSeq%1e15, m.heard)
+	}
+	return s + fmt.Sprintf("\ntgt boot %d done %d down %v now %v", f.tgt.boot, f.tgt.done, f.tgt.down, f.now)
+}
--- a/target/machine.go
+++ b/target/machine.go
@@ -36,8 +36,9 @@
 
 	seq     uint64            // of the last notice sent
 	coldSeq uint64            // a grant has to acknowledge it
-	sign    wire.TargetNotice // what is repeated while cold; has coldSeq
-	heard   map[string]uint64 // highest Seq by sender
+	signs   []wire.TargetSign // known since the target was last warm
+	heard   map[string]uint64 // highest notice Seq by sender
+	seen    map[string]uint64 // highest sign Seq by origin
 	askAt   time.Time
 
 	probing   bool
@@ -59,6 +60,7 @@
 		adminWhy: "not yet in service",
 		why:      "not yet proved warm",
 		heard:    map[string]uint64{},
+		seen:     map[string]uint64{},
 	}
 }
 
@@ -79,8 +81,8 @@
 		return nil
 	}
 	if m.warm {
-		m.renounce(now, "back in service")
-		m.signed = true
+		m.becomeCold("back in service")
+		m.coldSeq = m.nextSeq(now)
 	}
 	return m.ask(now)
 }
@@ -179,10 +181,11 @@
 // Done tells how a request ended.
 func (m *Machine) Done(now time.Time, o Outcome) []Action {
 	m.inflight--
+	if o.Ticket != m.epoch && slices.Contains(m.pastBoots, o.Boot) {
+		return m.settle(now)
+	}
 	out := m.seeBoot(now, o.Boot)
-	stale := slices.Contains(m.pastBoots, o.Boot)
 	switch {
-	case stale:
 	case o.Draining:
 		out = append(out, m.lose(now, "draining")...)
 	case o.Kind == OK:
@@ -191,7 +194,7 @@
 		out = append(out, m.shed(now, o)...)
 	case o.Kind == Refused:
 		out = append(out, m.lose(now, "connection refused")...)
-	case o.Kind == Reset && o.Ticket == m.epoch:
+	case o.Kind == Reset && m.news(o):
 		out = append(out, m.turnCold(now, "connection reset", false)...)
 	case o.Kind == Timeout:
 		m.abandoned = now
@@ -224,10 +227,14 @@
 	return nil
 }
 
-// shed takes shedding for a sign of coldness unless this relay's own work
-// explains it: more in progress than the limit, or a request given up on.
+// news reports whether the failure of a request tells more than what turned
+// the target cold after the request was sent.
+func (m *Machine) news(o Outcome) bool { return o.Ticket == m.epoch || !m.signed }
+
+// shed takes shedding for a sign of coldness, since the permits in use by all
+// relays fit into the contract. A request that was given up on explains it.
 func (m *Machine) shed(now time.Time, o Outcome) []Action {
-	if o.Ticket != m.epoch || m.inflight+1 > m.Limit() {
+	if !m.news(o) {
 		return nil
 	}
 	if !m.abandoned.IsZero() && now.Sub(m.abandoned) < abandonGrace {
@@ -236,9 +243,9 @@
 	return m.turnCold(now, "sudden shedding", false)
 }
 
-// seeBoot takes note of the boot that an answer shows.
+// seeBoot takes note of the boot that the target shows now.
 func (m *Machine) seeBoot(now time.Time, boot string) []Action {
-	if boot == "" || boot == m.boot || slices.Contains(m.pastBoots, boot) {
+	if boot == "" || boot == m.boot {
 		return nil
 	}
 	known := m.boot != ""
@@ -253,6 +260,7 @@
 	if boot == "" || boot == m.boot {
 		return
 	}
+	m.pastBoots = slices.DeleteFunc(m.pastBoots, func(past string) bool { return past == boot })
 	if m.boot != "" {
 		m.pastBoots = append(m.pastBoots, m.boot)
 	}
--- a/target/model_test.go
+++ b/target/model_test.go
@@ -129,7 +129,7 @@
 	n.table, n.drain, n.up, n.paused = table, nil, true, false
 	n.run++
 	n.epoch = 0
-	n.machine = New(Options{Name: theName, Contract: contract})
+	n.machine = New(Options{Self: n.name, Name: theName, Contract: contract})
 	n.machine.SetAdmin(f.now, true, "")
 	f.permitActions(n, table.SetGroups(f.now, groups))
 }
@@ -370,7 +370,7 @@
 	for i := range contract.Slots {
 		count := f.holders(theName, i)
 		if count > 1 && (i == 0 || f.overlaps() == 0) {
-			f.t.Fatalf("permit %d has %d holders at %v", i, count, f.now.Sub(time.Unix(1e9, 0)))
+			f.t.Fatalf("permit %d has %d holders%s", i, count, f.dump())
 		}
 	}
 }
--- a/target/target.go
+++ b/target/target.go
@@ -53,6 +53,8 @@
 
 // Options configures a Machine. Zero values mean the Default constants.
 type Options struct {
+	// Self is the process name of this relay.
+	Self string
 	// Name is the target's name.
 	Name     string
 	Contract Contract
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -214,8 +214,23 @@
 	Ask bool `cbor:"6,keyasint,omitempty"`
 	// Ack is the highest Seq that the sender has seen from the receiver.
 	Ack uint64 `cbor:"7,keyasint,omitempty"`
-	// NewBoot is true if the sign of coldness is that Boot replaced another boot.
-	NewBoot bool `cbor:"8,keyasint,omitempty"`
+	// Signs lists the signs of coldness that the sender knows of since it last
+	// believed the target to be warm.
+	Signs []TargetSign `cbor:"8,keyasint,omitempty"`
+}
+
+// TargetSign is a sign that a target has turned cold, as one relay saw it.
+type TargetSign struct {
+	// Origin is the process name of the relay that saw it.
+	Origin string `cbor:"1,keyasint"`
+	// Seq orders the signs of one origin.
+	Seq uint64 `cbor:"2,keyasint"`
+	// Lost is true if the target takes no requests at all.
+	Lost bool `cbor:"3,keyasint,omitempty"`
+	// Boot is the target's boot as the origin knew it.
+	Boot string `cbor:"4,keyasint,omitempty"`
+	// NewBoot is true if the sign is that Boot replaced another boot.
+	NewBoot bool `cbor:"5,keyasint,omitempty"`
 }
 
 // MemberStatus is the state of a member as heartbeats spread it.
