Bound probes of a new version by the share of queries

Doubling the gap between probes left a gateway with few queries above 1 in 100 restarted during a long roll-out. At most one of 100 queries now tries a version that not every shard has shown, and at least one each 10 s.

--- a/snapshot/chooser.go
+++ b/snapshot/chooser.go
@@ -21,7 +21,8 @@
 	DefaultEvidenceTTL = 1 * time.Second
 	DefaultGoneTTL     = 10 * time.Second
 	DefaultProbeGap    = 250 * time.Millisecond
-	DefaultMaxProbeGap = 4 * time.Second
+	DefaultMaxProbeGap = 10 * time.Second
+	DefaultProbeEvery  = 100
 	DefaultHold        = 2 * time.Second
 )
 
@@ -29,7 +30,7 @@
 // within its time to live.
 const evidenceRenewals = 4
 
-// Options sets up a Chooser. A zero duration means its default.
+// Options sets up a Chooser. A zero field means its default.
 type Options struct {
 	// EvidenceTTL is how long a target that hasn't loaded a version yet is
 	// taken to lack it.
@@ -38,8 +39,11 @@
 	// lack it.
 	GoneTTL time.Duration
 	// ProbeGap is the shortest time between two queries that try a version
-	// that isn't confirmed; it doubles after each failure up to MaxProbeGap.
-	ProbeGap    time.Duration
+	// which not every shard has shown.
+	ProbeGap time.Duration
+	// ProbeEvery is the number of queries of which at most one tries such a
+	// version. It gives way when MaxProbeGap has passed since the last.
+	ProbeEvery  int
 	MaxProbeGap time.Duration
 	// Hold is how long a version that became unusable isn't chosen again while
 	// another one is usable.
@@ -51,11 +55,12 @@
 	setDefault(&o.GoneTTL, DefaultGoneTTL)
 	setDefault(&o.ProbeGap, DefaultProbeGap)
 	setDefault(&o.MaxProbeGap, DefaultMaxProbeGap)
+	setDefault(&o.ProbeEvery, DefaultProbeEvery)
 	setDefault(&o.Hold, DefaultHold)
 	return o
 }
 
-func setDefault(field *time.Duration, value time.Duration) {
+func setDefault[T int | time.Duration](field *T, value T) {
 	if *field == 0 {
 		*field = value
 	}
@@ -67,7 +72,9 @@
 	current string
 	// order holds the versions by preference: the current one first, then by
 	// descending sequence.
-	order   []*version
+	order []*version
+	// queries is the number of queries that a version was chosen for.
+	queries uint64
 	expires []expiry
 }
 
@@ -89,7 +96,6 @@
 	c.current = search.Current
 	for name, v := range search.Versions {
 		next := newVersion(name, v)
-		next.probeGap = c.opts.ProbeGap
 		if was := find(old, name); was != nil {
 			next.carry(was)
 		}
@@ -161,8 +167,6 @@
 	v.set(h, serves, time.Time{})
 	if v.shown() {
 		v.trusted = true
-		v.probing = false
-		v.probeGap = c.opts.ProbeGap
 	}
 }
 
@@ -180,11 +184,6 @@
 		v.trusted = false
 		v.heldUntil = now.Add(c.opts.Hold)
 	}
-	if v.probing {
-		v.probing = false
-		v.probeGap = min(2*v.probeGap, c.opts.MaxProbeGap)
-		v.nextProbe = now.Add(v.probeGap)
-	}
 }
 
 // Lacks tells whether the target is known to lack the version, so that no
@@ -207,6 +206,7 @@
 // covers most of them, or empty if there are no versions.
 func (c *Chooser) Choose(now time.Time) (name string, ok bool) {
 	c.expire(now)
+	c.queries++
 	settled := c.settled(now, "")
 	if settled != nil && settled.trusted {
 		if probe := c.probe(now, settled); probe != nil {
@@ -253,16 +253,24 @@
 		if v == settled {
 			return nil
 		}
-		due := !now.Before(v.nextProbe) && !now.Before(v.heldUntil)
-		if v.blocked == 0 && len(v.shards) > 0 && !v.trusted && due {
-			v.probing = true
-			v.nextProbe = now.Add(v.probeGap)
+		possible := v.blocked == 0 && len(v.shards) > 0 && !v.trusted
+		if possible && !now.Before(v.heldUntil) && c.probeDue(now, v) {
+			v.probedAt, v.probedNumber = now, c.queries
 			return v
 		}
 	}
 	return nil
 }
 
+// probeDue tells whether enough time and queries have passed since the last
+// query that tried the version.
+func (c *Chooser) probeDue(now time.Time, v *version) bool {
+	gap := now.Sub(v.probedAt)
+	queries := c.queries - v.probedNumber
+	return v.probedNumber == 0 || gap >= c.opts.MaxProbeGap ||
+		gap >= c.opts.ProbeGap && queries >= uint64(c.opts.ProbeEvery)
+}
+
 // mostCovered returns the version but except with the largest share of shards
 // that aren't blocked.
 func (c *Chooser) mostCovered(except string) string {
--- a/snapshot/expiry.go
+++ b/snapshot/expiry.go
@@ -45,14 +45,14 @@
 
 // VersionState describes one version for a dump of the process's state.
 type VersionState struct {
-	Name      string        `json:"name"`
-	Sequence  int           `json:"sequence"`
-	Shards    int           `json:"shards"`
-	Confirmed int           `json:"confirmed_shards"`
-	Blocked   int           `json:"blocked_shards"`
-	Trusted   bool          `json:"trusted"`
-	ProbeGap  time.Duration `json:"probe_gap_ns"`
-	Held      bool          `json:"held"`
+	Name      string    `json:"name"`
+	Sequence  int       `json:"sequence"`
+	Shards    int       `json:"shards"`
+	Confirmed int       `json:"confirmed_shards"`
+	Blocked   int       `json:"blocked_shards"`
+	Trusted   bool      `json:"trusted"`
+	Probed    time.Time `json:"probed"`
+	Held      bool      `json:"held"`
 }
 
 // Versions returns the state of every version in order of preference.
@@ -67,7 +67,7 @@
 			Confirmed: v.confirmed,
 			Blocked:   v.blocked,
 			Trusted:   v.trusted,
-			ProbeGap:  v.probeGap,
+			Probed:    v.probedAt,
 			Held:      now.Before(v.heldUntil),
 		})
 	}
--- a/snapshot/snapshot_test.go
+++ b/snapshot/snapshot_test.go
@@ -14,7 +14,7 @@
 
 var epoch = time.Unix(1_700_000_000, 0)
 
-const queryInterval = 25 * time.Millisecond
+const queryInterval = 100 * time.Millisecond
 
 // fleet is a set of fake targets, ten pairs that hold the same shards, with the
 // times from which each serves a version and from which a version is gone.
@@ -111,7 +111,7 @@
 }
 
 // A version is published with another number of shards while targets load it
-// over 10 s: few queries restart, none fails, and all switch. At most 1 in 100
+// over 30 s: few queries restart, none fails, and all switch. At most 1 in 100
 // is slowed, so that p99 stays that of calm times. When the version vanishes
 // again, queries go back to the one before.
 func TestRollOut(t *testing.T) {
@@ -120,10 +120,10 @@
 		f.publish(epoch, "v1", 1, 40, 0)
 		calm := f.run(epoch, time.Second, optimistic)
 		publish := epoch.Add(time.Second)
-		f.publish(publish, "v2", 2, 60, 10*time.Second)
-		rollOut := f.run(publish, 20*time.Second, optimistic)
-		f.gone["v2"] = publish.Add(21 * time.Second)
-		vanished := f.run(publish.Add(20*time.Second), 20*time.Second, optimistic)
+		f.publish(publish, "v2", 2, 60, 30*time.Second)
+		rollOut := f.run(publish, time.Minute, optimistic)
+		f.gone["v2"] = publish.Add(time.Minute)
+		vanished := f.run(publish.Add(time.Minute), time.Minute, optimistic)
 		t.Logf("optimistic %v: roll-out %+v, vanished %+v", optimistic, rollOut, vanished)
 		if optimistic {
 			if rollOut.restarts*100 <= rollOut.queries {
--- a/snapshot/version.go
+++ b/snapshot/version.go
@@ -34,11 +34,10 @@
 	// heldUntil ends the time in which a version that became unusable isn't
 	// chosen again while another one is.
 	heldUntil time.Time
-	// nextProbe is when a single query may try the version while unconfirmed.
-	nextProbe time.Time
-	probeGap  time.Duration
-	// probing is true from a probe until its first refusal.
-	probing bool
+	// probedAt and probedNumber are the time and the number of the last query
+	// that tried the version while it wasn't trusted.
+	probedAt     time.Time
+	probedNumber uint64
 }
 
 // shard counts the evidence about the replicas of one shard.
@@ -137,8 +136,8 @@
 	}
 	v.trusted = v.blocked == 0 && (v.shown() || old.trusted && v.sameMap(old))
 	v.heldUntil = old.heldUntil
-	v.nextProbe = old.nextProbe
-	v.probeGap = old.probeGap
+	v.probedAt = old.probedAt
+	v.probedNumber = old.probedNumber
 }
 
 // sameMap tells whether both shard maps give each target the same shards.
