--- a/replica/pick.go
+++ b/replica/pick.go
@@ -9,7 +9,7 @@
 )
 
 // maxCandidates is the number of routes that one choice looks at.
-const maxCandidates = 64
+const maxCandidates = 32
 
 // Purpose tells what the choice is for.
 type Purpose uint8
