Learn slowness from canceled attempts, and waiting from a caller's concurrency

A slow target whose attempts always lost to their hedges was never seen as slow, as only answers counted. A broken connection now demotes its route and not the target, which a lost link would have done to all targets behind it. Admission predicts the wait that a caller's own concurrency causes, so that such requests are refused on arrival too.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -122,6 +122,12 @@
 	c.Done(epoch, 1, true, 100*time.Millisecond)
 	check(c, 2, row{"urgent", 50, Admit, code.OK}, row{"urgent", 50, Refuse, code.Overloaded},
 		row{"urgent", 150, Refuse, code.Overloaded}, row{"urgent", 250, Queue, ""}, row{"urgent", 250, Refuse, code.Overloaded})
+	// The caller's own concurrency makes it wait too.
+	c = newFixed(9, 9, folder.Caller{Name: "single", Concurrency: 1})
+	check(c, 1, row{"single", 1000, Admit, code.OK})
+	c.Done(epoch, 1, true, 100*time.Millisecond)
+	c.opts.MinLimit = 1
+	check(c, 2, row{"single", 150, Admit, code.OK}, row{"single", 150, Refuse, code.Overloaded}, row{"single", 250, Queue, ""})
 }
 
 func BenchmarkOffer(b *testing.B) {
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -156,11 +156,14 @@
 	if c.opts.Mode == ModeFIFO || c.nearlyIdle() {
 		return true
 	}
-	start := now
+	var wait time.Duration
 	if len(c.running) >= c.limit.value() {
-		start = now.Add(c.limit.wait(c.queue.ahead(k.lane, c.lowEvery()) + 1))
+		wait = c.limit.wait(c.queue.ahead(k.lane, c.lowEvery())+1, c.limit.value())
 	}
-	return start.Add(c.limit.expected(r.Search)).Before(r.Deadline)
+	if !k.hasRoom() {
+		wait = max(wait, c.limit.wait(len(k.lane.entries)+1, k.Concurrency))
+	}
+	return now.Add(wait + c.limit.expected(r.Search)).Before(r.Deadline)
 }
 
 // nearlyIdle tells whether so little runs that a request is admitted whatever
@@ -273,7 +276,7 @@
 
 // drainTime returns how long the waiting requests take to be served.
 func (c *Controller) drainTime() time.Duration {
-	return max(c.limit.wait(c.queue.queued+1), c.opts.MinRetryAfter)
+	return max(c.limit.wait(c.queue.queued+1, c.limit.value()), c.opts.MinRetryAfter)
 }
 
 // refuse returns a final refusal. The advice when to come back is spread over
--- a/admission/limit.go
+++ b/admission/limit.go
@@ -163,7 +163,7 @@
 }
 
 // wait returns how long it takes until the given number of requests have
-// finished while the limit is used up; 0 if nothing is known.
-func (l *limiter) wait(requests int) time.Duration {
-	return time.Duration(l.took * float64(requests) / max(l.limit, 1))
+// finished while limit of them run; 0 if nothing is known.
+func (l *limiter) wait(requests, limit int) time.Duration {
+	return time.Duration(l.took * float64(requests) / float64(max(limit, 1)))
 }
--- a/replica/outcome.go
+++ b/replica/outcome.go
@@ -12,7 +12,8 @@
 	// Queue is the number of sub-requests that waited or ran at the relay for
 	// the target, as its reply says.
 	Queue int
-	// Service is the time that the target took; zero if it isn't known.
+	// Service is the time that the target took, or had taken when the attempt
+	// was canceled or timed out; zero if it isn't known.
 	Service time.Duration
 	// RetryAfter is when the target wants to be asked again; zero if it doesn't say.
 	RetryAfter time.Duration
@@ -37,14 +38,31 @@
 	r.outstanding = max(r.outstanding-1, 0)
 	r.queue = o.Queue
 	r.queueAt = now
-	if o.Code == code.OK && o.Service > 0 {
-		t.observe(now, r.target, o.Service)
-	}
+	t.learn(now, r.target, o)
 	t.demote(now, r, o)
 	t.prune(r.target)
 }
 
-// demote decides whom an outcome speaks against.
+// learn takes the service time of an answer, and that of an attempt without
+// one only as far as it raises the estimate. Otherwise a slow target whose
+// attempts always lose to their hedges would never be known as slow.
+func (t *Table) learn(now time.Time, tg *target, o Outcome) {
+	switch o.Code {
+	case code.OK:
+	case code.Canceled, code.Timeout:
+		if float64(o.Service) <= t.serviceTime(now, tg) {
+			return
+		}
+	default:
+		return
+	}
+	if o.Service > 0 {
+		t.observe(now, tg, o.Service)
+	}
+}
+
+// demote decides whom an outcome speaks against. A connection that broke or
+// went silent speaks against the route only.
 func (t *Table) demote(now time.Time, r *route, o Outcome) {
 	switch o.Code {
 	case code.Shed, code.Overloaded:
@@ -53,12 +71,12 @@
 			pause = min(o.RetryAfter, t.opts.FailurePause)
 		}
 		later(&r.target.demotedUntil, now.Add(pause))
-	case code.TargetOut, code.BadAnswer, code.Broken:
+	case code.TargetOut, code.BadAnswer:
 		later(&r.target.demotedUntil, now.Add(t.opts.FailurePause))
 	case code.TargetCold:
 		// The relay's holding follows; until then the route isn't used.
 		later(&r.demotedUntil, now.Add(t.opts.ShedPause))
-	case code.Timeout, code.Unreachable, code.NotHeld, code.Stopping, code.NotReady, code.Internal:
+	case code.Timeout, code.Broken, code.Unreachable, code.NotHeld, code.Stopping, code.NotReady, code.Internal:
 		later(&r.demotedUntil, now.Add(t.opts.FailurePause))
 	}
 }
--- a/replica/table.go
+++ b/replica/table.go
@@ -130,6 +130,7 @@
 	r := tg.route(relay)
 	if r == nil {
 		if h.Limit == 0 {
+			t.prune(tg)
 			return
 		}
 		r = &route{relay: relay, target: tg}
