--- a/replica/outcome.go
+++ b/replica/outcome.go
@@ -12,7 +12,8 @@
 	// Queue is the number of sub-requests that waited or ran at the relay for
 	// the target, as its reply says.
 	Queue int
-	// Service is the time that the target took; zero if it isn't known.
+	// Service is the time that the target took, or had taken when the attempt
+	// was canceled or timed out; zero if it isn't known.
 	Service time.Duration
 	// RetryAfter is when the target wants to be asked again; zero if it doesn't say.
 	RetryAfter time.Duration
@@ -37,36 +38,71 @@
 	r.outstanding = max(r.outstanding-1, 0)
 	r.queue = o.Queue
 	r.queueAt = now
-	if o.Code == code.OK && o.Service > 0 {
-		t.observe(now, r.target, o.Service)
-	}
+	t.learn(now, r.target, o)
 	t.demote(now, r, o)
 	t.prune(r.target)
 }
 
-// demote decides whom an outcome speaks against.
+// learn takes the service time of an answer, and that of an attempt without
+// one only as far as it raises the estimate. Otherwise a slow target whose
+// attempts always lose to their hedges would never be known as slow.
+func (t *Table) learn(now time.Time, tg *target, o Outcome) {
+	switch o.Code {
+	case code.OK:
+	case code.Canceled, code.Timeout:
+		if float64(o.Service) <= t.serviceTime(now, tg) {
+			return
+		}
+	default:
+		return
+	}
+	if o.Service > 0 {
+		t.observe(now, tg, o.Service)
+	}
+}
+
+// demote decides whom an outcome speaks against. A connection that broke or
+// went silent speaks against the route only.
 func (t *Table) demote(now time.Time, r *route, o Outcome) {
+	whole, way := &r.target.demotion, &r.demotion
 	switch o.Code {
+	case code.OK:
+		whole.failures, way.failures = 0, 0
 	case code.Shed, code.Overloaded:
-		pause := t.opts.ShedPause
-		if o.RetryAfter > 0 {
-			pause = min(o.RetryAfter, t.opts.FailurePause)
-		}
-		later(&r.target.demotedUntil, now.Add(pause))
-	case code.TargetOut, code.BadAnswer, code.Broken:
-		later(&r.target.demotedUntil, now.Add(t.opts.FailurePause))
+		whole.extend(now, max(o.RetryAfter, t.opts.ShedPause), t.opts.MaxPause)
+	case code.TargetOut, code.BadAnswer:
+		whole.extend(now, t.opts.FailurePause, t.opts.MaxPause)
 	case code.TargetCold:
 		// The relay's holding follows; until then the route isn't used.
-		later(&r.demotedUntil, now.Add(t.opts.ShedPause))
-	case code.Timeout, code.Unreachable, code.NotHeld, code.Stopping, code.NotReady, code.Internal:
-		later(&r.demotedUntil, now.Add(t.opts.FailurePause))
+		way.extend(now, t.opts.ShedPause, t.opts.ShedPause)
+	case code.Timeout, code.Broken, code.Unreachable, code.NotHeld, code.Stopping, code.NotReady, code.Internal:
+		way.extend(now, t.opts.FailurePause, t.opts.MaxPause)
 	}
 }
 
-func later(until *time.Time, t time.Time) {
-	if t.After(*until) {
-		*until = t
+// demotion is the time in which a target or route counts as failing.
+type demotion struct {
+	until time.Time
+	// failures is the number of demotions without an answer in between.
+	failures int
+}
+
+func (d *demotion) active(now time.Time) bool { return now.Before(d.until) }
+
+// extend demotes for the pause, doubled for each demotion before that no answer
+// has followed, up to longest. Further failures of attempts that were under way
+// don't count.
+func (d *demotion) extend(now time.Time, pause, longest time.Duration) {
+	if d.active(now) {
+		return
+	}
+	for range d.failures {
+		if pause *= 2; pause >= longest {
+			break
+		}
 	}
+	d.failures++
+	d.until = now.Add(min(pause, longest))
 }
 
 // Weights of the moving estimates of service times.
