Keep a failing target demoted when another relay reports it

A first holding from a second relay counted as an improvement and ended the demotion of a target that had just failed, so that a retry could go there.

--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -109,6 +109,12 @@
 	table.Sent("r", "near")
 	table.Done(epoch, "r", "near", Outcome{Code: code.Canceled, Service: time.Second})
 	pick(targets[:2], "far", code.OK)
+	// What another relay holds doesn't make up for a failure.
+	table.Done(epoch, "r", "far", Outcome{Code: code.BadAnswer})
+	table.SetHolding("s", wire.Holding{Target: "far", State: wire.TargetWarm, Limit: 9})
+	if choice, _ := table.Pick(epoch, rng, targets, Extra, nil); choice.Target != "near" {
+		t.Errorf("extra attempt at %q", choice.Target)
+	}
 }
 
 // arrivalInterval leaves even the slow target spare capacity at an equal share.
--- a/replica/table.go
+++ b/replica/table.go
@@ -141,8 +141,7 @@
 		tg.routes = slices.Insert(tg.routes, at, r)
 	}
 	if h.State > r.state {
-		r.demotion = demotion{}
-		tg.demotion = demotion{}
+		tg.demotion.failures = 0
 	}
 	r.state = h.State
 	r.limit = int(h.Limit)
