Use what the decision packages learn about versions and latency

Queries skip replicas that are known to lack the pinned version, go on without a shard instead of restarting when no other version can be pinned, take slowness from canceled attempts, and admission follows the median sub-request. The shard map comes with the chosen version, so that a change of contracts between the two can't leave a query without one.

--- a/gateway/action.go
+++ b/gateway/action.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/goldcrestmux/goldcrestmux/code"
+	"github.com/goldcrestmux/goldcrestmux/coverage"
 	"github.com/goldcrestmux/goldcrestmux/folder"
 	"github.com/goldcrestmux/goldcrestmux/query"
 	"goji.io/pat"
@@ -44,7 +45,7 @@
 	}
 	admitted := time.Now()
 	answer, err := g.runAction(r, search, &body, deadline)
-	g.admission.done(id, succeeded(err), time.Since(admitted))
+	g.finish(id, search.Name, err, time.Since(admitted))
 	return answer, err
 }
 
@@ -55,23 +56,23 @@
 	if err != nil {
 		return nil, &Error{Code: code.Internal, Message: err.Error(), Run: code.NotRun}
 	}
-	version, ok := g.routes.choose(time.Now(), search.Name)
-	if !ok {
-		return nil, &Error{Code: code.NoReplica, Message: "no index version is usable", Run: code.NotRun, RetryAfter: failedRetryAfter}
+	pinned := g.routes.choose(time.Now(), search.Name)
+	if pinned == nil {
+		return nil, noVersion()
 	}
-	v := search.Versions[version]
-	name := folder.ShardOf(body.Action.Key, v.SortedShards())
+	shard := pinned.shardOf(body.Action.Key)
 	out := g.execute(context.WithoutCancel(r.Context()), &task{
 		search:   search,
-		version:  version,
-		shards:   []query.Shard{{Name: name, Replicas: v.Shards[name]}},
+		version:  pinned.version,
+		shards:   []query.Shard{shard},
+		ledger:   coverage.New([]string{shard.Name}),
 		payload:  payload,
 		wait:     deadline,
 		deadline: deadline,
 		action:   true,
 	})
 	if out.ledger.Complete() {
-		return &ActionAnswer{ID: body.ID, Search: search.Name, Shard: name}, nil
+		return &ActionAnswer{ID: body.ID, Search: search.Name, Shard: shard.Name}, nil
 	}
 	reason := code.Timeout
 	if missing := out.ledger.Report().Missing; len(missing) > 0 {
--- a/gateway/admissions.go
+++ b/gateway/admissions.go
@@ -80,7 +80,7 @@
 }
 
 // admit asks for admission and waits for the decision. A nil error means that
-// the request may run; the caller then calls done with the returned number.
+// the request may run; the caller then calls finish with the returned number.
 func (a *admissions) admit(caller, search string, deadline time.Time, gone <-chan struct{}) (uint64, *Error) {
 	a.mu.Lock()
 	a.next++
@@ -124,9 +124,9 @@
 	})
 }
 
-// done tells that an admitted request has ended.
-func (a *admissions) done(id uint64, ok bool, took time.Duration) {
-	a.event(func(now time.Time, c *admission.Controller) []admission.Action { return c.Done(now, id, ok, took) })
+// finish tells that an admitted request has ended.
+func (a *admissions) finish(id uint64, result admission.Result) {
+	a.event(func(now time.Time, c *admission.Controller) []admission.Action { return c.Finish(now, id, result) })
 }
 
 func (a *admissions) setCallers(now time.Time, callers map[string]folder.Caller) {
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -9,7 +9,9 @@
 	"strings"
 
 	"github.com/goldcrestmux/goldcrestmux/code"
+	"github.com/goldcrestmux/goldcrestmux/coverage"
 	"github.com/goldcrestmux/goldcrestmux/folder"
+	"github.com/goldcrestmux/goldcrestmux/query"
 )
 
 // callerIndex is a set of contracts with the callers' token hashes decoded. It
@@ -17,6 +19,34 @@
 type callerIndex struct {
 	contracts *folder.Contracts
 	tokens    []callerToken
+	versions  map[versionKey]*pinnedVersion
+}
+
+type versionKey struct{ search, version string }
+
+// pinnedVersion is the shard map of one version in the form that queries use.
+type pinnedVersion struct {
+	version string
+	shards  []query.Shard
+	names   *coverage.Shards
+}
+
+// shardOf returns the shard that holds a record.
+func (p *pinnedVersion) shardOf(key string) query.Shard {
+	name := folder.ShardOf(key, p.names.Names())
+	i, _ := slices.BinarySearchFunc(p.shards, name, func(s query.Shard, name string) int {
+		return strings.Compare(s.Name, name)
+	})
+	return p.shards[i]
+}
+
+func newPinnedVersion(name string, v folder.Version) *pinnedVersion {
+	names := v.SortedShards()
+	p := &pinnedVersion{version: name, names: coverage.NewShards(names)}
+	for _, name := range names {
+		p.shards = append(p.shards, query.Shard{Name: name, Replicas: v.Shards[name]})
+	}
+	return p
 }
 
 type callerToken struct {
@@ -25,7 +55,12 @@
 }
 
 func newCallerIndex(c *folder.Contracts) *callerIndex {
-	index := &callerIndex{contracts: c}
+	index := &callerIndex{contracts: c, versions: make(map[versionKey]*pinnedVersion)}
+	for _, s := range c.Searches {
+		for name, v := range s.Versions {
+			index.versions[versionKey{s.Name, name}] = newPinnedVersion(name, v)
+		}
+	}
 	for _, caller := range c.Callers {
 		hash, err := hex.DecodeString(caller.TokenSHA256)
 		if err != nil {
--- a/gateway/exec.go
+++ b/gateway/exec.go
@@ -105,6 +105,7 @@
 	search   folder.Search
 	version  string
 	shards   []query.Shard
+	ledger   *coverage.Ledger
 	payload  []byte
 	wait     time.Time
 	deadline time.Time
@@ -123,22 +124,24 @@
 func (g *Gateway) execute(ctx context.Context, t *task) outcome {
 	id, box := g.inflight.open()
 	defer g.inflight.close(id)
-	names := make([]string, len(t.shards))
-	for i, s := range t.shards {
-		names[i] = s.Name
-	}
 	view := searchRoutes{routes: g.routes, search: t.search.Name}
 	m := query.New(query.Options{
 		Version:     t.version,
 		Shards:      t.shards,
-		Ledger:      coverage.New(names),
+		Ledger:      t.ledger,
 		Wait:        t.wait,
 		Deadline:    t.deadline,
 		MinCoverage: t.search.MinCoverage,
 		Hedge:       view.hedgeDelay,
 		Action:      t.action,
-		Router:      view,
-		Budget:      view,
+		Lacks: func(now time.Time, target string) bool {
+			return g.routes.lacks(now, t.search.Name, target, t.version)
+		},
+		MayRestart: func(now time.Time) bool {
+			return !t.action && g.routes.restart(now, t.search.Name, t.version) != nil
+		},
+		Router: view,
+		Budget: view,
 	})
 	x := &execution{gateway: g, task: t, id: id, box: box, machine: m}
 	x.run(ctx)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -80,9 +80,10 @@
 // SetContracts puts contracts in force for queries that start from now on.
 func (g *Gateway) SetContracts(c *folder.Contracts) {
 	now := time.Now()
-	g.routes.setContracts(now, c)
+	index := newCallerIndex(c)
+	g.routes.setContracts(now, c, index.versions)
 	g.admission.setCallers(now, c.Callers)
-	g.contracts.Store(newCallerIndex(c))
+	g.contracts.Store(index)
 }
 
 // SetGateways sets the number of live gateways that share the callers' rates.
--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -26,6 +26,7 @@
 	hedging  hedge.Options
 	searches map[string]*searchState
 	targets  map[string]struct{}
+	versions map[versionKey]*pinnedVersion
 }
 
 // searchState is what a gateway has learned about one search. It is guarded by
@@ -46,10 +47,11 @@
 	}
 }
 
-// setContracts puts contracts in force.
-func (r *routes) setContracts(now time.Time, c *folder.Contracts) {
+// setContracts puts contracts in force, with the shard maps of their versions.
+func (r *routes) setContracts(now time.Time, c *folder.Contracts, versions map[versionKey]*pinnedVersion) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.versions = versions
 	for name, t := range c.Targets {
 		in := t.State != folder.StateLeaving && c.DataCentres[t.DataCentre].State != folder.StateOut
 		r.table.SetTarget(name, t.DataCentre, in)
@@ -95,28 +97,32 @@
 	r.table.DropRelay(relay)
 }
 
-// choose returns the index version that a new query pins.
-func (r *routes) choose(now time.Time, search string) (version string, ok bool) {
+// choose returns the index version that a new query pins, or nil if there is none.
+func (r *routes) choose(now time.Time, search string) *pinnedVersion {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.searches[search]
 	if s == nil {
-		return "", false
+		return nil
 	}
-	version, _ = s.versions.Choose(now)
-	return version, version != ""
+	version, _ := s.versions.Choose(now)
+	return r.versions[versionKey{search, version}]
 }
 
-// restart returns another version for a query whose pinned one has vanished.
-func (r *routes) restart(now time.Time, search, pinned string) (version string, ok bool) {
+// restart returns another version for a query whose pinned one has vanished,
+// or nil.
+func (r *routes) restart(now time.Time, search, pinned string) *pinnedVersion {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.searches[search]
 	if s == nil {
-		return "", false
+		return nil
 	}
-	version, ok = s.versions.Restart(now, pinned)
-	return version, ok && version != pinned
+	version, ok := s.versions.Restart(now, pinned)
+	if !ok || version == pinned {
+		return nil
+	}
+	return r.versions[versionKey{search, version}]
 }
 
 // learn notes what a reply says about the index versions of a target.
@@ -135,6 +141,25 @@
 	}
 }
 
+// typical returns the median latency of a search's sub-requests.
+func (r *routes) typical(now time.Time, search string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.searches[search]
+	if s == nil {
+		return 0
+	}
+	return s.hedge.Quantile(now, 0.5)
+}
+
+// lacks tells whether a target is known not to serve a version.
+func (r *routes) lacks(now time.Time, search, target, version string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.searches[search]
+	return s != nil && s.versions.Lacks(now, target, version)
+}
+
 // searchRoutes is the view that one query has of the routes: it implements
 // query.Router and query.Budget for one search.
 type searchRoutes struct {
@@ -166,7 +191,8 @@
 		Service:    o.Service,
 		RetryAfter: o.RetryAfter,
 	})
-	if state := s.searches[s.search]; state != nil && o.Code == code.OK {
+	state := s.searches[s.search]
+	if state != nil && o.First && (o.Code == code.OK || o.Code == code.Canceled) {
 		state.hedge.Observe(now, o.Took)
 	}
 }
--- a/gateway/search.go
+++ b/gateway/search.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/goldcrestmux/goldcrestmux/admission"
 	"github.com/goldcrestmux/goldcrestmux/code"
 	"github.com/goldcrestmux/goldcrestmux/coverage"
 	"github.com/goldcrestmux/goldcrestmux/folder"
@@ -17,6 +18,8 @@
 const (
 	// answerMargin is the time kept for merging and writing the answer.
 	answerMargin = 2 * time.Millisecond
+	// maxRestarts is the number of times that a query is restarted on another version.
+	maxRestarts = 3
 	// failedRetryAfter is when a caller whose query failed may come back.
 	failedRetryAfter = 500 * time.Millisecond
 )
@@ -49,7 +52,7 @@
 	}
 	admitted := time.Now()
 	answer, err := g.runSearch(r, search, &body, deadline)
-	g.admission.done(id, succeeded(err), time.Since(admitted))
+	g.finish(id, search.Name, err, time.Since(admitted))
 	return answer, err
 }
 
@@ -65,6 +68,15 @@
 	return index, caller, err
 }
 
+// finish tells admission how an admitted request ended.
+func (g *Gateway) finish(id uint64, search string, err *Error, took time.Duration) {
+	g.admission.finish(id, admission.Result{
+		OK:      succeeded(err),
+		Took:    took,
+		Typical: g.routes.typical(time.Now(), search),
+	})
+}
+
 // succeeded reports whether a request counts as served for the admission limit.
 func succeeded(err *Error) bool {
 	return err == nil || err.Code == code.BadRequest || err.Code == code.UnknownSearch
@@ -100,28 +112,36 @@
 		return nil, &Error{Code: code.Internal, Message: err.Error(), Run: code.NotRun}
 	}
 	now := time.Now()
-	version, ok := g.routes.choose(now, search.Name)
-	if !ok {
-		return nil, &Error{Code: code.NoReplica, Message: "no index version is usable", Run: code.NotRun, RetryAfter: failedRetryAfter}
+	pinned := g.routes.choose(now, search.Name)
+	if pinned == nil {
+		return nil, noVersion()
 	}
 	t := &task{search: search, payload: payload, deadline: deadline, wait: earlier(now.Add(search.Wait), deadline)}
 	run := code.NotRun
-	for {
-		t.version = version
-		t.shards = shardsOf(search.Versions[version])
+	for restarts := 0; ; restarts++ {
+		t.version = pinned.version
+		t.shards = pinned.shards
+		t.ledger = coverage.NewLedger(pinned.names)
 		out := g.execute(r.Context(), t)
 		run = worse(run, out.run)
 		if out.status == query.Finished {
-			return g.answer(search, body, version, out, run)
+			return g.answer(search, body, t.version, out, run)
 		}
-		version, ok = g.routes.restart(time.Now(), search.Name, version)
-		if !ok || !time.Now().Before(deadline) {
+		pinned = g.routes.restart(time.Now(), search.Name, t.version)
+		if pinned == nil || restarts == maxRestarts {
 			return g.answer(search, body, t.version, out, run)
 		}
 		metrics.restarts.Add(1)
 	}
 }
 
+// noVersion returns the error for a search of which no index version is known.
+func noVersion() *Error {
+	return &Error{
+		Code: code.NoReplica, Message: "no index version is usable", Run: code.NotRun, RetryAfter: failedRetryAfter,
+	}
+}
+
 // answer makes the answer from a ledger, or an error if coverage is too low.
 func (g *Gateway) answer(search folder.Search, body *SearchRequest, version string, out outcome, run code.Run) (*SearchAnswer, *Error) {
 	if out.ledger.Answered() == 0 || out.ledger.Share() < search.MinCoverage {
@@ -163,16 +183,6 @@
 	return a
 }
 
-// shardsOf returns the shards of a version in the order of their names.
-func shardsOf(v folder.Version) []query.Shard {
-	names := v.SortedShards()
-	out := make([]query.Shard, len(names))
-	for i, name := range names {
-		out[i] = query.Shard{Name: name, Replicas: v.Shards[name]}
-	}
-	return out
-}
-
 // coverageMessage names the shards that are missing, at most a few.
 func coverageMessage(r coverage.Report) string {
 	const most = 5
--- a/query/attempt.go
+++ b/query/attempt.go
@@ -136,13 +136,18 @@
 	a.done = true
 	a.run = r.Run
 	m.shards[a.shard].running--
-	m.opts.Router.Done(now, a.Route, Outcome{
+	o := Outcome{
 		Code:       r.Code,
 		Took:       now.Sub(a.sent),
 		Queue:      int(r.Queue),
+		First:      !a.Hedge,
 		Service:    time.Duration(r.ServiceMicros) * time.Microsecond,
 		RetryAfter: time.Duration(r.RetryAfterMillis) * time.Millisecond,
-	})
+	}
+	if r.Code == code.Canceled || r.Code == code.Timeout {
+		o.Service = o.Took
+	}
+	m.opts.Router.Done(now, a.Route, o)
 }
 
 func (m *Machine) answer(now time.Time, i int, r *wire.Reply) {
@@ -170,8 +175,11 @@
 func (m *Machine) retry(now time.Time, a *attempt, r *wire.Reply) {
 	s := &m.shards[a.shard]
 	s.avoid = append(s.avoid, blamed(a.Route, r.Code))
-	if m.lacks(a.shard, a.Route.Target, r.Code) {
-		m.restart(now)
+	if r.Code == code.VersionGone || r.Code == code.VersionNotLoaded {
+		m.noteLacking(a.shard, a.Route.Target)
+	}
+	if m.allLack(a.shard) {
+		m.giveUpVersion(now, a.shard, r.Code)
 		return
 	}
 	if m.opts.Action && r.Run != code.NotRun {
@@ -191,24 +199,31 @@
 	m.try(now, a.shard)
 }
 
-// lacks notes that a replica does not serve the pinned version, and reports
-// whether none does.
-func (m *Machine) lacks(i int, target string, c code.Code) bool {
-	if c != code.VersionGone && c != code.VersionNotLoaded {
-		return false
-	}
+// noteLacking notes that a replica does not serve the pinned version.
+func (m *Machine) noteLacking(i int, target string) {
 	s := &m.shards[i]
 	lacking := replica.Avoid{Target: target}
 	if !slices.Contains(s.lacking, lacking) {
 		s.lacking = append(s.lacking, lacking)
+		s.avoid = append(s.avoid, lacking)
 	}
-	return len(s.lacking) == len(m.opts.Shards[i].Replicas)
 }
 
-// restart gives the pinned version up.
-func (m *Machine) restart(now time.Time) {
-	m.status = Restart
-	m.cancelRunning(now)
+// allLack reports whether no replica of a shard serves the pinned version.
+func (m *Machine) allLack(i int) bool {
+	return len(m.shards[i].lacking) == len(m.opts.Shards[i].Replicas)
+}
+
+// giveUpVersion restarts the query on another version if there is one, and
+// else goes on without the shard.
+func (m *Machine) giveUpVersion(now time.Time, i int, reason code.Code) {
+	if m.opts.MayRestart != nil && m.opts.MayRestart(now) {
+		m.status = Restart
+		m.cancelRunning(now)
+		return
+	}
+	m.miss(i, reason)
+	m.settleFinished(now)
 }
 
 // drawsBudget reports whether a retry after r is extra load on targets. Work
--- a/query/query.go
+++ b/query/query.go
@@ -35,7 +35,10 @@
 	Took time.Duration
 	// Queue is the relay's queue for the target, from the reply.
 	Queue int
-	// Service is the time that the target took; zero if unknown.
+	// First is true for the first attempt for its shard.
+	First bool
+	// Service is the time that the target took, or for an attempt without an
+	// answer the time until it was given up; zero if unknown.
 	Service time.Duration
 	// RetryAfter is when the target wants to be asked again; zero if unknown.
 	RetryAfter time.Duration
@@ -82,6 +85,12 @@
 	MinCoverage float64
 	// Hedge returns the delay after which an attempt is hedged; false for never.
 	Hedge func(now time.Time) (time.Duration, bool)
+	// Lacks tells whether a target is known not to serve the pinned version;
+	// nil for never.
+	Lacks func(now time.Time, target string) bool
+	// MayRestart tells whether another version may be pinned instead if no
+	// replica of a shard serves this one; nil for never.
+	MayRestart func(now time.Time) bool
 	// Action marks non-idempotent work.
 	Action bool
 	Router Router
@@ -166,12 +175,31 @@
 func (m *Machine) Start(now time.Time) Actions {
 	m.reset()
 	for i := range m.shards {
-		m.try(now, i)
+		if m.status == Running && !m.shards[i].settled {
+			m.begin(now, i)
+		}
 	}
 	m.settleFinished(now)
 	return m.actions
 }
 
+// begin sends the first attempt for a shard to a replica that is not known to
+// lack the version.
+func (m *Machine) begin(now time.Time, i int) {
+	if m.opts.Lacks != nil {
+		for _, target := range m.opts.Shards[i].Replicas {
+			if m.opts.Lacks(now, target) {
+				m.noteLacking(i, target)
+			}
+		}
+	}
+	if m.allLack(i) {
+		m.giveUpVersion(now, i, code.VersionNotLoaded)
+		return
+	}
+	m.try(now, i)
+}
+
 // Tick sends what is due at now: retries, hedges, and the end of the query.
 func (m *Machine) Tick(now time.Time) Actions {
 	m.reset()
