--- a/Makefile
+++ b/Makefile
@@ -18,3 +18,6 @@
 
 clean:
 	rm -rf $(BIN)
+
+demo: build
+	./scripts/demo.sh
