Drive membership, revisions and the VM list in every process; stop gracefully

The node package replaces the simple follower: heartbeats to peers carry the revision in force and the age of the VM list, peers pass both on, and a pause of the process is noticed. SIGTERM fails readiness and tells the peers, a gateway lingers for the balancer, a relay hands its permits over; a second signal or the bound cuts off and says what.

--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -10,6 +10,8 @@
 	"strings"
 	"testing"
 
+	"github.com/goldcrestmux/goldcrestmux/operator"
+
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
@@ -26,15 +28,15 @@
 func operatorPages() http.Handler {
 	level := "info"
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+PathState, func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("GET "+operator.PathState, func(w http.ResponseWriter, _ *http.Request) {
 		io.WriteString(w, `{"revision":7,"level":"`+level+`"}`)
 	})
-	mux.HandleFunc("GET "+PathMembers, func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("GET "+operator.PathMembers, func(w http.ResponseWriter, _ *http.Request) {
 		io.WriteString(w, `[{"name":"vm2/relay","role":"relay","data_centre":"tsv","status":"suspect","incarnation":5,"revision":4,"age_ms":2500,"source":"gossip"},
 			{"name":"vm1/relay","role":"relay","data_centre":"bne","status":"alive","incarnation":4,"revision":7,"age_ms":40,"source":"heartbeat"},
 			{"name":"vm3/relay","role":"relay","data_centre":"cns","status":"leaving","incarnation":6,"age_ms":100,"source":"vm list"}]`)
 	})
-	mux.HandleFunc("PUT "+PathLevel, func(_ http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("PUT "+operator.PathLevel, func(_ http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
 		level = strings.TrimSpace(string(body))
 	})
--- a/ctl/process.go
+++ b/ctl/process.go
@@ -14,13 +14,8 @@
 	"time"
 
 	"github.com/juju/errors"
-)
 
-// Paths of a process's operator address.
-const (
-	PathState   = "/debug/state"   // GET the process's state as a JSON object
-	PathMembers = "/debug/members" // GET a JSON list of Member
-	PathLevel   = "/debug/level"   // PUT the log level as text
+	"github.com/goldcrestmux/goldcrestmux/operator"
 )
 
 // maxAnswerBytes bounds the answer of a process.
@@ -29,23 +24,6 @@
 // client asks processes directly, whatever proxy the environment names.
 var client = &http.Client{Transport: &http.Transport{}}
 
-// Member is one entry of the answer at PathMembers.
-type Member struct {
-	// Name is the member's name, VM and role.
-	Name       string `json:"name"`
-	Role       string `json:"role"`
-	DataCentre string `json:"data_centre"`
-	// Status is "alive", "suspect", "leaving" or "gone".
-	Status      string `json:"status"`
-	Incarnation uint64 `json:"incarnation"`
-	// Revision is the folder revision in force at the member; 0 if unknown.
-	Revision uint64 `json:"revision"`
-	// AgeMillis is the age of this knowledge in milliseconds.
-	AgeMillis int64 `json:"age_ms"`
-	// Source tells where the knowledge is from.
-	Source string `json:"source"`
-}
-
 // request asks the process at addr and returns the body of a success.
 func (c *command) request(ctx context.Context, method, addr, path, body string) ([]byte, error) {
 	if _, _, err := net.SplitHostPort(addr); err != nil {
@@ -73,7 +51,7 @@
 }
 
 func (c *command) dump(ctx context.Context, args []string) error {
-	answer, err := c.request(ctx, http.MethodGet, args[0], PathState, "")
+	answer, err := c.request(ctx, http.MethodGet, args[0], operator.PathState, "")
 	if err != nil {
 		return err
 	}
@@ -86,15 +64,15 @@
 }
 
 func (c *command) members(ctx context.Context, args []string) error {
-	answer, err := c.request(ctx, http.MethodGet, args[0], PathMembers, "")
+	answer, err := c.request(ctx, http.MethodGet, args[0], operator.PathMembers, "")
 	if err != nil {
 		return err
 	}
-	var members []Member
+	var members []operator.Member
 	if err := json.Unmarshal(answer, &members); err != nil {
 		return errors.Annotatef(err, "the answer of %s is not a list of members", args[0])
 	}
-	slices.SortFunc(members, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(members, func(a, b operator.Member) int { return strings.Compare(a.Name, b.Name) })
 	if c.json {
 		return c.printJSON(members)
 	}
@@ -102,7 +80,7 @@
 }
 
 // printMembers prints a table that marks who is behind the highest revision.
-func (c *command) printMembers(members []Member) error {
+func (c *command) printMembers(members []operator.Member) error {
 	highest := uint64(0)
 	for _, m := range members {
 		highest = max(highest, m.Revision)
@@ -127,7 +105,7 @@
 }
 
 // revisionNote tells how a member's revision differs from the highest one.
-func revisionNote(m Member, highest uint64) string {
+func revisionNote(m operator.Member, highest uint64) string {
 	switch {
 	case m.Revision == highest:
 		return ""
@@ -143,7 +121,7 @@
 	if !slices.Contains([]string{"debug", "info", "warn", "error"}, level) {
 		return &usageError{fmt.Sprintf("level %q is not debug, info, warn or error", args[1])}
 	}
-	if _, err := c.request(ctx, http.MethodPut, addr, PathLevel, level); err != nil {
+	if _, err := c.request(ctx, http.MethodPut, addr, operator.PathLevel, level); err != nil {
 		return err
 	}
 	if c.json {
--- /dev/null
+++ b/daemon/relay.go
@@ -0,0 +1,102 @@
+package daemon
+
+import (
+	"fmt"
+	"log/slog"
+
+	"github.com/goldcrestmux/goldcrestmux/link"
+	"github.com/goldcrestmux/goldcrestmux/node"
+	"github.com/goldcrestmux/goldcrestmux/relay"
+	"github.com/goldcrestmux/goldcrestmux/settings"
+	"github.com/goldcrestmux/goldcrestmux/wire"
+)
+
+// relayProcess is a process with the relay's role. It is the handler of its links.
+type relayProcess struct {
+	*process
+	relay *relay.Relay
+}
+
+func newRelayProcess(s *settings.Settings, log *slog.Logger, level *slog.LevelVar) (*relayProcess, error) {
+	p := &relayProcess{}
+	p.process = newProcess(s, log, p)
+	r, err := relay.New(relay.Options{
+		Self: p.self, Logger: log, Links: p.pool, Workers: s.Workers, QueuePerTarget: s.TargetQueue,
+		Permit: s.PermitOptions(), PerVM: s.Permits == settings.PermitsPerVM,
+	})
+	if err != nil {
+		return nil, err
+	}
+	p.relay = r
+	p.newNode("", node.Events{
+		Contracts: r.SetContracts,
+		View:      r.SetView,
+		ListDown:  r.SetListDown,
+		Gap:       r.Gap,
+		Status:    p.setStatus,
+	})
+	if err := p.listen(level, func() any { return p.dump() }); err != nil {
+		return nil, err
+	}
+	p.start()
+	return p, nil
+}
+
+// Up implements link.Handler.
+func (p *relayProcess) Up(l *link.Link) { p.relay.Up(l) }
+
+// Frame implements link.Handler.
+func (p *relayProcess) Frame(l *link.Link, f *wire.Frame) {
+	p.relay.Frame(l, f)
+	p.node.Frame(l.Peer(), f)
+}
+
+// Dropped implements link.Handler. A relay sends no batches.
+func (p *relayProcess) Dropped(*link.Link, wire.Batch) {}
+
+// Down implements link.Handler.
+func (p *relayProcess) Down(l *link.Link, _ error) { p.relay.Down(l) }
+
+// setStatus tells the relay of other relays that can't be reached or leave.
+func (p *relayProcess) setStatus(name string, status wire.MemberStatus) {
+	switch status {
+	case wire.MemberAlive:
+		p.relay.SetPeerLeaving(name, false)
+		p.relay.SetReachable(name, true)
+	case wire.MemberLeaving:
+		p.relay.SetPeerLeaving(name, true)
+	case wire.MemberSuspect, wire.MemberGone:
+		p.relay.SetReachable(name, false)
+	}
+}
+
+// leave tells the peers and starts to hand the permits over.
+func (p *relayProcess) leave() {
+	p.node.Leave()
+	p.relay.Leave()
+}
+
+func (p *relayProcess) idle() bool { return p.relay.Idle() }
+
+func (p *relayProcess) inProgress() string {
+	if n := p.relay.Jobs(); n > 0 {
+		return fmt.Sprintf("%d sub-requests", n)
+	}
+	return ""
+}
+
+func (p *relayProcess) close() error {
+	err := p.process.close()
+	p.relay.Close()
+	return err
+}
+
+// RelayDump is the answer of a relay at /debug/state.
+type RelayDump struct {
+	ProcessState
+	Relay relay.State `json:"relay"`
+}
+
+func (p *relayProcess) dump() RelayDump {
+	return RelayDump{ProcessState: p.state(), Relay: p.relay.State()}
+}
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -1,25 +1,16 @@
 package daemon
 
 import (
-	"context"
 	"flag"
 	"fmt"
 	"io"
 	"log/slog"
+	"os"
 	"time"
 
-	"github.com/goldcrestmux/goldcrestmux/admission"
-	"github.com/goldcrestmux/goldcrestmux/gateway"
-	"github.com/goldcrestmux/goldcrestmux/hedge"
-	"github.com/goldcrestmux/goldcrestmux/link"
-	"github.com/goldcrestmux/goldcrestmux/platform"
-	"github.com/goldcrestmux/goldcrestmux/relay"
 	"github.com/goldcrestmux/goldcrestmux/settings"
 	"github.com/goldcrestmux/goldcrestmux/wire"
 	"github.com/juju/errors"
-	"goji.io"
-	"goji.io/pat"
-	"gopkg.in/tomb.v2"
 )
 
 // Run runs the program with the given name until a signal stops it, and
@@ -33,113 +24,85 @@
 		fmt.Fprintln(stderr, err)
 		return ExitUsage
 	}
-	log, _ := s.Logger(stderr)
-	if s.Role == wire.RoleGateway {
-		err = runGateway(s, log)
-	} else {
-		err = runRelay(s, log)
-	}
+	log, level := s.Logger(stderr)
+	r, err := newRole(s, log, level)
 	if err != nil {
-		log.Error("stopped", "error", err)
+		log.Error("can't start", "error", err)
 		return ExitFailure
 	}
-	return ExitOK
+	return supervise(r, s.StopTimeout, log)
 }
 
-func runGateway(s *settings.Settings, log *slog.Logger) error {
-	var t tomb.Tomb
-	me := self(s)
-	h := &gatewayLinks{}
-	pool := link.NewPool(link.Options{Self: me, Handler: h, Logger: log, Liveness: livenessOptions(s)})
-	g := gateway.New(gateway.Options{
-		Self: me, Logger: log, Links: pool, MaxBody: int64(s.MaxBodyBytes),
-		Admission: admission.Options{MaxLimit: s.Concurrency, MaxQueue: s.QueueLength},
-		Hedge:     hedge.Options{Mode: hedge.Mode(s.Hedging)},
-		Ready:     func() (bool, string) { return true, "" },
-	})
-	h.gateway = g
-	mux := goji.NewMux()
-	mux.Handle(pat.Get(link.Path), pool)
-	links, err := listen("link", s.LinkListen, mux)
-	if err != nil {
-		return err
-	}
-	api, err := listen("api", s.APIListen, g)
-	if err != nil {
-		return err
-	}
-	logListening(log, links, api)
-	f := newFollower(s, log)
-	f.onContracts = g.SetContracts
-	f.onView = func(list platform.VMList, _ time.Time) { pool.SetPeers(relayPeers(list)) }
-	f.start(&t)
-	links.start(&t)
-	api.start(&t)
-	select {
-	case <-signals():
-	case <-t.Dying():
-	}
-	g.Leave()
-	ctx, cancel := context.WithTimeout(context.Background(), s.StopTimeout)
-	defer cancel()
-	api.stop(ctx)
-	t.Kill(nil)
-	links.stop(ctx)
-	pool.Close()
-	g.Close()
-	return t.Wait()
+// role is a process of one role, started.
+type role interface {
+	// dying is closed when the process failed by itself.
+	dying() <-chan struct{}
+	// leave starts the graceful stop.
+	leave()
+	// idle reports whether the graceful stop is complete.
+	idle() bool
+	// inProgress describes the work that a stop now would cut off; "" for none.
+	inProgress() string
+	// close ends the process at once and returns why it failed, or nil.
+	close() error
 }
 
-func relayPeers(list platform.VMList) map[string]link.Peer {
-	peers := make(map[string]link.Peer)
-	for _, vm := range list.VMs {
-		if addr, ok := vm.Links[wire.RoleRelay]; ok {
-			peers[wire.Process{VM: vm.Name, Role: wire.RoleRelay}.Name()] = link.Peer{Address: addr, Keep: true}
-		}
+func newRole(s *settings.Settings, log *slog.Logger, level *slog.LevelVar) (role, error) {
+	if s.Role == wire.RoleGateway {
+		return newGatewayProcess(s, log, level)
 	}
-	return peers
+	return newRelayProcess(s, log, level)
 }
 
-func runRelay(s *settings.Settings, log *slog.Logger) error {
-	var t tomb.Tomb
-	me := self(s)
-	h := &relayLinks{}
-	pool := link.NewPool(link.Options{Self: me, Handler: h, Logger: log, Liveness: livenessOptions(s)})
-	r, err := relay.New(relay.Options{
-		Self: me, Logger: log, Links: pool, Workers: s.Workers, QueuePerTarget: s.TargetQueue,
-		Permit: s.PermitOptions(), PerVM: s.Permits == settings.PermitsPerVM,
-	})
-	if err != nil {
-		return err
+// idlePoll is the interval at which a stopping process looks whether it is idle.
+const idlePoll = 20 * time.Millisecond
+
+// supervise runs a process until a signal or a failure, then stops it.
+func supervise(r role, bound time.Duration, log *slog.Logger) int {
+	stop := signals()
+	select {
+	case <-r.dying():
+		log.Error("stopped by a failure", "error", r.close())
+		return ExitFailure
+	case sig := <-stop:
+		log.Info("stopping", "signal", sig.String(), "bound", bound)
 	}
-	h.relay = r
-	mux := goji.NewMux()
-	mux.Handle(pat.Get(link.Path), pool)
-	links, err := listen("link", s.LinkListen, mux)
-	if err != nil {
-		return err
+	r.leave()
+	code := awaitIdle(r, bound, stop, log)
+	if err := r.close(); err != nil {
+		log.Error("stopped with a failure", "error", err)
+		return ExitFailure
 	}
-	logListening(log, links)
-	f := newFollower(s, log)
-	f.onContracts = r.SetContracts
-	f.onView = func(list platform.VMList, asOf time.Time) {
-		peers := relayPeers(list)
-		for name, p := range peers {
-			p.Keep = false
-			peers[name] = p
+	log.Info("stopped", "exit_code", code)
+	return code
+}
+
+// awaitIdle waits for the graceful stop to complete, for its bound or for a
+// second signal, and tells what was cut off.
+func awaitIdle(r role, bound time.Duration, stop <-chan os.Signal, log *slog.Logger) int {
+	deadline := time.NewTimer(bound)
+	defer deadline.Stop()
+	ticker := time.NewTicker(idlePoll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			if r.idle() {
+				return ExitOK
+			}
+		case <-deadline.C:
+			return cutOff(r, "stop timeout", log)
+		case <-stop:
+			return cutOff(r, "second signal", log)
 		}
-		pool.SetPeers(peers)
-		r.SetView(list, asOf)
 	}
-	f.start(&t)
-	links.start(&t)
-	select {
-	case <-signals():
-	case <-t.Dying():
+}
+
+func cutOff(r role, why string, log *slog.Logger) int {
+	work := r.inProgress()
+	if work == "" {
+		return ExitOK
 	}
-	t.Kill(nil)
-	pool.Close()
-	r.Close()
-	links.stop(context.Background())
-	return t.Wait()
+	log.Error("work was cut off", "by", why, "in_progress", work)
+	return ExitCutOff
 }
--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -27,6 +27,7 @@
 	searches map[string]*searchState
 	targets  map[string]struct{}
 	versions map[versionKey]*pinnedVersion
+	relays   map[string]struct{} // those that have told what they hold
 }
 
 // searchState is what a gateway has learned about one search. It is guarded by
@@ -44,6 +45,7 @@
 		hedging:  hedging,
 		searches: make(map[string]*searchState),
 		targets:  make(map[string]struct{}),
+		relays:   make(map[string]struct{}),
 	}
 }
 
@@ -89,12 +91,20 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.table.SetHoldings(relay, holdings)
+	r.relays[relay] = struct{}{}
 }
 
 func (r *routes) dropRelay(relay string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.table.DropRelay(relay)
+	delete(r.relays, relay)
+}
+
+func (r *routes) anyRelay() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.relays) > 0
 }
 
 // choose returns the index version that a new query pins, or nil if there is none.
--- /dev/null
+++ b/node/state.go
@@ -0,0 +1,95 @@
+package node
+
+import (
+	"strings"
+	"time"
+
+	"github.com/goldcrestmux/goldcrestmux/member"
+	"github.com/goldcrestmux/goldcrestmux/operator"
+	"github.com/goldcrestmux/goldcrestmux/revision"
+	"github.com/goldcrestmux/goldcrestmux/wire"
+)
+
+// State is the dump of a node's state.
+type State struct {
+	Ready  bool          `json:"ready"`
+	Why    string        `json:"why,omitempty"`
+	Folder revision.Info `json:"folder"`
+	View   ViewState     `json:"vm_list"`
+	Peers  []string      `json:"peers"`
+	Aware  bool          `json:"aware"`
+}
+
+// ViewState describes the copy of the VM list that the process goes by.
+type ViewState struct {
+	Sequence  uint64 `json:"sequence"`
+	AgeMillis int64  `json:"age_ms"`
+	// Down is true if nobody within reach has a fresh copy.
+	Down bool `json:"down"`
+}
+
+// State returns a dump of the node's state.
+func (n *Node) State() State {
+	now := time.Now()
+	s := State{}
+	s.Ready, s.Why = n.Ready()
+	n.folders.mu.Lock()
+	s.Folder = n.folders.state.Info(now)
+	n.folders.mu.Unlock()
+	n.views.mu.Lock()
+	list, asOf, known := n.views.tracker.List()
+	s.View = ViewState{Sequence: list.Sequence, Down: n.views.down}
+	if known {
+		s.View.AgeMillis = now.Sub(asOf).Milliseconds()
+	}
+	n.views.mu.Unlock()
+	n.members.mu.Lock()
+	s.Peers = n.members.state.Peers()
+	s.Aware = n.members.state.Aware(now)
+	n.members.mu.Unlock()
+	return s
+}
+
+// Members returns the members as this process knows them.
+func (n *Node) Members() []operator.Member {
+	now := time.Now()
+	n.members.mu.Lock()
+	known := n.members.state.Members()
+	n.members.mu.Unlock()
+	out := make([]operator.Member, len(known))
+	for i, m := range known {
+		out[i] = describe(now, m)
+	}
+	return out
+}
+
+func describe(now time.Time, m member.Member) operator.Member {
+	_, role, _ := strings.Cut(m.Name, "/")
+	source := "gossip"
+	if m.Peer {
+		source = "heartbeat"
+	}
+	return operator.Member{
+		Name:        m.Name,
+		Role:        role,
+		DataCentre:  m.DataCentre,
+		Status:      statusNames[m.Status],
+		Incarnation: m.Incarnation,
+		Revision:    m.Revision,
+		AgeMillis:   now.Sub(m.Contact).Milliseconds(),
+		Source:      source,
+	}
+}
+
+// Gateways returns the number of gateways that are members and not gone.
+func (n *Node) Gateways() int {
+	n.members.mu.Lock()
+	defer n.members.mu.Unlock()
+	count := 0
+	for _, m := range n.members.state.Members() {
+		if strings.HasSuffix(m.Name, "/"+string(wire.RoleGateway)) && m.Status != wire.MemberGone {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/operator/operator.go
@@ -0,0 +1,90 @@
+// Package operator serves the operators' pages of a process: its state, its
+// members, its metrics and its log level. They carry no authentication and are
+// meant for loopback.
+package operator
+
+import (
+	"encoding/json"
+	"expvar"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+
+	"goji.io"
+	"goji.io/pat"
+)
+
+// Paths of the operators' pages.
+const (
+	PathState   = "/debug/state"   // GET the process's state as a JSON object
+	PathMembers = "/debug/members" // GET a JSON list of Member
+	PathLevel   = "/debug/level"   // PUT the log level as text
+	PathMetrics = "/debug/vars"    // GET the metrics of expvar
+)
+
+// maxLevelBytes bounds the body of a change of the log level.
+const maxLevelBytes = 64
+
+// Member is one entry of the answer at PathMembers.
+type Member struct {
+	// Name is the member's name, VM and role.
+	Name       string `json:"name"`
+	Role       string `json:"role"`
+	DataCentre string `json:"data_centre"`
+	// Status is "alive", "suspect", "leaving" or "gone".
+	Status      string `json:"status"`
+	Incarnation uint64 `json:"incarnation"`
+	// Revision is the folder revision in force at the member; 0 if unknown.
+	Revision uint64 `json:"revision"`
+	// AgeMillis is the age of this knowledge in milliseconds.
+	AgeMillis int64 `json:"age_ms"`
+	// Source tells where the knowledge is from.
+	Source string `json:"source"`
+}
+
+// Options configures the pages.
+type Options struct {
+	// State returns the process's state, to be shown as JSON.
+	State func() any
+	// Members returns the members as this process knows them.
+	Members func() []Member
+	// Level is the log level, which PUT changes.
+	Level  *slog.LevelVar
+	Logger *slog.Logger
+}
+
+// NewHandler returns the operators' pages.
+func NewHandler(opts Options) http.Handler {
+	mux := goji.NewMux()
+	mux.HandleFunc(pat.Get(PathState), func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, opts.State()) })
+	mux.HandleFunc(pat.Get(PathMembers), func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, opts.Members()) })
+	mux.Handle(pat.Get(PathMetrics), expvar.Handler())
+	mux.HandleFunc(pat.Put(PathLevel), opts.setLevel)
+	return mux
+}
+
+func (o Options) setLevel(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxLevelBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(strings.TrimSpace(string(body)))); err != nil {
+		http.Error(w, "the level must be debug, info, warn or error", http.StatusBadRequest)
+		return
+	}
+	o.Level.Set(level)
+	o.Logger.Warn("log level changed", "level", level.String())
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	data, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(append(data, '\n'))
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -245,6 +245,15 @@
 	r.applyLeaving()
 }
 
+// SetListDown tells whether nobody within reach has a fresh copy of the VM list.
+func (r *Relay) SetListDown(down bool) {
+	r.permits.event(func(now time.Time, t *permit.Table) []permit.Action {
+		t.ListDown(now, down)
+		return nil
+	})
+	r.permits.refresh()
+}
+
 // Gap tells that the process was paused.
 func (r *Relay) Gap() {
 	r.permits.event(func(now time.Time, t *permit.Table) []permit.Action {
--- a/settings/option.go
+++ b/settings/option.go
@@ -86,6 +86,7 @@
 		addressOption("api-listen", "address that callers reach", "127.0.0.1:8080", &s.APIListen),
 		addressOption("link-listen", "address that other processes of the system reach", "127.0.0.1:7100", &s.LinkListen),
 		addressOption("operator-listen", "address of the operators' pages", "127.0.0.1:7101", &s.OperatorListen),
+		durationOption("linger", "how long a gateway that stops still takes new requests, because the platform's balancer lags; below stop-timeout", "5s", &s.Linger),
 		countOption("max-body-bytes", "largest body of a caller's request, in bytes", "1048576", 1, maxBodyBytes, &s.MaxBodyBytes),
 		countOption("concurrency", "number of callers' requests in progress", "256", 1, maxCount, &s.Concurrency),
 		countOption("queue-length", "number of callers' requests that wait", "512", 0, maxCount, &s.QueueLength),
--- a/settings/parser.go
+++ b/settings/parser.go
@@ -164,8 +164,13 @@
 			p.fault(p.place(o), o.fileKey(), fmt.Sprintf("%q is not accepted", o.text), o.allowed)
 		}
 	}
-	if s := p.settings; len(p.faults) == 0 && s.Role == wire.RoleRelay {
+	s := p.settings
+	switch {
+	case len(p.faults) > 0:
+	case s.Role == wire.RoleRelay:
 		p.checkFencing(s)
+	default:
+		p.require("linger", s.Linger < s.StopTimeout, "is too long", "below stop_timeout, "+s.StopTimeout.String())
 	}
 }
 
@@ -178,14 +183,19 @@
 		"1% above vm_list_lag, vm_list_max_age, handover_wait and quiet_period together, and above twice vm_list_lag and vm_list_max_age together")
 }
 
-// requireAbove reports the setting unless ok holds.
+// requireAbove reports the setting as too short unless ok holds.
 func (p *parser) requireAbove(key string, ok bool, allowed string) {
+	p.require(key, ok, "is too short", allowed)
+}
+
+// require reports the setting unless ok holds.
+func (p *parser) require(key string, ok bool, problem, allowed string) {
 	if ok {
 		return
 	}
 	i := slices.IndexFunc(p.options, func(o *option) bool { return o.fileKey() == key })
 	o := p.options[i]
-	p.fault(p.place(o), key, fmt.Sprintf("%q is too short", o.text), allowed)
+	p.fault(p.place(o), key, fmt.Sprintf("%q %s", o.text, problem), allowed)
 }
 
 // faulty tells whether a fault of the setting was reported already.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -70,6 +70,10 @@
 	// StopTimeout bounds a graceful shutdown.
 	StopTimeout time.Duration
 
+	// Linger is how long a gateway that stops still takes new requests, because
+	// the platform's balancer lags; gateways only.
+	Linger time.Duration
+
 	// MaxBodyBytes bounds the body of a caller's request; gateways only.
 	MaxBodyBytes int
 	// Concurrency is the number of callers' requests in progress; gateways only.
