Take events of the permits in one order

Cause: a relay that stopped under load kept one of 48 permits as draining until its stop timeout of 30 s. Two goroutines handled events of the table: one drew the action to drain the permit, the other passed the lowered limit on to the targets in between, and the check for what is drained ran before the permit was noted as draining. The same gap let an older state of the permits overwrite a newer one. Ruled out: lost answers (each draining permit but one was answered) and requests still in progress (none were). Now one goroutine takes all events in order.

--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -9,6 +9,7 @@
 	requests expvar.Int // requests received
 	answers  expvar.Int // requests answered with 200
 	partial  expvar.Int // answers with less than complete coverage
+	missing  expvar.Map // shards missing from answers, by reason
 	errors   expvar.Map // requests answered with an error, by code
 	attempts expvar.Int // sub-requests sent
 	extras   expvar.Int // of these, hedges and budgeted retries
@@ -22,6 +23,7 @@
 	published.Set("requests", &m.requests)
 	published.Set("answers", &m.answers)
 	published.Set("partial", &m.partial)
+	published.Set("missing", &m.missing)
 	published.Set("errors", &m.errors)
 	published.Set("attempts", &m.attempts)
 	published.Set("extras", &m.extras)
--- a/gateway/search.go
+++ b/gateway/search.go
@@ -162,6 +162,9 @@
 	if !answer.Complete {
 		metrics.partial.Add(1)
 	}
+	for _, m := range answer.Coverage.Missing {
+		metrics.missing.Add(string(m.Reason), 1)
+	}
 	return answer, nil
 }
 
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -130,10 +130,11 @@
 func (e *entry) change(event func(now time.Time, m *target.Machine) []target.Action) {
 	now := time.Now()
 	e.mu.Lock()
+	wasOver := e.over()
 	actions := event(now, e.machine)
 	ready := e.pump(now)
 	e.tell()
-	drained := e.machine.Inflight() <= e.machine.Limit()
+	drained := wasOver && !e.over()
 	group := e.contract.Group
 	e.mu.Unlock()
 	e.relay.dispatch(ready)
@@ -143,6 +144,10 @@
 	}
 }
 
+// over reports whether more runs at the target than its limit, because the
+// limit has fallen. Entry.mu is held.
+func (e *entry) over() bool { return e.machine.Inflight() > e.machine.Limit() }
+
 // tell pushes the target's holding to every gateway if it has changed.
 // Entry.mu is held, so that gateways get changes in order.
 func (e *entry) tell() {
--- a/relay/frames.go
+++ b/relay/frames.go
@@ -49,7 +49,7 @@
 		}
 	}
 	for _, ask := range f.ReleaseAsks {
-		r.answerAsk(peer, ask)
+		r.permits.answer(peer, ask)
 	}
 	for _, answer := range f.ReleaseAnswers {
 		r.permits.event(func(now time.Time, t *permit.Table) []permit.Action { return t.Answer(now, peer, answer) })
@@ -59,16 +59,6 @@
 	}
 }
 
-func (r *Relay) answerAsk(peer string, ask wire.ReleaseAsk) {
-	var answer wire.ReleaseAnswer
-	r.permits.event(func(now time.Time, t *permit.Table) []permit.Action {
-		var actions []permit.Action
-		answer, actions = t.Ask(now, peer, ask)
-		return actions
-	})
-	r.permits.sendAnswer(peer, answer)
-}
-
 func (r *Relay) submit(now time.Time, l *link.Link, b *wire.Batch) {
 	metrics.received.Add(int64(len(b.Subs)))
 	for _, sub := range b.Subs {
--- a/relay/leaving.go
+++ b/relay/leaving.go
@@ -76,14 +76,13 @@
 // applyLeaving tells the table of permits which relays leave.
 func (r *Relay) applyLeaving() {
 	relays := r.leaving.relays()
-	r.permits.event(func(now time.Time, t *permit.Table) []permit.Action {
+	r.permits.update(func(now time.Time, t *permit.Table) []permit.Action {
 		var actions []permit.Action
 		for name, leaves := range relays {
 			actions = append(actions, t.PeerLeaving(now, name, leaves)...)
 		}
 		return actions
 	})
-	r.permits.refresh()
 }
 
 // SetPeerLeaving tells that another relay leaves, or that a new run of it has
--- a/relay/permits.go
+++ b/relay/permits.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -12,21 +13,27 @@
 )
 
 // permits drives the table of permits and passes what it decides on to the
-// entries. Lock order: see Relay.
+// entries. One goroutine takes all events in order, so that entries never get
+// an older state of the permits after a newer one.
 type permits struct {
 	relay *Relay
+	inbox *inbox
 
-	mu       sync.Mutex
-	table    *permit.Table
+	// The goroutine of the inbox alone uses these.
 	groups   map[string][]*entry
 	draining map[permit.Key]struct{}
-	mode     permit.Mode
 	applied  map[string]target.Permits // what the entries of each group were told
+	mode     permit.Mode
+
+	// mu guards table. It is a leaf lock.
+	mu    sync.Mutex
+	table *permit.Table
 }
 
 func newPermits(r *Relay, table *permit.Table) *permits {
 	return &permits{
 		relay:    r,
+		inbox:    newInbox(),
 		table:    table,
 		groups:   make(map[string][]*entry),
 		draining: make(map[permit.Key]struct{}),
@@ -34,33 +41,36 @@
 	}
 }
 
-// event applies an event to the table and carries out what follows from it.
+// event queues an event for the table.
 func (p *permits) event(apply func(now time.Time, t *permit.Table) []permit.Action) {
-	now := time.Now()
+	p.inbox.put(func() { p.handle(apply) })
+}
+
+// handle applies an event and carries out what follows from it.
+func (p *permits) handle(apply func(now time.Time, t *permit.Table) []permit.Action) {
 	p.mu.Lock()
-	actions := apply(now, p.table)
+	actions := apply(time.Now(), p.table)
 	p.mu.Unlock()
+	for _, a := range actions {
+		p.relay.opts.Logger.Debug("permit action", "kind", fmt.Sprintf("%T", a), "action", a)
+		p.perform(a)
+	}
 	if len(actions) > 0 {
-		p.perform(now, actions)
 		p.refresh()
 	}
 }
 
-// perform carries out actions. No lock is held.
-func (p *permits) perform(now time.Time, actions []permit.Action) {
-	for _, a := range actions {
-		switch a := a.(type) {
-		case permit.AskRelease:
-			_ = p.relay.opts.Links.Send(a.To, &wire.Frame{ReleaseAsks: []wire.ReleaseAsk{a.Ask}})
-		case permit.SendAnswer:
-			p.sendAnswer(a.To, a.Answer)
-		case permit.Acquired:
-			p.adopt(a)
-		case permit.Draining:
-			p.mu.Lock()
-			p.draining[a.Key] = struct{}{}
-			p.mu.Unlock()
-		}
+func (p *permits) perform(a permit.Action) {
+	switch a := a.(type) {
+	case permit.AskRelease:
+		_ = p.relay.opts.Links.Send(a.To, &wire.Frame{ReleaseAsks: []wire.ReleaseAsk{a.Ask}})
+	case permit.SendAnswer:
+		p.sendAnswer(a.To, a.Answer)
+	case permit.Acquired:
+		p.adopt(a)
+	case permit.Draining:
+		p.draining[a.Key] = struct{}{}
+		p.apply(a.Key.Group)
 	}
 }
 
@@ -68,6 +78,19 @@
 	_ = p.relay.opts.Links.Send(to, &wire.Frame{ReleaseAnswers: []wire.ReleaseAnswer{answer}})
 }
 
+// answer answers another relay's ask.
+func (p *permits) answer(peer string, ask wire.ReleaseAsk) {
+	p.inbox.put(func() {
+		var answer wire.ReleaseAnswer
+		p.handle(func(now time.Time, t *permit.Table) []permit.Action {
+			var actions []permit.Action
+			answer, actions = t.Ask(now, peer, ask)
+			return actions
+		})
+		p.sendAnswer(peer, answer)
+	})
+}
+
 // adopt gives the entries of an acquired permit first their permits and then
 // what the former owner knew.
 func (p *permits) adopt(a permit.Acquired) {
@@ -84,8 +107,8 @@
 // refresh passes the permits of every group that has changed on to its entries.
 func (p *permits) refresh() {
 	now := time.Now()
-	p.mu.Lock()
 	var changed []string
+	p.mu.Lock()
 	for g, old := range p.applied {
 		if !sameUse(old, p.usable(now, g)) {
 			changed = append(changed, g)
@@ -103,30 +126,28 @@
 
 // setGroups replaces the groups and their entries.
 func (p *permits) setGroups(groups map[string][]*entry, slots map[string]int) {
-	p.mu.Lock()
-	p.groups = groups
-	for g := range p.applied {
-		if groups[g] == nil {
-			delete(p.applied, g)
+	p.inbox.put(func() {
+		p.groups = groups
+		for g := range p.applied {
+			if groups[g] == nil {
+				delete(p.applied, g)
+			}
 		}
-	}
-	p.mu.Unlock()
-	p.event(func(now time.Time, t *permit.Table) []permit.Action { return t.SetGroups(now, slots) })
-	for g := range groups {
-		p.apply(g)
-	}
+		p.handle(func(now time.Time, t *permit.Table) []permit.Action { return t.SetGroups(now, slots) })
+		for g := range groups {
+			p.apply(g)
+		}
+	})
 }
 
 // apply passes the permits of one group on to its entries, and gives back
 // those that are drained.
 func (p *permits) apply(group string) {
-	now := time.Now()
 	p.mu.Lock()
-	usable := p.usable(now, group)
-	entries := p.groups[group]
-	p.applied[group] = usable
+	usable := p.usable(time.Now(), group)
 	p.mu.Unlock()
-	for _, e := range entries {
+	p.applied[group] = usable
+	for _, e := range p.groups[group] {
 		e.change(func(now time.Time, m *target.Machine) []target.Action {
 			return m.SetPermits(now, usable)
 		})
@@ -134,7 +155,7 @@
 			e.client.Close() // the next owner needs the connections
 		}
 	}
-	p.drained(group)
+	p.giveBackDrained(group)
 }
 
 // usable returns what this relay may use of a group. Permits.mu is held.
@@ -146,10 +167,8 @@
 		Held: len(p.table.Held(now, group)),
 		Zero: p.table.HoldsZero(now, group),
 	}
-	seen := map[string]bool{"": true, p.relay.opts.Self.Name(): true}
 	for _, owner := range p.table.Owners(group) {
-		if !seen[owner] {
-			seen[owner] = true
+		if owner != "" && owner != p.relay.opts.Self.Name() && !slices.Contains(out.Peers, owner) {
 			out.Peers = append(out.Peers, owner)
 		}
 	}
@@ -159,39 +178,31 @@
 // perVMHeld lets a relay use each target's slots as if it were alone.
 const perVMHeld = 1 << 10
 
-// drained gives back the draining permits of a group once no target of it runs
-// more than its limit.
+// drained tells that a target of the group runs no more than its limit.
 func (p *permits) drained(group string) {
-	p.mu.Lock()
+	p.inbox.put(func() { p.giveBackDrained(group) })
+}
+
+// giveBackDrained gives back the draining permits of a group once no target of
+// it runs more than its limit.
+func (p *permits) giveBackDrained(group string) {
 	var keys []permit.Key
 	for k := range p.draining {
 		if k.Group == group {
 			keys = append(keys, k)
 		}
 	}
-	entries := p.groups[group]
-	p.mu.Unlock()
 	if len(keys) == 0 {
 		return
 	}
-	warm, idle := drainState(entries)
+	warm, idle := drainState(p.groups[group])
 	if !idle {
 		return
 	}
 	for _, k := range keys {
-		p.giveBack(k, warm)
-	}
-}
-
-func (p *permits) giveBack(k permit.Key, warm []wire.WarmTarget) {
-	p.mu.Lock()
-	_, still := p.draining[k]
-	delete(p.draining, k)
-	p.mu.Unlock()
-	if !still {
-		return
+		delete(p.draining, k)
+		p.handle(func(now time.Time, t *permit.Table) []permit.Action { return t.Returned(now, k, warm) })
 	}
-	p.event(func(now time.Time, t *permit.Table) []permit.Action { return t.Returned(now, k, warm) })
 }
 
 // drainState returns which targets are warm, and whether none runs more than
@@ -204,7 +215,7 @@
 		if boot, ok := e.machine.Warm(now); ok {
 			warm = append(warm, wire.WarmTarget{Target: e.name, Boot: boot})
 		}
-		if e.machine.Inflight() > e.machine.Limit() {
+		if e.over() {
 			idle = false
 		}
 		e.mu.Unlock()
@@ -234,20 +245,22 @@
 }
 
 // tick lets time take effect on the table.
-func (p *permits) tick(now time.Time) {
-	p.mu.Lock()
-	mode := p.table.Mode(now)
-	changed := mode != p.mode
-	p.mode = mode
-	p.mu.Unlock()
-	p.event(func(now time.Time, t *permit.Table) []permit.Action { return t.Tick(now) })
-	if changed {
-		p.relay.opts.Logger.Info("permit mode changed", "mode", mode)
+func (p *permits) tick() {
+	p.inbox.put(func() {
+		p.handle(func(now time.Time, t *permit.Table) []permit.Action { return t.Tick(now) })
+		p.mu.Lock()
+		mode := p.table.Mode(time.Now())
+		p.mu.Unlock()
+		if mode == p.mode {
+			return
+		}
+		p.mode = mode
+		p.relay.opts.Logger.Info("permit mode changed", "mode", mode.String())
 		p.refresh()
-	}
+	})
 }
 
-// setView passes a read of the VM list on.
+// setView passes a copy of the VM list on.
 func (p *permits) setView(list platform.VMList, asOf time.Time) {
 	v := permit.View{Sequence: list.Sequence, AsOf: asOf}
 	for _, vm := range list.VMs {
@@ -257,6 +270,23 @@
 		name := wire.Process{VM: vm.Name, Role: wire.RoleRelay}.Name()
 		v.Relays = append(v.Relays, permit.Relay{Name: name, DataCentre: vm.DataCentre, Leaving: vm.Leaving})
 	}
-	p.event(func(now time.Time, t *permit.Table) []permit.Action { return t.SetView(now, v) })
-	p.refresh()
+	p.update(func(now time.Time, t *permit.Table) []permit.Action { return t.SetView(now, v) })
+}
+
+// update queues an event that may change what is usable without an action.
+func (p *permits) update(apply func(now time.Time, t *permit.Table) []permit.Action) {
+	p.inbox.put(func() {
+		p.handle(apply)
+		p.refresh()
+	})
+}
+
+// idle reports whether no permit is held or drained and no event waits.
+func (p *permits) idle() bool {
+	p.inbox.mu.Lock()
+	waiting := len(p.inbox.events)
+	p.inbox.mu.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return waiting == 0 && p.table.Idle()
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -51,8 +51,8 @@
 // Relay is the role that faces targets. Its methods may be called concurrently.
 //
 // Lock order: Relay.mu, permits.mu and entry.mu are each taken with no other
-// of them held; under any of them only the locks of links may be taken. State
-// machine actions are carried out with no lock held.
+// of them held; under entry.mu only the locks of links may be taken. The
+// actions of state machines are carried out with no lock held.
 type Relay struct {
 	opts    Options
 	tomb    tomb.Tomb
@@ -89,6 +89,7 @@
 		r.tomb.Go(r.worker)
 	}
 	r.tomb.Go(r.loop)
+	r.tomb.Go(r.permits.inbox.run)
 	return r, nil
 }
 
@@ -97,6 +98,7 @@
 func (r *Relay) Close() {
 	r.tomb.Kill(nil)
 	r.work.close()
+	r.permits.inbox.close()
 	_ = r.tomb.Wait()
 }
 
@@ -114,7 +116,7 @@
 }
 
 func (r *Relay) tick(now time.Time) {
-	r.permits.tick(now)
+	r.permits.tick()
 	for _, e := range r.all() {
 		e.mu.Lock()
 		next := e.machine.NextTick()
@@ -247,20 +249,18 @@
 
 // SetListDown tells whether nobody within reach has a fresh copy of the VM list.
 func (r *Relay) SetListDown(down bool) {
-	r.permits.event(func(now time.Time, t *permit.Table) []permit.Action {
+	r.permits.update(func(now time.Time, t *permit.Table) []permit.Action {
 		t.ListDown(now, down)
 		return nil
 	})
-	r.permits.refresh()
 }
 
 // Gap tells that the process was paused.
 func (r *Relay) Gap() {
-	r.permits.event(func(now time.Time, t *permit.Table) []permit.Action {
+	r.permits.update(func(now time.Time, t *permit.Table) []permit.Action {
 		t.Gap(now)
 		return nil
 	})
-	r.permits.refresh()
 }
 
 // SetReachable tells whether another relay answers heartbeats.
@@ -276,10 +276,7 @@
 
 // Idle reports whether all permits are handed over and no job waits or runs.
 func (r *Relay) Idle() bool {
-	r.permits.mu.Lock()
-	idle := r.permits.table.Idle()
-	r.permits.mu.Unlock()
-	return idle && r.Jobs() == 0
+	return r.permits.idle() && r.Jobs() == 0
 }
 
 // Jobs returns the number of sub-requests that wait or run.
