--- a/load/record.go
+++ b/load/record.go
@@ -38,7 +38,7 @@
 	complete  int
 	searches  int // searches that were answered
 	coverage  float64
-	needed    int // executions that the requests needed
+	needed    int // executions whose results the callers got
 	latencies *hdrhistogram.Histogram
 }
 
@@ -104,9 +104,8 @@
 	if o.Request.IsAction {
 		r.said = append(r.said, saidOfAction{id: o.Request.ID, run: o.Run})
 	}
-	needed := r.needed(o)
 	for _, t := range r.tallies(o.Request) {
-		t.add(o, fault == nil, needed)
+		t.add(o, fault == nil)
 	}
 	s := r.step(o.Request)
 	s.micros = append(s.micros, clamp(o.Latency))
@@ -127,24 +126,21 @@
 	return &r.steps[min(int(request.At/r.plan.Interval.Std()), len(r.steps)-1)]
 }
 
-// needed returns the number of executions that a request needs at the least.
-func (r *recorder) needed(o Outcome) int {
+// needed returns the number of executions whose result the caller got.
+func needed(o Outcome) int {
 	switch {
-	case o.Run == code.NotRun:
-		return 0
-	case o.Request.IsAction:
+	case o.Action != nil:
 		return 1
 	case o.Search != nil:
-		return o.Search.Coverage.Shards
+		return o.Search.Coverage.Answered
 	default:
-		search := r.checker.searches[o.Request.Stream.Search]
-		return len(search.versions[standin.FirstVersion])
+		return 0
 	}
 }
 
-func (t *tally) add(o Outcome, right bool, needed int) {
+func (t *tally) add(o Outcome, right bool) {
 	t.scheduled++
-	t.needed += needed
+	t.needed += needed(o)
 	if t.latencies != nil {
 		_ = t.latencies.RecordValue(clamp(o.Latency))
 	}
--- a/load/report.go
+++ b/load/report.go
@@ -71,8 +71,11 @@
 // Load is the work at the targets during the run, from their ledgers.
 type Load struct {
 	Executions uint64 `json:"executions"`
-	Needed     uint64 `json:"needed"`
-	// ExtraShare is the share of executions beyond the needed ones.
+	// Needed is the number of executions whose results the callers got: the
+	// shards that answers cover, and the actions that were answered.
+	Needed uint64 `json:"needed"`
+	// ExtraShare is the share of executions beyond the needed ones: hedges,
+	// retries, and work for requests that failed.
 	ExtraShare         float64 `json:"extra_share"`
 	ColdBreaches       uint64  `json:"cold_breaches"`
 	ColdSurprises      uint64  `json:"cold_surprises"`
