--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
+	"net"
 	"reflect"
 	"testing"
 	"time"
 
-	"github.com/juju/errors"
-
 	"github.com/goldcrestmux/goldcrestmux/code"
 	"github.com/goldcrestmux/goldcrestmux/corpus"
 	"github.com/goldcrestmux/goldcrestmux/platform"
@@ -22,13 +20,14 @@
 // bench is a stand-in with a client of its admin API and of one target.
 type bench struct {
 	*testing.T
-	ctx    context.Context
-	s      *standin.Standin
-	admin  *standin.Admin
-	name   string // of the target
-	shard  string
-	client *platform.TargetClient
-	sent   int
+	ctx     context.Context
+	s       *standin.Standin
+	admin   *standin.Admin
+	name    string // of the target
+	shard   string
+	address string
+	client  *platform.TargetClient
+	sent    int
 }
 
 func newBench(t *testing.T, o standin.Options) *bench {
@@ -43,6 +42,7 @@
 	b := &bench{T: t, ctx: ctx, s: s, admin: standin.NewAdmin(s.AdminAddress()), name: shard.Targets[0], shard: shard.Name}
 	for _, target := range s.Layout().Targets {
 		if target.Name == b.name {
+			b.address = target.Address
 			b.client = platform.NewTargetClient(platform.TargetOptions{Address: target.Address, DataCentre: target.DataCentre, Connections: 20})
 		}
 	}
@@ -242,128 +242,70 @@
 	}
 }
 
-func TestActionsAreCounted(t *testing.T) {
-	b := newBench(t, standin.Options{Warm: true})
-	for range 2 {
-		req := b.request("v1")
-		req.Payload = wire.RawJSON(`{"id":"a1","key":"C-000001","score":4}`)
-		if result := b.client.Do(b.ctx, platform.PathAction, req, time.Now().Add(ample)); result.Code != code.OK {
-			t.Fatalf("got %s: %v", result.Code, result.Err)
-		}
+func TestDeadlineStopsWork(t *testing.T) {
+	b := newBench(t, standin.Options{Warm: true, Service: slow})
+	patient := platform.NewTargetClient(platform.TargetOptions{Address: b.address, Grace: ample})
+	result := patient.Do(b.ctx, platform.PathSearch, b.request("v1"), time.Now().Add(500*time.Millisecond))
+	if result.Code != code.Timeout || result.Refusal == nil || result.Run != code.RunUnknown {
+		t.Fatalf("got %s, refusal %v: %v", result.Code, result.Refusal, result.Err)
 	}
-	runs, err := b.admin.ActionRuns(b.ctx, []string{"a1", "a2"})
-	if want := []standin.ActionRuns{{Action: "a1", Runs: 2}, {Action: "a2"}}; err != nil || !reflect.DeepEqual(runs, want) {
-		t.Fatalf("got %v, %v", runs, err)
+	if detail := b.detail(); detail.Stats.Running != 0 || detail.Executions[0].Code != code.Timeout {
+		t.Fatalf("got %+v", detail)
 	}
 }
 
-func TestConfigurationFaults(t *testing.T) {
-	b := newBench(t, standin.Options{})
-	config := platform.NewConfig(platform.ClientOptions{Address: b.s.PlatformAddress(), DataCentre: "dc1"})
-	other := platform.NewConfig(platform.ClientOptions{Address: b.s.PlatformAddress(), DataCentre: "dc2"})
-	watched := make(chan platform.Manifest, 1)
-	go func() {
-		m, _, _ := config.Watch(b.ctx, 1, ample)
-		watched <- m
-	}()
-	name := "50-note.json"
-	for _, data := range []string{`{"a":1}`, `{"a":2}`} {
-		if _, err := b.admin.PutFile(b.ctx, name, []byte(data)); err != nil {
-			t.Fatal(err)
+func TestTargetGoesDeaf(t *testing.T) {
+	b := newBench(t, standin.Options{Warm: true})
+	yes, no := true, false
+	cut, none := []string{"dc1"}, []string{}
+	b.do(code.OK)
+	for _, test := range []struct{ on, off standin.TargetChange }{
+		{standin.TargetChange{Frozen: &yes}, standin.TargetChange{Frozen: &no}},
+		{standin.TargetChange{CutOff: &cut}, standin.TargetChange{CutOff: &none}},
+	} {
+		b.change(test.on)
+		short, cancel := context.WithTimeout(b.ctx, 100*time.Millisecond)
+		if health, err := b.client.Probe(short); err == nil {
+			t.Errorf("a deaf target answered %+v", health)
 		}
+		cancel()
+		b.change(test.off)
+		b.do(code.OK)
 	}
-	if m := <-watched; m.Revision < 2 {
-		t.Fatalf("the watch gave revision %d", m.Revision)
-	}
+}
 
-	fault := func(f standin.ConfigFault) {
-		if err := b.admin.SetConfig(b.ctx, f); err != nil {
+func TestConnectionsAreLimited(t *testing.T) {
+	b := newBench(t, standin.Options{})
+	limit := b.s.Layout().Targets[0].Connections
+	for i := range limit + 1 {
+		conn, err := net.Dial("tcp", b.address)
+		if err != nil {
 			t.Fatal(err)
 		}
-	}
-	read := func(c *platform.Config) (uint64, error) {
-		m, err := c.Manifest(b.ctx)
-		if err != nil {
-			return 0, err
+		defer conn.Close()
+		if i < limit {
+			continue
 		}
-		for _, f := range m.Files {
-			if _, err := c.File(b.ctx, f); err != nil {
-				return 0, err
-			}
+		if _, err := conn.Read(make([]byte, 1)); err == nil {
+			t.Fatal("a connection beyond the limit was served")
 		}
-		return m.Revision, nil
-	}
-	fault(standin.ConfigFault{Mode: standin.ConfigTorn})
-	var torn *platform.TornReadError
-	if _, err := read(config); !errors.As(err, &torn) || torn.Name != name {
-		t.Fatalf("a torn read gave %v", err)
-	}
-	fault(standin.ConfigFault{Mode: standin.ConfigStale, Revision: 1})
-	if revision, err := read(config); err != nil || revision != 1 {
-		t.Fatalf("stale: revision %d, %v", revision, err)
-	}
-	fault(standin.ConfigFault{Mode: standin.ConfigUp})
-	fault(standin.ConfigFault{Mode: standin.ConfigDown, DataCentres: []string{"dc1"}})
-	var down *platform.DownError
-	if _, err := read(config); !errors.As(err, &down) {
-		t.Fatalf("down: %v", err)
 	}
-	if revision, err := read(other); err != nil || revision != 3 {
-		t.Fatalf("another data centre: revision %d, %v", revision, err)
+	if stats := b.detail().Stats; stats.ConnectionBreaches != 1 || stats.PeakConnections != limit {
+		t.Fatalf("got %+v", stats)
 	}
 }
 
-func TestCablesCutDataCentres(t *testing.T) {
-	b := newBench(t, standin.Options{})
-	yes := true
-	links := map[wire.Role]string{wire.RoleRelay: b.s.AdminAddress()} // any listener will do
-	change := standin.VMsChange{Cables: &yes, VMs: []platform.VM{{Name: "vm1", DataCentre: "dc1", Links: links}}}
-	if err := b.admin.SetVMs(b.ctx, change); err != nil {
-		t.Fatal(err)
-	}
-	through := func(from string) *standin.Admin {
-		list, err := platform.NewVMs(platform.ClientOptions{Address: b.s.PlatformAddress(), DataCentre: from}).List(b.ctx)
-		if err != nil || len(list.VMs) != 1 {
-			t.Fatalf("list %v, %v", list, err)
-		}
-		return standin.NewAdmin(list.VMs[0].Links[wire.RoleRelay])
-	}
-	works := func(a *standin.Admin) bool {
-		_, err := a.Layout(b.ctx)
-		return err == nil
-	}
-	cut := through("dc2")
-	for _, mode := range []standin.CableMode{standin.CableUp, standin.CableCut, standin.CableUp} {
-		if err := b.admin.SetCables(b.ctx, standin.CableChange{Mode: mode, From: "dc1", To: "dc2"}); err != nil {
-			t.Fatal(err)
-		}
-		if works(cut) != (mode == standin.CableUp) || !works(through("dc3")) {
-			t.Fatalf("cable is %s: the wrong data centre is cut off", mode)
+func TestActionsAreCounted(t *testing.T) {
+	b := newBench(t, standin.Options{Warm: true})
+	for range 2 {
+		req := b.request("v1")
+		req.Payload = wire.RawJSON(`{"id":"a1","key":"C-000001","score":4}`)
+		if result := b.client.Do(b.ctx, platform.PathAction, req, time.Now().Add(ample)); result.Code != code.OK {
+			t.Fatalf("got %s: %v", result.Code, result.Err)
 		}
 	}
-}
-
-func TestLayoutsSpreadReplicas(t *testing.T) {
-	for _, setup := range []standin.Setup{standin.SetupCompetitions, standin.SetupHrabovsky, standin.SetupSmall} {
-		layout, err := standin.NewLayout(1, 0, setup)
-		if err != nil {
-			t.Fatal(err)
-		}
-		places := make(map[string]string)
-		for _, target := range layout.Targets {
-			places[target.Name] = target.DataCentre
-		}
-		for _, search := range layout.Searches {
-			for _, shard := range search.Versions[0].Shards {
-				if len(shard.Targets) != 2 || places[shard.Targets[0]] == places[shard.Targets[1]] {
-					t.Errorf("%s/%s is on %v", search.Name, shard.Name, shard.Targets)
-				}
-			}
-		}
-		for _, f := range standin.FolderFiles(layout, 1) {
-			if !json.Valid(f.Data) {
-				t.Errorf("file %s isn't JSON", f.Name)
-			}
-		}
+	runs, err := b.admin.ActionRuns(b.ctx, []string{"a1", "a2"})
+	if want := []standin.ActionRuns{{Action: "a1", Runs: 2}, {Action: "a2"}}; err != nil || !reflect.DeepEqual(runs, want) {
+		t.Fatalf("got %v, %v", runs, err)
 	}
 }
