permit: end the proof of sole holding before others forget it

Found by the search: a relay that had given a permit up by itself took it back without an ask, 14.9 s later, when another had taken it by then.

--- a/permit/record.go
+++ b/permit/record.go
@@ -30,10 +30,12 @@
 	lost time.Time
 	// suspicion is true if the permit was taken from an unreachable relay.
 	suspicion bool
-	// exclusive is true while this relay is sure to be the only holder. After
-	// the release, at heldUntil, only those promised can hold the permit.
-	exclusive bool
-	heldUntil time.Time
+	// exclusive is true if this relay was sure to be the only holder. After the
+	// release, at heldUntil, only those promised can hold the permit, up to
+	// exclusiveUntil.
+	exclusive      bool
+	heldUntil      time.Time
+	exclusiveUntil time.Time
 	// asker and askSeq name the ask that waits for the drain.
 	asker  string
 	askSeq uint64
@@ -123,6 +125,10 @@
 
 func (t *Table) drain(k Key, r *record) Action {
 	r.state = stateDraining
+	// Others forget this relay the fencing delay after their own view named
+	// another owner, which may have been a lag and a view's age before.
+	alone := t.opts.FencingDelay - t.opts.ListLag - t.opts.ViewMaxAge
+	r.exclusiveUntil = r.lost.Add(alone)
 	r.lost = time.Time{}
 	r.suspicion = false
 	return Draining{Key: k}
@@ -194,14 +200,19 @@
 	for _, c := range t.mayHold(now, k, r, to) {
 		a.WaitFor = append(a.WaitFor, c.relay)
 	}
-	lately := now.Sub(r.heldUntil) <= t.opts.FencingDelay
-	a.Exclusive = r.exclusive && lately && len(a.WaitFor) == 0
-	if r.heir == to && lately {
+	a.Exclusive = r.alone(now) && len(a.WaitFor) == 0
+	if r.heir == to && now.Sub(r.heldUntil) <= t.opts.FencingDelay {
 		a.Warm = r.warm
 	}
 	r.promise(now, to)
 }
 
+// alone reports whether only relays that were promised the permit since it was
+// released here can hold it.
+func (r *record) alone(now time.Time) bool {
+	return r.exclusive && now.Before(r.exclusiveUntil)
+}
+
 // askHeld drains a held permit for the relay that owns it by the view, or for
 // any relay if this one may not use it anyway.
 func (t *Table) askHeld(now time.Time, k Key, r *record, from string, seq uint64) []Action {
@@ -240,7 +251,7 @@
 		add(candidate{relay: p.to, since: p.at, promised: true})
 	}
 	rankings := t.past
-	if r.exclusive && now.Sub(r.heldUntil) <= t.opts.FencingDelay {
+	if r.alone(now) {
 		rankings = nil
 	} else {
 		add(candidate{relay: t.rank.owner(k, nil)})
