--- a/target/model_test.go
+++ b/target/model_test.go
@@ -75,7 +75,6 @@
 	done     int // completed since it turned cold
 	requests []*request
 	excess   int // work above the allowance since the target last turned cold
-	served   int
 }
 
 func (m *modelTarget) allowance() int {
@@ -285,12 +284,11 @@
 	}
 }
 
-// serve moves every request on by one step.
+// serve moves every request on by one step. An answer waits for a paused relay.
 func (f *fleet) serve() {
-	var back []*request
-	f.tgt.requests = slices.DeleteFunc(f.tgt.requests, func(r *request) bool {
+	for _, r := range f.tgt.requests {
 		if r.at == 2 && r.from.paused {
-			return false
+			continue
 		}
 		r.at++
 		switch {
@@ -298,19 +296,13 @@
 			f.arrive(r)
 		case r.at == 2:
 			f.tgt.done++
-			f.tgt.served++
 			r.outcome = Outcome{Kind: OK, Boot: fmt.Sprint(f.tgt.boot), Service: step}
-		default:
-			back = append(back, r)
-		}
-		return r.at > 2
-	})
-	for _, r := range back {
-		if r.from.up && r.from.run == r.run {
+		case r.from.up && r.from.run == r.run:
 			r.outcome.Ticket = r.ticket
 			f.targetActions(r.from, r.from.machine.Done(f.now, r.outcome))
 		}
 	}
+	f.tgt.requests = slices.DeleteFunc(f.tgt.requests, func(r *request) bool { return r.at > 2 })
 }
 
 // arrive checks a request against what the target bears.
