--- a/permit/record.go
+++ b/permit/record.go
@@ -185,6 +185,7 @@
 		a.WaitFor = r.claim.waitFor(from)
 		if a.Released {
 			r.claim.restart(now, from)
+			r.promise(now, from)
 		}
 	case stateHeld, stateDraining:
 		return a, t.askHeld(now, k, r, from, ask.Seq)
