permit: take a permit only when sure that nobody else may hold it

The word of one relay with a long memory isn't enough: a relay that was owner for one short-lived list is known only to the relay it had the permit from, and that one may have restarted.

After an outage of the list for everybody, permits above 0 stay in use.

--- a/permit/claim.go
+++ b/permit/claim.go
@@ -9,11 +9,16 @@
 
 // claim collects the releases that a relay needs before it uses a permit.
 type claim struct {
-	asks []*pendingAsk
-	// informed is true once a relay has answered that knows who may hold the permit.
-	informed  bool
-	witnesses int
-	warm      []wire.WarmTarget
+	since time.Time
+	asks  []*pendingAsk
+	// sole is true once the former holder has answered that it was alone.
+	sole bool
+	// young is true once a relay has answered that may have lost its memory of
+	// the permit, informed once one has answered that hasn't.
+	young, informed bool
+	// all is true once every listed relay is asked.
+	all  bool
+	warm []wire.WarmTarget
 }
 
 // pendingAsk is the ask to one relay.
@@ -30,12 +35,16 @@
 }
 
 func (t *Table) newClaim(now time.Time, k Key, r *record) *claim {
-	c := &claim{}
+	c := &claim{since: now}
 	for _, found := range t.mayHold(now, k, r, "") {
 		c.add(now, found)
 	}
-	if !t.informed(now) {
-		t.addWitness(now, k, c)
+	if t.informed(now) {
+		return c
+	}
+	without := map[string]bool{t.opts.Self: true}
+	if name := t.rank.owner(k, without); name != "" {
+		c.add(now, candidate{relay: name, since: now}).witness = true
 	}
 	return c
 }
@@ -59,23 +68,16 @@
 	*p = pendingAsk{candidate: found, next: now.Add(minAskInterval), interval: minAskInterval}
 }
 
-// addWitness adds the relay that would own the permit without those asked so
-// far. It reports whether there was one.
-func (t *Table) addWitness(now time.Time, k Key, c *claim) bool {
-	if c.witnesses >= maxWitnesses {
-		return false
-	}
-	skip := map[string]bool{t.opts.Self: true}
-	for _, p := range c.asks {
-		skip[p.relay] = true
-	}
-	name := t.rank.owner(k, skip)
-	if name == "" {
-		return false
+// askAll extends the claim to every listed relay.
+func (t *Table) askAll(now time.Time, c *claim) {
+	c.all = true
+	for _, relay := range t.view.Relays {
+		asked := func(p *pendingAsk) bool { return p.relay == relay.Name }
+		if relay.Name == t.opts.Self || slices.ContainsFunc(c.asks, asked) {
+			continue
+		}
+		c.add(now, candidate{relay: relay.Name, since: now}).witness = true
 	}
-	c.witnesses++
-	c.add(now, candidate{relay: name, since: now}).witness = true
-	return true
 }
 
 // waitFor lists the relays that haven't released the permit yet.
@@ -109,16 +111,15 @@
 		return
 	}
 	p.released = true
-	if !a.Young {
-		c.informed = true
-	}
+	c.young = c.young || a.Young
+	c.informed = c.informed || !a.Young
 	if len(a.Warm) > 0 {
 		c.warm = a.Warm
 	}
 	if !a.Exclusive {
 		return
 	}
-	c.informed = true
+	c.sole = true
 	for _, p := range c.asks {
 		p.released = p.released || !p.promised
 	}
@@ -127,10 +128,9 @@
 // advance sends due asks, and acquires the permit when nothing stands against it.
 func (t *Table) advance(now time.Time, k Key, r *record) []Action {
 	c := r.claim
-	informed := t.informed(now)
 	var out []Action
 	for _, p := range c.asks {
-		if p.released || t.absent(now, k, r, p, informed) {
+		if p.released || t.absent(now, k, r, p) {
 			p.released = true
 			continue
 		}
@@ -139,15 +139,38 @@
 	if len(c.waitFor("")) > 0 || t.Mode(now) != ModeFull || now.Before(t.quiet) {
 		return out
 	}
-	if informed || c.informed {
+	if t.sure(now, c) {
 		return append(out, t.acquire(k, r))
 	}
-	if t.addWitness(now, k, c) {
-		out = t.sendAsk(now, k, c.asks[len(c.asks)-1], out)
+	if !c.all && len(t.view.Relays) <= maxAskAll {
+		t.askAll(now, c)
+		return append(out, t.advance(now, k, r)...)
 	}
 	return out
 }
 
+// sure reports whether the relays that were asked include every one that may
+// hold the permit.
+func (t *Table) sure(now time.Time, c *claim) bool {
+	informed := t.informed(now)
+	switch {
+	case c.sole:
+		return true
+	case informed && !c.young:
+		return true
+	case c.all && (informed || c.informed):
+		return true
+	default:
+		return t.waitedOut(now, c)
+	}
+}
+
+// waitedOut reports whether the view has given the permit to this relay for so
+// long that every other relay has stopped by itself.
+func (t *Table) waitedOut(now time.Time, c *claim) bool {
+	return now.Sub(c.since) >= t.opts.StartDelay
+}
+
 func (t *Table) sendAsk(now time.Time, k Key, p *pendingAsk, out []Action) []Action {
 	if now.Before(p.next) {
 		return out
@@ -167,8 +190,8 @@
 // dropped from the list for the fencing delay, or was asked as a witness that
 // isn't needed any more, or, for a permit above 0, was unreachable for the
 // fencing delay.
-func (t *Table) absent(now time.Time, k Key, r *record, p *pendingAsk, informed bool) bool {
-	if p.witness && informed {
+func (t *Table) absent(now time.Time, k Key, r *record, p *pendingAsk) bool {
+	if p.witness && t.waitedOut(now, r.claim) {
 		return true
 	}
 	if !t.listed[p.relay] {
@@ -228,6 +251,7 @@
 			soonest(r.lost.Add(t.opts.HandoverWait))
 		}
 		if r.state == stateWaiting {
+			soonest(r.claim.since.Add(t.opts.StartDelay))
 			r.claim.eachDue(t.opts.FencingDelay, soonest)
 		}
 	}
--- a/permit/permit.go
+++ b/permit/permit.go
@@ -53,14 +53,16 @@
 	DefaultQuietPeriod  = 2 * time.Second
 )
 
-// Intervals between repeated asks, and the number of relays that a young relay
-// asks at most beside those that it knows of.
+// Intervals between repeated asks.
 const (
 	minAskInterval = 100 * time.Millisecond
 	maxAskInterval = 2 * time.Second
-	maxWitnesses   = 3
 )
 
+// maxAskAll is the number of listed relays up to which a relay that can't be
+// sure who holds a permit asks all of them. In a larger fleet it waits instead.
+const maxAskAll = 16
+
 // clockRateMargin is the divisor that gives the share of a delay by which two
 // clocks may drift apart over that delay: 1%.
 const clockRateMargin = 100
@@ -83,9 +85,9 @@
 	// QuietPeriod bounds how long work runs at a target after it was sent. A
 	// started process waits as long for the work of its former run.
 	QuietPeriod time.Duration
-	// StartDelay is how long a relay that knows no informed relay waits after
-	// its first view; zero means FencingDelay. A lower value risks that a relay
-	// that was dropped shortly before is still at work.
+	// StartDelay is how long a relay waits that can't be sure who holds a
+	// permit, as at the start of a whole fleet; zero means FencingDelay. A lower
+	// value risks that a relay that was dropped shortly before is still at work.
 	StartDelay time.Duration
 }
 
--- a/permit/table.go
+++ b/permit/table.go
@@ -107,7 +107,7 @@
 	changed := !t.haveView || v.Sequence != t.view.Sequence
 	missed := changed && t.haveView && v.AsOf.Sub(t.view.AsOf) > t.opts.ViewMaxAge
 	if missed {
-		out = t.forget(now)
+		out = t.forget(now, t.listDown)
 	}
 	if !t.haveView {
 		t.since = now
@@ -125,8 +125,9 @@
 }
 
 // forget starts the history of views anew after changes may have been missed,
-// and gives up every permit: another relay may have taken it.
-func (t *Table) forget(now time.Time) []Action {
+// and gives up every permit: another relay may have taken it. After an outage
+// of the list for all, permits above 0 stay.
+func (t *Table) forget(now time.Time, outage bool) []Action {
 	t.past = nil
 	t.rank = &ranking{}
 	t.since = now
@@ -136,7 +137,9 @@
 		r := t.records[k]
 		switch r.state {
 		case stateHeld:
-			out = append(out, t.drain(k, r))
+			if k.Index == 0 || !outage {
+				out = append(out, t.drain(k, r))
+			}
 		case stateWaiting:
 			r.state = stateIdle
 			r.claim = nil
