--- a/permit/ranking_test.go
+++ b/permit/ranking_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"iter"
 	"math"
+	"slices"
 	"testing"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 )
 
@@ -20,35 +23,26 @@
 	const groups, slots = 3000, 3
 	for _, tt := range []struct{ relays, centres int }{{9, 3}, {7, 3}, {460, 10}} {
 		rs := relays(tt.relays, tt.centres)
-		centreOf := map[string]string{}
-		for _, r := range rs {
-			centreOf[r.Name] = r.DataCentre
-		}
 		before, after := newRanking(rs, nil), newRanking(rs[1:], nil)
-		load := map[string]int{}
-		moved := 0
-		for g := range groups {
-			centres := map[string]bool{}
-			for i := range slots {
-				k := Key{Group: fmt.Sprintf("leaf%d", g), Index: i}
-				owner := before.owner(k, nil)
-				load[owner]++
-				centres[centreOf[owner]] = true
-				if after.owner(k, nil) != owner {
-					moved++
-				}
-				if got := before.owner(k, map[string]bool{rs[0].Name: true}); got != after.owner(k, nil) {
-					t.Fatalf("%v: owner without a relay is %s, by the view without it %s", k, got, after.owner(k, nil))
-				}
+		load, moved := map[string]int{}, 0
+		for k := range keys(groups, slots) {
+			owner := before.owner(k, nil)
+			next := after.owner(k, nil)
+			load[owner]++
+			if next != owner {
+				moved++
+			}
+			if got := before.owner(k, map[string]bool{rs[0].Name: true}); got != next {
+				t.Fatalf("%v: owner without a relay is %s, by the view without it %s", k, got, next)
 			}
-			if len(centres) != slots {
-				t.Fatalf("group %d of %d relays: permits in %d data centres", g, tt.relays, len(centres))
+			if first := before.centre(xxhash.Sum64String(k.Group), 0, nil); k.Index > 0 && first.has(owner) {
+				t.Fatalf("%v is in the data centre of permit 0", k)
 			}
 		}
 		mean := float64(groups*slots) / float64(tt.relays)
 		for name, n := range load {
 			// Unequal data centres can't be both balanced and all used by each group.
-			if uneven := tt.relays%tt.centres != 0; !uneven && math.Abs(float64(n)-mean) > 5*math.Sqrt(mean) {
+			if tt.relays%tt.centres == 0 && math.Abs(float64(n)-mean) > 5*math.Sqrt(mean) {
 				t.Errorf("%d relays: %s owns %d permits, mean %.0f", tt.relays, name, n, mean)
 			}
 		}
@@ -59,6 +53,18 @@
 	}
 }
 
+func keys(groups, slots int) iter.Seq[Key] {
+	return func(yield func(Key) bool) {
+		for i := range groups * slots {
+			yield(Key{Group: fmt.Sprint("leaf", i/slots), Index: i % slots})
+		}
+	}
+}
+
+func (c *centre) has(relay string) bool {
+	return slices.ContainsFunc(c.relays, func(r rankedRelay) bool { return r.name == relay })
+}
+
 func TestOptionsThatBreakTheFencingConditionsAreRefused(t *testing.T) {
 	opts := Options{Self: "a", FencingDelay: DefaultListLag + DefaultViewMaxAge}
 	if err := opts.withDefaults().check(); !errors.Is(err, ErrOptions) {
--- a/target/machine_test.go
+++ b/target/machine_test.go
@@ -10,7 +10,7 @@
 // warmHolder returns a machine with permit 0 of 1 that believes its target to
 // be warm, and has learned a service time of 10 ms.
 func warmHolder(now time.Time) *Machine {
-	m := New(Options{Self: "a", Name: theName, Contract: Contract{Slots: 1, ColdSlots: 1, WarmAfter: 1}})
+	m := New(Options{Self: "a", Name: leaf, Contract: Contract{Slots: 1, ColdSlots: 1, WarmAfter: 1}})
 	m.SetAdmin(now, true, "")
 	m.SetPermits(now, Permits{Held: 1, Zero: true, Peers: []string{"b"}})
 	for range 60 {
--- a/target/model_test.go
+++ b/target/model_test.go
@@ -13,11 +13,14 @@
 )
 
 const (
-	step    = 50 * time.Millisecond
-	theName = "leaf"
+	step = 50 * time.Millisecond
+	leaf = "leaf" // the target, and its group
 )
 
-var contract = Contract{Slots: 3, ColdSlots: 1, WarmAfter: 10}
+var (
+	contract = Contract{Slots: 3, ColdSlots: 1, WarmAfter: 10}
+	groups   = map[string]int{leaf: contract.Slots, "a": 2, "b": 2, "c": 2}
+)
 
 // fleet is a set of relays under full load against one target, with a VM list
 // that lags, and messages that are lost and delayed.
@@ -31,15 +34,19 @@
 	loss  float64
 	nodes []*node
 	mail  []mail
-	tgt   modelTarget
 
-	formerOverlaps uint64 // of runs that have ended
+	boot     int
+	down     bool
+	done     int // completed since the target turned cold
+	excess   int // work above the allowance since then
+	requests []*request
+	overlaps uint64 // of runs that have ended
 }
 
 type mail struct {
 	at       time.Time
-	from, to string
-	msg      any
+	from, to *node
+	deliver  func()
 }
 
 type node struct {
@@ -65,86 +72,56 @@
 	outcome Outcome
 }
 
-// modelTarget knows what it truly bears.
-type modelTarget struct {
-	boot     int
-	down     bool
-	done     int // completed since it turned cold
-	requests []*request
-	excess   int // work above the allowance since the target last turned cold
-}
-
-func (m *modelTarget) allowance() int {
-	return min(contract.ColdSlots+m.done/contract.WarmAfter, contract.Slots)
-}
-
 func newFleet(t rapid.TB, seed uint64, relays int) *fleet {
-	f := &fleet{t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1e9, 0), lag: 2 * time.Second}
-	f.tgt = modelTarget{boot: 1, done: 1000}
+	f := &fleet{t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1e9, 0), lag: 2 * time.Second, boot: 1, done: 1000}
 	for i := range relays {
-		f.join(fmt.Sprintf("vm%d/relay", i), i%3)
+		f.join(fmt.Sprintf("vm%d/relay", i), i)
 	}
 	return f
 }
 
-func (f *fleet) join(name string, centre int) {
+func (f *fleet) join(name string, i int) {
 	n := &node{name: name}
 	f.nodes = append(f.nodes, n)
-	f.relist(n, centre)
+	f.enlist(n, i, false)
 	f.start(n)
 }
 
-func (f *fleet) relist(n *node, centre int) {
+func (f *fleet) enlist(n *node, i int, leaving bool) {
 	f.unlist(n)
-	f.edit(append(f.list.Relays, permit.Relay{Name: n.name, DataCentre: fmt.Sprint("dc", centre)}))
+	f.list.Relays = append(f.list.Relays, permit.Relay{Name: n.name, DataCentre: fmt.Sprint("dc", i%3), Leaving: leaving})
 }
 
 func (f *fleet) unlist(n *node) {
-	f.edit(slices.DeleteFunc(slices.Clone(f.list.Relays), func(r permit.Relay) bool { return r.Name == n.name }))
-}
-
-func (f *fleet) flagLeaving(n *node) {
-	relays := slices.Clone(f.list.Relays)
-	for i := range relays {
-		relays[i].Leaving = relays[i].Leaving || relays[i].Name == n.name
-	}
-	f.edit(relays)
-}
-
-func (f *fleet) edit(relays []permit.Relay) {
-	f.list = permit.View{Sequence: f.list.Sequence + 1, Relays: slices.Clip(relays)}
+	others := slices.DeleteFunc(slices.Clone(f.list.Relays), func(r permit.Relay) bool { return r.Name == n.name })
+	f.list = permit.View{Sequence: f.list.Sequence + 1, Relays: others}
 }
 
 func (f *fleet) start(n *node) {
+	if n.table != nil {
+		f.overlaps += n.table.Overlaps()
+	}
 	table, err := permit.New(f.now, permit.Options{Self: n.name})
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	if n.table != nil {
-		f.formerOverlaps += n.table.Overlaps()
-	}
-	n.table, n.drain, n.up, n.paused = table, nil, true, false
-	n.run++
-	n.epoch = 0
-	n.machine = New(Options{Self: n.name, Name: theName, Contract: contract})
+	*n = node{name: n.name, table: table, up: true, side: n.side, listCut: n.listCut, run: n.run + 1}
+	n.machine = New(Options{Self: n.name, Name: leaf, Contract: contract})
 	n.machine.SetAdmin(f.now, true, "")
-	f.permitActions(n, table.SetGroups(f.now, groups))
+	perform(f, n, table.SetGroups(f.now, groups))
 }
 
 func (f *fleet) turnCold(newBoot bool) {
-	f.tgt.done, f.tgt.excess = 0, 0
+	f.done, f.excess = 0, 0
 	for _, n := range f.nodes {
 		n.epoch = n.machine.epoch
 	}
-	for _, r := range f.tgt.requests {
-		r.unaware = true
+	if newBoot {
+		f.boot++
 	}
-	if !newBoot {
-		return
-	}
-	f.tgt.boot++
-	for _, r := range f.tgt.requests {
-		if r.at == 1 {
+	for _, r := range f.requests {
+		r.unaware = true
+		if newBoot && r.at == 1 {
 			r.at, r.outcome = 2, Outcome{Kind: Reset}
 		}
 	}
@@ -158,134 +135,108 @@
 		f.serve()
 		for _, n := range f.nodes {
 			if n.up && !n.paused {
-				f.turn(n)
+				f.drive(n)
 			}
 		}
 		f.checkHolders()
 	}
 }
 
-// turn is one round of a relay's driver.
-func (f *fleet) turn(n *node) {
+// drive is one round of a relay's driver.
+func (f *fleet) drive(n *node) {
 	if !n.listCut && f.rng.IntN(10) == 0 {
-		back := f.rng.IntN(int(f.lag/step) + 1)
-		view := f.lists[max(0, len(f.lists)-1-back)]
+		view := f.lists[max(0, len(f.lists)-1-f.rng.IntN(int(f.lag/step)+1))]
 		view.AsOf = f.now
-		f.permitActions(n, n.table.SetView(f.now, view))
+		perform(f, n, n.table.SetView(f.now, view))
 	}
 	for _, other := range f.nodes {
-		if f.reach(n, other) {
-			f.permitActions(n, n.table.Reachable(f.now, other.name))
+		if other.up && !other.paused && other.side == n.side {
+			perform(f, n, n.table.Reachable(f.now, other.name))
 		} else {
 			n.table.Unreachable(f.now, other.name)
 		}
 	}
-	f.permitActions(n, n.table.Tick(f.now))
-	f.targetActions(n, n.machine.SetPermits(f.now, f.permits(n)))
-	f.targetActions(n, n.machine.Tick(f.now))
-	f.finishDrains(n)
-	for n.machine.Inflight() < n.machine.Limit() {
-		ticket := n.machine.Sent(f.now)
-		unaware := ticket <= n.epoch || (n.epoch == 0 && ticket == 1 && n.machine.warm)
-		f.tgt.requests = append(f.tgt.requests, &request{from: n, run: n.run, ticket: ticket, unaware: unaware})
-	}
-}
-
-func (f *fleet) permits(n *node) Permits {
-	p := Permits{Held: len(n.table.Held(f.now, theName)), Zero: n.table.HoldsZero(f.now, theName)}
+	perform(f, n, n.table.Tick(f.now))
+	p := Permits{Held: len(n.table.Held(f.now, leaf)), Zero: n.table.HoldsZero(f.now, leaf)}
 	p.WarmOnly = n.table.Mode(f.now) == permit.ModeWarmOnly
-	for _, owner := range n.table.Owners(theName) {
+	for _, owner := range n.table.Owners(leaf) {
 		if owner != "" && owner != n.name && !slices.Contains(p.Peers, owner) {
 			p.Peers = append(p.Peers, owner)
 		}
 	}
-	return p
+	perform(f, n, n.machine.SetPermits(f.now, p))
+	perform(f, n, n.machine.Tick(f.now))
+	f.finishDrains(n)
+	for n.machine.Inflight() < n.machine.Limit() {
+		ticket := n.machine.Sent(f.now)
+		unaware := ticket <= n.epoch || (n.epoch == 0 && ticket == 1 && n.machine.warm)
+		f.requests = append(f.requests, &request{from: n, run: n.run, ticket: ticket, unaware: unaware})
+	}
 }
 
 func (f *fleet) finishDrains(n *node) {
 	drain := n.drain
 	n.drain = nil
 	for _, k := range drain {
-		if k.Group == theName && n.machine.Inflight() > n.machine.Limit() {
+		if k.Group == leaf && n.machine.Inflight() > n.machine.Limit() {
 			n.drain = append(n.drain, k)
 			continue
 		}
 		var warm []wire.WarmTarget
-		if boot, ok := n.machine.Warm(f.now); ok && k.Group == theName {
-			warm = append(warm, wire.WarmTarget{Target: theName, Boot: boot})
+		if boot, ok := n.machine.Warm(f.now); ok && k.Group == leaf {
+			warm = append(warm, wire.WarmTarget{Target: leaf, Boot: boot})
 		}
-		f.permitActions(n, n.table.Returned(f.now, k, warm))
+		perform(f, n, n.table.Returned(f.now, k, warm))
 	}
 }
 
-func (f *fleet) permitActions(n *node, actions []permit.Action) {
+func perform[A any](f *fleet, n *node, actions []A) {
 	for _, a := range actions {
-		switch a := a.(type) {
+		switch a := any(a).(type) {
 		case permit.AskRelease:
-			f.send(n, a.To, a.Ask)
+			f.send(n, a.To, func(to *node) {
+				answer, actions := to.table.Ask(f.now, n.name, a.Ask)
+				perform(f, to, actions)
+				perform(f, to, []permit.Action{permit.SendAnswer{To: n.name, Answer: answer}})
+			})
 		case permit.SendAnswer:
-			f.send(n, a.To, a.Answer)
+			f.send(n, a.To, func(to *node) { perform(f, to, to.table.Answer(f.now, n.name, a.Answer)) })
+		case Notify:
+			f.send(n, a.To, func(to *node) { perform(f, to, to.machine.Notice(f.now, n.name, a.Notice)) })
 		case permit.Draining:
 			n.drain = append(n.drain, a.Key)
 		case permit.Acquired:
 			for _, w := range a.Warm {
-				f.targetActions(n, n.machine.Adopt(f.now, w.Boot))
+				perform(f, n, n.machine.Adopt(f.now, w.Boot))
 			}
 		}
 	}
 }
 
-func (f *fleet) targetActions(n *node, actions []Action) {
-	for _, a := range actions {
-		if a, ok := a.(Notify); ok {
-			f.send(n, a.To, a.Notice)
-		}
-	}
-}
-
-func (f *fleet) send(n *node, to string, msg any) {
-	if f.rng.Float64() >= f.loss {
-		delay := time.Duration(1+f.rng.IntN(4)) * step / 2
-		f.mail = append(f.mail, mail{at: f.now.Add(delay), from: n.name, to: to, msg: msg})
+func (f *fleet) send(n *node, name string, receive func(to *node)) {
+	if f.rng.Float64() < f.loss {
+		return
 	}
+	to := f.nodes[slices.IndexFunc(f.nodes, func(n *node) bool { return n.name == name })]
+	delay := time.Duration(1+f.rng.IntN(4)) * step / 2
+	f.mail = append(f.mail, mail{at: f.now.Add(delay), from: n, to: to, deliver: func() { receive(to) }})
 }
 
-func (f *fleet) node(name string) *node {
-	return f.nodes[slices.IndexFunc(f.nodes, func(n *node) bool { return n.name == name })]
-}
-
-func (f *fleet) reach(a, b *node) bool { return b.up && !b.paused && a.side == b.side }
-
 func (f *fleet) deliver() {
 	old := f.mail
 	f.mail = nil
 	for _, m := range old {
-		from, to := f.node(m.from), f.node(m.to)
-		switch {
-		case m.at.After(f.now) || to.paused:
+		if m.at.After(f.now) || m.to.paused {
 			f.mail = append(f.mail, m)
-		case to.up && from.side == to.side:
-			f.receive(to, m)
+		} else if m.to.up && m.from.side == m.to.side {
+			m.deliver()
 		}
 	}
 }
 
-func (f *fleet) receive(n *node, m mail) {
-	switch msg := m.msg.(type) {
-	case wire.ReleaseAsk:
-		answer, actions := n.table.Ask(f.now, m.from, msg)
-		f.permitActions(n, actions)
-		f.send(n, m.from, answer)
-	case wire.ReleaseAnswer:
-		f.permitActions(n, n.table.Answer(f.now, m.from, msg))
-	case wire.TargetNotice:
-		f.targetActions(n, n.machine.Notice(f.now, m.from, msg))
-	}
-}
-
 // serve moves every request on by one step. An answer waits for a paused relay.
 func (f *fleet) serve() {
-	for _, r := range f.tgt.requests {
+	for _, r := range f.requests {
 		if r.at == 2 && r.from.paused {
 			continue
 		}
@@ -294,47 +245,46 @@
 		case r.at == 1:
 			f.arrive(r)
 		case r.at == 2:
-			f.tgt.done++
-			r.outcome = Outcome{Kind: OK, Boot: fmt.Sprint(f.tgt.boot), Service: step}
+			f.done++
+			r.outcome = Outcome{Kind: OK, Boot: fmt.Sprint(f.boot), Service: step}
 		case r.from.up && r.from.run == r.run:
 			r.outcome.Ticket = r.ticket
-			f.targetActions(r.from, r.from.machine.Done(f.now, r.outcome))
+			perform(f, r.from, r.from.machine.Done(f.now, r.outcome))
 		}
 	}
-	f.tgt.requests = slices.DeleteFunc(f.tgt.requests, func(r *request) bool { return r.at > 2 })
+	f.requests = slices.DeleteFunc(f.requests, func(r *request) bool { return r.at > 2 })
 }
 
-// arrive checks a request against what the target bears.
+// arrive checks a request against what the target truly bears.
 func (f *fleet) arrive(r *request) {
 	running, aware := 0, 0
-	for _, other := range f.tgt.requests {
+	for _, other := range f.requests {
 		if other.at == 1 {
 			running++
-			if !other.unaware {
-				aware++
-			}
+		}
+		if other.at == 1 && !other.unaware {
+			aware++
 		}
 	}
-	if f.tgt.down {
+	allowed := min(contract.ColdSlots+f.done/contract.WarmAfter, contract.Slots)
+	switch {
+	case f.down:
 		r.at, r.outcome = 2, Outcome{Kind: Refused}
 		return
-	}
-	allowed := f.tgt.allowance()
-	if running <= allowed {
+	case running <= allowed:
 		return
 	}
-	r.at, r.outcome = 2, Outcome{Kind: Shed, Boot: fmt.Sprint(f.tgt.boot)}
+	r.at, r.outcome = 2, Outcome{Kind: Shed, Boot: fmt.Sprint(f.boot)}
 	if allowed == contract.Slots {
 		return
 	}
-	if !r.unaware && aware > allowed {
-		f.t.Fatalf("%s sent work above the cold allowance %d knowingly", r.from.name, allowed)
-	}
 	if r.unaware {
-		f.tgt.excess++
+		f.excess++
+	} else if aware > allowed {
+		f.fail("%s sent work above the cold allowance %d knowingly", r.from.name, allowed)
 	}
-	if bound := contract.Slots + int(f.overlaps()); f.tgt.excess > bound {
-		f.t.Fatalf("%d requests above the cold allowance, bound %d", f.tgt.excess, bound)
+	if bound := contract.Slots + f.taken(); f.excess > bound {
+		f.fail("%d requests above the cold allowance, bound %d", f.excess, bound)
 	}
 }
 
@@ -349,23 +299,29 @@
 	return count
 }
 
-// overlaps counts the permits above 0 that were taken from unreachable relays.
-func (f *fleet) overlaps() uint64 {
-	sum := f.formerOverlaps
+// taken counts the permits above 0 that were taken from unreachable relays.
+func (f *fleet) taken() int {
+	sum := f.overlaps
 	for _, n := range f.nodes {
 		sum += n.table.Overlaps()
 	}
-	return sum
+	return int(sum)
 }
 
 func (f *fleet) checkHolders() {
 	for i := range contract.Slots {
-		bound := 1
-		if i > 0 {
-			bound += int(f.overlaps())
-		}
-		if count := f.holders(theName, i); count > bound {
-			f.t.Fatalf("permit %d has %d holders%s", i, count, f.dump())
+		count := f.holders(leaf, i)
+		if count > 1 && (i == 0 || count > 1+f.taken()) {
+			f.fail("permit %d has %d holders", i, count)
 		}
 	}
 }
+
+func (f *fleet) fail(format string, args ...any) {
+	f.t.Helper()
+	text := fmt.Sprintf(format, args...)
+	for _, n := range f.nodes {
+		text += fmt.Sprintf("\n%+v\n%v\n%+v", n, n.table.Infos(), n.machine)
+	}
+	f.t.Fatalf("at %v: %s", f.now.Sub(time.Unix(1e9, 0)), text)
+}
