--- a/target/fleet_test.go
+++ b/target/fleet_test.go
@@ -154,6 +154,23 @@
 	}
 }
 
+func TestRelaysWithoutHistoryWaitForOneDroppedBeforeTheirStart(t *testing.T) {
+	f := started(t, 9, 6)
+	zero := f.zeroHolder()
+	zero.side, zero.listCut, f.lag = 1, true, 0
+	late := f.list
+	f.unlist(zero)
+	for _, n := range f.nodes {
+		if n != zero {
+			f.start(n)
+		}
+	}
+	f.run(permit.DefaultListLag - time.Second)
+	late.AsOf = f.now
+	perform(f, zero, zero.table.SetView(f.now, late)) // a read that lags
+	f.waitFor(fence+3*time.Second, "takeover", f.allHeld)
+}
+
 func TestTwoRelaysThatDisagreeAboutPermitZero(t *testing.T) {
 	f := started(t, 6, 6)
 	zero := f.zeroHolder()
