--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -80,9 +80,10 @@
 // SetContracts puts contracts in force for queries that start from now on.
 func (g *Gateway) SetContracts(c *folder.Contracts) {
 	now := time.Now()
-	g.routes.setContracts(now, c)
+	index := newCallerIndex(c)
+	g.routes.setContracts(now, c, index.versions)
 	g.admission.setCallers(now, c.Callers)
-	g.contracts.Store(newCallerIndex(c))
+	g.contracts.Store(index)
 }
 
 // SetGateways sets the number of live gateways that share the callers' rates.
@@ -94,6 +95,9 @@
 // Requests returns the number of requests in progress.
 func (g *Gateway) Requests() int { return g.inflight.len() + g.admission.waiting() }
 
+// Reaches reports whether a relay has told what it holds.
+func (g *Gateway) Reaches() bool { return g.routes.anyRelay() }
+
 // Up implements the part of link.Handler that concerns gateways.
 func (g *Gateway) Up(*link.Link) {}
 
