--- a/member/config.go
+++ b/member/config.go
@@ -12,13 +12,13 @@
 	DefaultFarPeers      = 1
 	DefaultInterval      = time.Second
 	DefaultSuspectAfter  = 5 * time.Second
-	DefaultMinWindow     = 8 * time.Second
+	DefaultMinWindow     = 10 * time.Second
 	DefaultMaxWindow     = 30 * time.Second
 	DefaultConfirmations = 3
 	DefaultGoneAfter     = 60 * time.Second
 	DefaultRegionSilence = 10 * time.Second
 	DefaultQuiet         = 10 * time.Second
-	DefaultUpdates       = 8
+	DefaultUpdates       = 54
 	DefaultSpread        = 3
 )
 
@@ -52,16 +52,20 @@
 	// RegionSilence is the time without a contact between anyone here and
 	// anyone in another region after which all members there are suspect.
 	RegionSilence time.Duration
-	// Quiet is how long a process that was paused or cut off must hear most
+	// Quiet is how long a process that was paused or cut off must hear enough
 	// of its peers before it accuses again.
 	Quiet time.Duration
-	// Updates is the largest number of member updates in one heartbeat.
+	// Updates is the number of member updates that are sent in one Interval,
+	// shared by the heartbeats of that time.
 	Updates int
 	// Spread times the binary logarithm of the number of members is how often
 	// one update is sent.
 	Spread int
 }
 
+// minUpdates is the least number of updates in one heartbeat.
+const minUpdates = 3
+
 func orDefault[T int | time.Duration](value *T, def T) {
 	if *value == 0 {
 		*value = def
--- a/member/gossip.go
+++ b/member/gossip.go
@@ -25,13 +25,17 @@
 	}
 }
 
-// renew takes a higher incarnation, which voids all accusations.
+// renew takes a higher incarnation, which voids all accusations. The first
+// incarnation of a member that nobody accused is no news to others.
 func (s *State) renew(now time.Time, r *record, incarnation uint64) {
+	if r.incarnation > 0 || r.accusation != nil {
+		s.queue.putLife(r.entry.Name)
+	}
 	r.incarnation = incarnation
 	r.leaving = false
+	s.stale = true
 	r.evidence = now
 	s.withdraw(r)
-	s.queue.put(r.entry.Name)
 }
 
 // withdraw drops the accusation against a member.
@@ -40,6 +44,8 @@
 		r.refuted++
 	}
 	r.clear()
+	delete(s.accused, r)
+	s.stale = true
 }
 
 // contact records that someone heard from the member at the given time.
@@ -48,16 +54,18 @@
 		return
 	}
 	r.contact = at
-	if at.After(s.regions[r.entry.Region]) {
-		s.regions[r.entry.Region] = at
-		s.silent[r.entry.Region] = false
+	if at.After(r.region.contact) {
+		r.region.contact = at
+		r.region.witness = r
+		s.stale = s.stale || r.region.silent
+		r.region.silent = false
 	}
 	if r.accusation == nil || !r.accusation.refutedBy(at, s.opts.SuspectAfter) {
 		return
 	}
 	s.withdraw(r)
 	r.tell = true
-	s.queue.put(r.entry.Name)
+	s.queue.putLife(r.entry.Name)
 }
 
 func (s *State) apply(now time.Time, from string, u *wire.MemberUpdate) {
@@ -83,7 +91,7 @@
 	}
 	switch u.Status {
 	case wire.MemberSuspect:
-		s.accused(now, r, u.Accusers)
+		s.hearAccusation(now, r, u.Accusers)
 	case wire.MemberLeaving:
 		s.leaves(r)
 	}
@@ -105,22 +113,28 @@
 	self.incarnation = u.Incarnation + 1
 }
 
-// accused takes an accusation from gossip. If anyone is known to have heard
+// hearAccusation takes an accusation from gossip. If anyone is known to have heard
 // from the member lately, that is spread instead.
-func (s *State) accused(now time.Time, r *record, accusers []uint32) {
+func (s *State) hearAccusation(now time.Time, r *record, accusers []uint32) {
 	name := r.entry.Name
 	if now.Sub(r.contact) < s.opts.SuspectAfter/2 {
 		if !r.tell {
-			s.queue.put(name)
+			s.queue.putLife(name)
 		}
 		r.tell = true
 		return
 	}
+	s.charge(now, r, accusers)
+}
+
+// charge adds accusers of a member.
+func (s *State) charge(now time.Time, r *record, accusers []uint32) {
 	if r.accusation == nil {
 		r.accusation = &suspicion{started: now}
+		s.accused[r] = true
 	}
 	if r.accusation.confirm(accusers, s.opts.Confirmations) {
-		s.queue.put(name)
+		s.queue.putAccusation(r.entry.Name)
 	}
 }
 
@@ -129,55 +143,43 @@
 		return
 	}
 	r.leaving = true
-	s.queue.put(r.entry.Name)
+	s.stale = true
+	s.queue.putLife(r.entry.Name)
 }
 
 // heartbeats returns the heartbeats that are due.
 func (s *State) heartbeats(now time.Time) []Heartbeat {
 	var beats []Heartbeat
-	var witnesses []string
 	for _, name := range s.peers {
 		if now.Before(s.beats[name]) {
 			continue
 		}
-		if beats == nil {
-			witnesses = s.witnesses()
-		}
 		s.beats[name] = now.Add(s.opts.Interval)
-		beats = append(beats, Heartbeat{To: name, Updates: s.updatesFor(now, name, witnesses)})
+		beats = append(beats, Heartbeat{To: name, Updates: s.updatesFor(now, name)})
 	}
 	return beats
 }
 
-// witnesses names, for each other region, the member that anyone heard from last.
-func (s *State) witnesses() []string {
-	freshest := map[string]*record{}
-	var regions []string
-	for _, name := range s.names {
-		r := s.members[name]
-		region := r.entry.Region
-		if region == s.opts.Region || r.contact.IsZero() {
-			continue
-		}
-		best := freshest[region]
-		if best == nil {
-			regions = append(regions, region)
-		}
-		if best == nil || r.contact.After(best.contact) {
-			freshest[region] = r
+// witness names the member of another region that anyone heard from last. The
+// regions take turns.
+func (s *State) witness() (name string, ok bool) {
+	var names []string
+	for region, r := range s.regions {
+		if region != s.opts.Region && r.witness != nil {
+			names = append(names, r.witness.entry.Name)
 		}
 	}
-	slices.Sort(regions)
-	names := make([]string, 0, len(regions))
-	for _, region := range regions {
-		names = append(names, freshest[region].entry.Name)
+	if len(names) == 0 {
+		return "", false
 	}
-	return names
+	slices.Sort(names)
+	s.turn++
+	return names[s.turn%uint64(len(names))], true
 }
 
 // updatesFor returns the updates of a heartbeat: first the sender itself, then
-// what the receiver must know of itself, the witnesses, news, and members in turn.
-func (s *State) updatesFor(now time.Time, to string, witnesses []string) []wire.MemberUpdate {
+// what the receiver must know of itself, a witness, news, and members in turn.
+func (s *State) updatesFor(now time.Time, to string) []wire.MemberUpdate {
 	updates := []wire.MemberUpdate{s.members[s.name].update(now)}
 	peer := s.members[to]
 	if peer.tell || peer.accusation != nil {
@@ -187,13 +189,15 @@
 		peer.tell = false
 	}
 	names := []string{s.name, to}
-	names = append(names, witnesses...)
-	room := s.opts.Updates - len(updates) - len(witnesses)
-	limit := spreadLimit(s.opts.Spread, len(s.names))
-	names = append(names, s.queue.take(room, limit, names)...)
-	for i := 0; i < repairUpdates && len(updates)+len(names)-2 < s.opts.Updates; i++ {
-		s.cursor = (s.cursor + 1) % len(s.names)
-		if next := s.names[s.cursor]; !slices.Contains(names, next) {
+	if name, ok := s.witness(); ok && name != to {
+		names = append(names, name)
+	}
+	most := max(minUpdates, s.opts.Updates/len(s.peers))
+	room := func() int { return most - len(updates) - len(names) + 2 }
+	limit := spreadLimit(s.opts.Spread, len(s.order))
+	names = append(names, s.queue.take(room(), limit, names)...)
+	for range min(repairUpdates, room()) {
+		if next := s.repair(); !slices.Contains(names, next) {
 			names = append(names, next)
 		}
 	}
@@ -202,3 +206,10 @@
 	}
 	return updates
 }
+
+// repair returns the names of members in a scattered order. An order that
+// repeats could always name the same members to the same peer.
+func (s *State) repair() string {
+	s.repaired++
+	return s.order[mix(s.repaired, uint64(s.hash))%uint64(len(s.order))].entry.Name
+}
--- a/member/peers.go
+++ b/member/peers.go
@@ -17,45 +17,23 @@
 	Leaving bool
 }
 
-// closeness ranks how near two members stand to each other.
-type closeness int
+func sameDataCentre(a, b *Entry) bool { return a.Region == b.Region && a.DataCentre == b.DataCentre }
 
-const (
-	otherRegion closeness = iota
-	sameRegion
-	sameDataCentre
-)
-
-func (e *Entry) closeness(to *Entry) closeness {
-	switch {
-	case e.Region != to.Region:
-		return otherRegion
-	case e.DataCentre != to.DataCentre:
-		return sameRegion
-	default:
-		return sameDataCentre
-	}
-}
+func sameRegion(a, b *Entry) bool { return a.Region == b.Region }
 
-// ring is all members in the order of a hash of their names.
+// ring is members in the order of a hash of their names.
 type ring []*Entry
 
-func newRings(entries []Entry, count int) []ring {
-	rings := make([]ring, count)
-	for i := range rings {
-		rings[i] = newRing(entries, uint64(i))
-	}
-	return rings
-}
-
-func newRing(entries []Entry, seed uint64) ring {
+func newRing(entries []Entry, seed int, include func(*Entry) bool) ring {
 	type hashed struct {
 		hash  uint64
 		entry *Entry
 	}
-	order := make([]hashed, len(entries))
+	var order []hashed
 	for i := range entries {
-		order[i] = hashed{mix(xxhash.Sum64String(entries[i].Name), seed), &entries[i]}
+		if e := &entries[i]; include(e) {
+			order = append(order, hashed{mix(xxhash.Sum64String(e.Name), uint64(seed)), e})
+		}
 	}
 	slices.SortFunc(order, func(a, b hashed) int {
 		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.entry.Name, b.entry.Name))
@@ -75,72 +53,83 @@
 	return z ^ z>>31
 }
 
-// next returns the first member after position at that want accepts and that
-// isn't taken, or nil.
-func (r ring) next(at int, taken []*Entry, want func(closeness) bool) *Entry {
-	for i := 1; i < len(r); i++ {
-		e := r[(at+i)%len(r)]
-		if want(r[at].closeness(e)) && !slices.Contains(taken, e) {
-			return e
+// neighbours returns, sorted by name, the members that self exchanges
+// heartbeats with: those that it chooses and those that choose it. Each ring
+// gives each member one choice. Both ends of an edge work out the same rings,
+// so each knows of it.
+func neighbours(entries []Entry, self *Entry, peers, farPeers int) []string {
+	var names []string
+	near := func(e *Entry) bool { return sameDataCentre(self, e) }
+	around := func(e *Entry) bool { return sameRegion(self, e) }
+	everywhere := func(*Entry) bool { return true }
+	for i := range peers {
+		switch {
+		case i >= peers-farPeers:
+			names = append(names, newRing(entries, i, everywhere).across(self)...)
+		case i%2 == 0:
+			names = append(names, newRing(entries, i, around).across(self)...)
+		default:
+			names = append(names, newRing(entries, i, near).adjacent(self)...)
 		}
 	}
-	return nil
+	slices.Sort(names)
+	names = slices.Compact(names)
+	return slices.DeleteFunc(names, func(n string) bool { return n == self.Name })
 }
 
-// neighbours returns, sorted by name, the members that self exchanges
-// heartbeats with: those that it chooses and those that choose it.
-//
-// Each ring gives each member one choice: its successor in the same data
-// centre, in the same region, or in another region, by the ring's kind. Every
-// member computes the choices of all, so both ends of an edge know of it.
-func neighbours(entries []Entry, self string, peers, farPeers int) []string {
-	rings := newRings(entries, peers)
-	chosen := make(map[*Entry][]*Entry, len(entries))
-	for i, r := range rings {
-		kind := kindOf(i, peers, farPeers)
-		for at, e := range r {
-			if peer := r.pick(at, chosen[e], kind); peer != nil {
-				chosen[e] = append(chosen[e], peer)
-			}
-		}
+// adjacent returns the names of self's successor and predecessor.
+func (r ring) adjacent(self *Entry) []string {
+	at := slices.IndexFunc(r, func(e *Entry) bool { return e.Name == self.Name })
+	if at < 0 {
+		return nil
 	}
-	var names []string
-	for e, picks := range chosen {
-		for _, peer := range picks {
-			switch self {
-			case e.Name:
-				names = append(names, peer.Name)
-			case peer.Name:
-				names = append(names, e.Name)
+	n := len(r)
+	return []string{r[(at+1)%n].Name, r[(at+n-1)%n].Name}
+}
+
+// farther returns the relation of members that are far from each other: in
+// other regions; in other data centres if all share a region; else any.
+func (r ring) farther() func(a, b *Entry) bool {
+	for _, near := range []func(a, b *Entry) bool{sameRegion, sameDataCentre} {
+		for _, e := range r {
+			if !near(r[0], e) {
+				return func(a, b *Entry) bool { return !near(a, b) }
 			}
 		}
 	}
-	slices.Sort(names)
-	return slices.Compact(names)
+	return func(a, b *Entry) bool { return a != b }
 }
 
-// kindOf returns the closeness that ring i is for: the last rings are far, the
-// others take turns between the region and the data centre.
-func kindOf(i, peers, farPeers int) closeness {
-	switch {
-	case i >= peers-farPeers:
-		return otherRegion
-	case i%2 == 0:
-		return sameRegion
-	default:
-		return sameDataCentre
+// maxChosen is how often one ring may choose a member as a far peer.
+const maxChosen = 2
+
+// across returns the names of the far peers that self chooses on the ring, and
+// of those that choose it. Each member chooses the first far one that follows
+// it and isn't chosen too often already.
+func (r ring) across(self *Entry) []string {
+	far := r.farther()
+	var names []string
+	chosen := make(map[*Entry]int, len(r))
+	for at, e := range r {
+		peer := r.follow(at, func(f *Entry) bool { return far(e, f) && chosen[f] < maxChosen })
+		if peer == nil {
+			continue
+		}
+		chosen[peer]++
+		switch self.Name {
+		case e.Name:
+			names = append(names, peer.Name)
+		case peer.Name:
+			names = append(names, e.Name)
+		}
 	}
+	return names
 }
 
-// pick returns the successor of the wanted kind, else the next best.
-func (r ring) pick(at int, taken []*Entry, kind closeness) *Entry {
-	order := []func(closeness) bool{
-		func(c closeness) bool { return c == kind },
-		func(c closeness) bool { return c == sameRegion },
-		func(closeness) bool { return true },
-	}
-	for _, want := range order {
-		if e := r.next(at, taken, want); e != nil {
+// follow returns the first member after position at that is wanted, or nil.
+func (r ring) follow(at int, want func(*Entry) bool) *Entry {
+	for i := 1; i < len(r); i++ {
+		if e := r[(at+i)%len(r)]; want(e) {
 			return e
 		}
 	}
--- a/member/queue.go
+++ b/member/queue.go
@@ -1,44 +1,71 @@
 package member
 
 import (
-	"cmp"
 	"math/bits"
 	"slices"
 )
 
 // queue holds the names of the members about which this process has news to
-// spread, and how often it did.
+// spread. Signs of life go before accusations, and fresh news goes first; the
+// rest takes turns.
 type queue struct {
-	sent map[string]int
+	life        []string
+	accusations []string
+	sent        map[string]int
 }
 
 func newQueue() queue { return queue{sent: map[string]int{}} }
 
-// put starts to spread the news about a member anew.
-func (q *queue) put(name string) { q.sent[name] = 0 }
+// putLife starts to spread a sign of life of a member.
+func (q *queue) putLife(name string) {
+	q.drop(name)
+	q.life = slices.Insert(q.life, 0, name)
+	q.sent[name] = 0
+}
+
+// putAccusation starts to spread an accusation against a member.
+func (q *queue) putAccusation(name string) {
+	q.drop(name)
+	q.accusations = slices.Insert(q.accusations, 0, name)
+	q.sent[name] = 0
+}
 
-func (q *queue) drop(name string) { delete(q.sent, name) }
+func (q *queue) drop(name string) {
+	if _, ok := q.sent[name]; !ok {
+		return
+	}
+	delete(q.sent, name)
+	isName := func(n string) bool { return n == name }
+	q.life = slices.DeleteFunc(q.life, isName)
+	q.accusations = slices.DeleteFunc(q.accusations, isName)
+}
 
-// take returns up to n names that were sent least often and aren't skipped,
-// and drops those that were sent limit times.
+// take returns up to n names that aren't skipped, and drops those that were
+// now taken limit times.
 func (q *queue) take(n, limit int, skip []string) []string {
-	names := make([]string, 0, len(q.sent))
-	for name := range q.sent {
+	taken := q.takeFrom(&q.life, n, limit, skip)
+	return append(taken, q.takeFrom(&q.accusations, n-len(taken), limit, skip)...)
+}
+
+func (q *queue) takeFrom(names *[]string, n, limit int, skip []string) []string {
+	var taken []string
+	for _, name := range *names {
+		if len(taken) >= n {
+			break
+		}
 		if !slices.Contains(skip, name) {
-			names = append(names, name)
+			taken = append(taken, name)
 		}
 	}
-	slices.SortFunc(names, func(a, b string) int {
-		return cmp.Or(cmp.Compare(q.sent[a], q.sent[b]), cmp.Compare(a, b))
-	})
-	names = names[:max(0, min(n, len(names)))]
-	for _, name := range names {
-		q.sent[name]++
-		if q.sent[name] >= limit {
-			q.drop(name)
+	for _, name := range taken {
+		sent := q.sent[name] + 1
+		q.drop(name)
+		if sent < limit {
+			*names = append(*names, name)
+			q.sent[name] = sent
 		}
 	}
-	return names
+	return taken
 }
 
 // spreadLimit returns how often one update is sent among n members.
--- a/member/record.go
+++ b/member/record.go
@@ -22,9 +22,20 @@
 	Peer bool
 }
 
+// region is what is known of a region as a whole.
+type region struct {
+	// contact is the last contact that any process elsewhere had with it.
+	contact time.Time
+	// witness is the member that the contact was with.
+	witness *record
+	// silent is true if the contact was too long ago.
+	silent bool
+}
+
 // record is the state kept for one listed process.
 type record struct {
 	entry       Entry
+	region      *region
 	incarnation uint64
 	revision    uint64
 	// leaving is true if the member itself told that it leaves.
@@ -65,18 +76,20 @@
 	r.gone = false
 }
 
-// judge moves an accused member on to suspect and gone.
-func (r *record) judge(now time.Time, o *Options, regionSilent bool) {
+// judge moves an accused member on to suspect and gone; one that told that it
+// leaves is gone at once.
+func (r *record) judge(now time.Time, o *Options) {
 	if r.accusation == nil {
 		return
 	}
 	if r.suspected.IsZero() {
 		if r.accusation.expired(now, o) {
 			r.suspected = now
+			r.gone = r.leaving
 		}
 		return
 	}
-	if !regionSilent && now.Sub(r.suspected) >= o.GoneAfter {
+	if !r.region.silent && now.Sub(r.suspected) >= o.GoneAfter {
 		r.gone = true
 	}
 }
@@ -92,13 +105,13 @@
 	}
 }
 
-func (r *record) current(regionSilent bool) wire.MemberStatus {
+func (r *record) current() wire.MemberStatus {
 	switch {
 	case r.gone:
 		return wire.MemberGone
 	case r.leaving || r.entry.Leaving:
 		return wire.MemberLeaving
-	case regionSilent || !r.suspected.IsZero():
+	case r.region.silent || !r.suspected.IsZero():
 		return wire.MemberSuspect
 	default:
 		return wire.MemberAlive
--- a/member/state.go
+++ b/member/state.go
@@ -8,7 +8,9 @@
 package member
 
 import (
+	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -44,18 +46,21 @@
 
 // State is the membership as one process sees it.
 type State struct {
-	opts     Options
-	name     string
-	hash     uint32
-	members  map[string]*record
-	names    []string // sorted
-	peers    []string // sorted
-	beats    map[string]time.Time
-	regions  map[string]time.Time // last contact of anyone with another region
-	silent   map[string]bool
-	queue    queue
+	opts    Options
+	name    string
+	hash    uint32
+	members map[string]*record
+	order   []*record // sorted by name
+	peers   []string  // sorted
+	beats   map[string]time.Time
+	regions map[string]*region
+	accused map[*record]bool
+	queue   queue
+	// stale is true if a reported status may no longer hold.
+	stale    bool
 	aware    awareness
-	cursor   int
+	turn     uint64
+	repaired uint64
 	lastTick time.Time
 	conflict uint64
 }
@@ -69,8 +74,8 @@
 		hash:    accuserHash(opts.Self.Name()),
 		members: map[string]*record{},
 		beats:   map[string]time.Time{},
-		regions: map[string]time.Time{},
-		silent:  map[string]bool{},
+		regions: map[string]*region{},
+		accused: map[*record]bool{},
 		queue:   newQueue(),
 		aware:   awareness{quiet: opts.Quiet},
 	}
@@ -83,19 +88,27 @@
 func (s *State) SetList(now time.Time, entries []Entry) []Changed {
 	listed := s.merge(now, entries)
 	changes := s.dropUnlisted(listed)
-	s.names = s.names[:0]
-	all := make([]Entry, 0, len(s.members))
-	for name := range s.members {
-		s.names = append(s.names, name)
+	s.order = slices.SortedFunc(maps.Values(s.members), func(a, b *record) int {
+		return strings.Compare(a.entry.Name, b.entry.Name)
+	})
+	all := make([]Entry, 0, len(s.order))
+	for _, r := range s.order {
+		all = append(all, r.entry)
 	}
-	slices.Sort(s.names)
-	for _, name := range s.names {
-		all = append(all, s.members[name].entry)
-	}
-	s.setPeers(now, neighbours(all, s.name, s.opts.Peers, s.opts.FarPeers))
+	s.setPeers(now, s.neighbours(all))
+	s.stale = true
 	return append(changes, s.changes()...)
 }
 
+// neighbours returns the peers of this process; none if it isn't listed.
+func (s *State) neighbours(all []Entry) []string {
+	self := s.members[s.name]
+	if self == nil {
+		return nil
+	}
+	return neighbours(all, &self.entry, s.opts.Peers, s.opts.FarPeers)
+}
+
 func (s *State) merge(now time.Time, entries []Entry) map[string]bool {
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
@@ -106,9 +119,7 @@
 			s.members[e.Name] = r
 		}
 		r.entry = e
-		if _, ok := s.regions[e.Region]; !ok {
-			s.regions[e.Region] = now
-		}
+		r.region = s.regionOf(now, e.Region)
 	}
 	if self := s.members[s.name]; self != nil {
 		self.incarnation = max(self.incarnation, s.opts.Self.Incarnation)
@@ -116,14 +127,27 @@
 	return listed
 }
 
+func (s *State) regionOf(now time.Time, name string) *region {
+	r := s.regions[name]
+	if r == nil {
+		r = &region{contact: now}
+		s.regions[name] = r
+	}
+	return r
+}
+
 func (s *State) dropUnlisted(listed map[string]bool) []Changed {
 	var changes []Changed
-	for _, name := range s.names {
-		r := s.members[name]
+	for _, r := range s.order {
+		name := r.entry.Name
 		if listed[name] {
 			continue
 		}
 		delete(s.members, name)
+		delete(s.accused, r)
+		if r.region.witness == r {
+			r.region.witness = nil
+		}
 		s.queue.drop(name)
 		if r.status != wire.MemberGone {
 			changes = append(changes, Changed{name, r.status, wire.MemberGone})
@@ -151,10 +175,9 @@
 
 // Members returns all members, sorted by name.
 func (s *State) Members() []Member {
-	members := make([]Member, 0, len(s.names))
-	for _, name := range s.names {
-		r := s.members[name]
-		_, peer := s.beats[name]
+	members := make([]Member, 0, len(s.order))
+	for _, r := range s.order {
+		_, peer := s.beats[r.entry.Name]
 		members = append(members, Member{
 			Entry: r.entry, Status: r.status, Incarnation: r.incarnation, Revision: r.revision,
 			Heard: r.heard, Contact: r.contact, Peer: peer,
@@ -163,7 +186,7 @@
 	return members
 }
 
-// Aware tells whether this process hears most of its peers, and has for long
+// Aware tells whether this process hears enough of its peers, and has for long
 // enough to judge others.
 func (s *State) Aware(now time.Time) bool { return s.aware.aware(now) }
 
@@ -181,6 +204,7 @@
 func (s *State) Leaving(now time.Time) {
 	if self := s.members[s.name]; self != nil {
 		self.leaving = true
+		s.stale = true
 	}
 	for name := range s.beats {
 		s.beats[name] = now
@@ -194,8 +218,8 @@
 	for _, r := range s.members {
 		r.heard = now
 	}
-	for region := range s.regions {
-		s.regions[region] = now
+	for _, region := range s.regions {
+		region.contact = now
 	}
 	s.lastTick = now
 }
@@ -213,14 +237,22 @@
 	return Result{Heartbeats: s.heartbeats(now), Changes: s.changes()}
 }
 
+// observe counts the peers of the own region that are heard, or all peers if
+// none stands there.
 func (s *State) observe(now time.Time) {
-	heard := 0
+	var near, all tally
 	for _, name := range s.peers {
-		if now.Sub(s.members[name].heard) < s.opts.SuspectAfter {
-			heard++
+		r := s.members[name]
+		heard := now.Sub(r.heard) < s.opts.SuspectAfter
+		all.add(heard)
+		if r.entry.Region == s.opts.Region {
+			near.add(heard)
 		}
 	}
-	s.aware.observe(now, heard, len(s.peers))
+	if near.peers == 0 {
+		near = all
+	}
+	s.aware.observe(now, near)
 }
 
 // accuse accuses silent peers of the own region. Peers elsewhere are left to
@@ -231,11 +263,7 @@
 		if r.entry.Region != s.opts.Region || r.accused(s.hash) || !s.isSilent(now, r) {
 			continue
 		}
-		if r.accusation == nil {
-			r.accusation = &suspicion{started: now}
-		}
-		r.accusation.confirm([]uint32{s.hash}, s.opts.Confirmations)
-		s.queue.put(name)
+		s.charge(now, r, []uint32{s.hash})
 	}
 }
 
@@ -246,27 +274,34 @@
 }
 
 func (s *State) judge(now time.Time) {
-	for region, contact := range s.regions {
-		s.silent[region] = region != s.opts.Region && now.Sub(contact) >= s.opts.RegionSilence
+	for name, r := range s.regions {
+		silent := name != s.opts.Region && now.Sub(r.contact) >= s.opts.RegionSilence
+		s.stale = s.stale || silent != r.silent
+		r.silent = silent
 	}
-	for _, r := range s.members {
-		r.judge(now, &s.opts, s.silent[r.entry.Region])
+	for r := range s.accused {
+		r.judge(now, &s.opts)
+		s.stale = s.stale || r.current() != r.status
 	}
 }
 
+// hold stops the clock of all accusations.
 func (s *State) hold(now time.Time) {
-	for _, r := range s.members {
+	for r := range s.accused {
 		r.hold(now.Sub(s.lastTick))
 	}
 }
 
 func (s *State) changes() []Changed {
+	if !s.stale {
+		return nil
+	}
+	s.stale = false
 	var changes []Changed
-	for _, name := range s.names {
-		r := s.members[name]
-		status := r.current(s.silent[r.entry.Region])
+	for _, r := range s.order {
+		status := r.current()
 		if status != r.status {
-			changes = append(changes, Changed{name, r.status, status})
+			changes = append(changes, Changed{r.entry.Name, r.status, status})
 			r.status = status
 		}
 	}
--- /dev/null
+++ b/member/suspicion_test.go
@@ -0,0 +1,44 @@
+package member
+
+import (
+	"testing"
+	"time"
+)
+
+func TestSuspicionWindowShrinksWithAccusers(t *testing.T) {
+	s := &suspicion{started: start}
+	last := time.Hour
+	for i := range uint32(5) {
+		grew := s.confirm([]uint32{i, i}, 3)
+		if want := i < 3; grew != want {
+			t.Errorf("accuser %d counted: %v, want %v", i, grew, want)
+		}
+		w := s.window(8*time.Second, 30*time.Second, 3)
+		if w > last || w < 8*time.Second || w > 30*time.Second {
+			t.Errorf("window %v with %d accusers after %v", w, i+1, last)
+		}
+		last = w
+	}
+	if last != 8*time.Second {
+		t.Errorf("window %v when confirmed, want 8s", last)
+	}
+}
+
+func TestAwarenessNeedsMostPeersForAWhile(t *testing.T) {
+	a := awareness{quiet: 10 * time.Second}
+	steps := []struct {
+		at    time.Duration
+		heard int
+		want  bool
+	}{{0, 2, false}, {9 * time.Second, 5, false}, {10 * time.Second, 2, true}, {11 * time.Second, 1, false}, {20 * time.Second, 2, false}, {30 * time.Second, 2, true}}
+	for _, s := range steps {
+		a.observe(start.Add(s.at), tally{s.heard, 5})
+		if got := a.aware(start.Add(s.at)); got != s.want {
+			t.Errorf("at %v hearing %d of 5: aware %v, want %v", s.at, s.heard, got, s.want)
+		}
+	}
+	a.gap()
+	if a.aware(start.Add(time.Minute)) {
+		t.Error("aware right after a gap")
+	}
+}
