--- a/member/gossip.go
+++ b/member/gossip.go
@@ -213,3 +213,10 @@
 	s.repaired++
 	return s.order[mix(s.repaired, uint64(s.hash))%uint64(len(s.order))].entry.Name
 }
+
+// PeerLeaves takes a process's own word that it leaves.
+func (s *State) PeerLeaves(from string) {
+	if r := s.members[from]; r != nil && from != s.name {
+		s.leaves(r)
+	}
+}
--- a/node/folders.go
+++ b/node/folders.go
@@ -5,29 +5,72 @@
 	"sync"
 	"time"
 
+	"github.com/goldcrestmux/goldcrestmux/folder"
 	"github.com/goldcrestmux/goldcrestmux/platform"
 	"github.com/goldcrestmux/goldcrestmux/revision"
 	"github.com/goldcrestmux/goldcrestmux/wire"
 	"github.com/juju/errors"
 )
 
+// Bounds of the reads from the configuration service.
+const (
+	readWorkers = 2
+	readQueue   = 16
+	// callTimeout bounds one call that does not wait.
+	callTimeout = 2 * time.Second
+)
+
 // folders drives the revisions of the operators' folder.
 type folders struct {
-	node *Node
+	node  *Node
+	reads chan revision.ReadFile
 
-	mu    sync.Mutex
-	state *revision.State
-	pace  *revision.Pace
+	mu        sync.Mutex
+	state     *revision.State
+	pacer     *revision.Pacer
+	processes []string // names of all processes of the fleet
+	active    int      // index of the service that answered last
+	called    bool     // whether the service has been called
+	told      uint64   // highest revision that the service has named
+	handled   uint64   // highest of these that was rejected
 
-	// inForce serialises the calls of Events.Contracts in the order of revisions.
-	inForce sync.Mutex
+	// putting serialises the calls of Events.Contracts in the order of revisions.
+	putting sync.Mutex
+}
+
+func newFolders(n *Node, opts revision.Options) *folders {
+	return &folders{
+		node:  n,
+		reads: make(chan revision.ReadFile, readQueue),
+		state: revision.New(time.Now(), opts),
+		pacer: revision.NewPacer(opts),
+	}
+}
+
+// errEmptyFolder is the fault of a folder without files: most likely the
+// operators' files were lost, and serving nothing is not what they want.
+const errEmptyFolder = errors.ConstError("the folder holds no files")
+
+func check(files []folder.File) (*folder.Contracts, error) {
+	if len(files) == 0 {
+		return nil, errEmptyFolder
+	}
+	merged, err := folder.Load(files)
+	if err != nil {
+		return nil, err
+	}
+	return merged.Contracts, nil
 }
 
-func (f *folders) setFleet(peers, processes int) {
+// setFleet tells which peers can be asked and which processes share the budget
+// of the service.
+func (f *folders) setFleet(peers, processes []string) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.state.SetPeers(peers)
-	f.pace.SetReaders(processes)
+	f.processes = processes
+	f.mu.Unlock()
+	f.event(func(now time.Time, s *revision.State) []revision.Action {
+		return s.SetPeers(now, peers, len(processes))
+	})
 }
 
 func (f *folders) ready() (bool, string) {
@@ -39,162 +82,200 @@
 func (f *folders) offer() wire.FolderOffer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.state.Offer()
+	return f.state.Current()
 }
 
-func (f *folders) revision() uint64 {
+func (f *folders) status() revision.Status {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.state.Revision()
+	return f.state.Status()
 }
 
-func (f *folders) tick(now time.Time) {
-	f.event(func(s *revision.State) []revision.Action { return s.Tick(now) })
+func (f *folders) tick() {
+	f.event(func(now time.Time, s *revision.State) []revision.Action { return s.Tick(now) })
+}
+
+func (f *folders) gap() {
+	f.event(func(now time.Time, s *revision.State) []revision.Action { return s.Gap(now) })
 }
 
 // frame takes a peer's offer, ask or answer.
 func (f *folders) frame(peer string, frame *wire.Frame) {
-	now := time.Now()
 	if frame.Offer != nil {
-		f.event(func(s *revision.State) []revision.Action { return s.Offered(now, peer, *frame.Offer) })
+		f.event(func(now time.Time, s *revision.State) []revision.Action { return s.Offer(now, peer, *frame.Offer) })
 	}
 	if frame.FolderAnswer != nil {
-		f.event(func(s *revision.State) []revision.Action { return s.Answered(now, peer, *frame.FolderAnswer) })
-	}
-	if frame.FolderAsk == nil {
-		return
+		f.event(func(now time.Time, s *revision.State) []revision.Action {
+			return s.FolderAnswer(now, peer, *frame.FolderAnswer)
+		})
 	}
-	f.mu.Lock()
-	answer, ok := f.state.Asked(*frame.FolderAsk)
-	f.mu.Unlock()
-	if ok {
+	if frame.FolderAsk != nil {
+		f.mu.Lock()
+		answer := f.state.FolderAsk(*frame.FolderAsk)
+		f.mu.Unlock()
 		_ = f.node.opts.Links.Send(peer, &wire.Frame{FolderAnswer: &answer})
 	}
 }
 
-// event applies an event and carries out what follows from it. Files to be read
-// from the service are returned.
-func (f *folders) event(apply func(*revision.State) []revision.Action) (reads []platform.ManifestFile) {
+// event applies an event and carries out what follows from it.
+func (f *folders) event(apply func(now time.Time, s *revision.State) []revision.Action) {
 	f.mu.Lock()
-	actions := apply(f.state)
+	actions := apply(time.Now(), f.state)
 	f.mu.Unlock()
 	for _, a := range actions {
-		switch a := a.(type) {
-		case revision.ReadFile:
-			reads = append(reads, a.File)
-		case revision.AskPeer:
-			_ = f.node.opts.Links.Send(a.Peer, &wire.Frame{FolderAsk: &a.Ask})
-		case revision.InForce:
-			f.putInForce(a)
-		case revision.Rejected:
-			metrics.rejected.Add(1)
-			f.node.opts.Logger.Error("folder revision rejected; the last accepted one stays in force",
-				"revision", a.Revision, "source", a.Source, "error", a.Err)
-		case revision.Conflict:
-			f.node.opts.Logger.Error("one folder revision has two contents", "revision", a.Revision, "source", a.Source)
-		}
+		f.perform(a)
 	}
-	return reads
 }
 
-// putInForce tells the role and the peers of a revision, unless a newer one has
-// come into force meanwhile.
+func (f *folders) perform(a revision.Action) {
+	log := f.node.opts.Logger
+	switch a := a.(type) {
+	case revision.ReadFile:
+		f.queueRead(a)
+	case revision.AskPeer:
+		_ = f.node.opts.Links.Send(a.Peer, &wire.Frame{FolderAsk: &a.Ask})
+	case revision.InForce:
+		f.putInForce(a)
+	case revision.Offer:
+		f.node.members.announce()
+	case revision.Rejected:
+		metrics.rejected.Add(1)
+		f.noteRejected(a)
+		log.Error("folder revision rejected; the last accepted one stays in force",
+			"revision", a.Revision, "source", a.Source.String(), "faults", a.Faults)
+	case revision.Conflict:
+		log.Error("one folder revision has two contents",
+			"revision", a.Revision, "kept", a.Kept, "dropped", a.Dropped, "source", a.Source.String())
+	}
+}
+
+// noteRejected keeps the watch from being answered with a rejected revision.
+func (f *folders) noteRejected(a revision.Rejected) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if a.Source.Peer == "" {
+		f.handled = max(f.handled, a.Revision)
+	}
+}
+
+// queueRead hands a read to the workers. One that finds no room is dropped: the
+// state machine gives it up and asks again.
+func (f *folders) queueRead(a revision.ReadFile) {
+	select {
+	case f.reads <- a:
+	default:
+	}
+}
+
+// putInForce tells the role of a revision, unless a newer one has come into
+// force meanwhile.
 func (f *folders) putInForce(a revision.InForce) {
-	f.inForce.Lock()
-	defer f.inForce.Unlock()
-	if a.Revision < f.revision() {
+	f.putting.Lock()
+	defer f.putting.Unlock()
+	if a.Revision < f.status().Revision {
 		return
 	}
-	f.node.opts.Logger.Info("folder in force", "revision", a.Revision, "source", a.Source)
+	f.node.opts.Logger.Info("folder in force", "revision", a.Revision, "source", a.Source.String())
 	metrics.revision.Set(int64(a.Revision))
-	if a.Source != revision.SourceService {
+	if a.Source.Peer != "" {
 		metrics.fromPeers.Add(1)
 	}
+	f.node.members.setRevision(a.Revision)
 	if f.node.opts.Events.Contracts != nil {
-		f.node.opts.Events.Contracts(a.Folder.Contracts)
+		f.node.opts.Events.Contracts(a.Contracts)
 	}
-	f.node.members.announce(time.Now())
 }
 
-// follow watches the configuration service, one call at a time.
+// follow watches or polls the configuration service, one call at a time.
 func (f *folders) follow() error {
 	ctx := f.node.tomb.Context(context.Background())
-	for attempt := 0; ctx.Err() == nil; attempt++ {
-		config := f.node.opts.Folders[attempt%len(f.node.opts.Folders)]
-		err := f.watch(ctx, config)
-		for err == nil && ctx.Err() == nil {
-			err = f.watch(ctx, config)
-		}
-		if ctx.Err() != nil {
-			return nil
-		}
-		metrics.serviceErrors.Add(1)
-		f.mu.Lock()
-		pause := f.pace.Failed()
-		f.mu.Unlock()
-		f.node.opts.Logger.Warn("configuration service can't be read", "error", err, "retry_in", pause)
+	failed := false
+	for ctx.Err() == nil {
+		pause, wait, after := f.nextCall(failed)
 		f.node.sleep(pause)
+		failed = ctx.Err() == nil && f.call(ctx, wait, after) != nil
 	}
 	return nil
 }
 
-// errNoProgress tells that the service offers a revision that can't be read.
-const errNoProgress = errors.ConstError("the revision could not be read in whole")
-
-// watch waits for a newer revision once and reads it.
-func (f *folders) watch(ctx context.Context, config *platform.Config) error {
+// nextCall returns the pause before the next call, how long it waits, and the
+// revision above which it is answered.
+func (f *folders) nextCall(failed bool) (pause, wait time.Duration, after uint64) {
 	f.mu.Lock()
-	after := f.state.Handled()
-	wait := f.pace.Watch()
-	f.mu.Unlock()
-	if after == 0 {
-		wait = 0
+	defer f.mu.Unlock()
+	if failed {
+		f.active = (f.active + 1) % len(f.node.opts.Folders)
 	}
+	after = max(f.state.Status().Revision, f.handled)
+	if !f.called {
+		f.called = true
+		return 0, 0, after
+	}
+	watch := f.pacer.Watches(f.node.opts.Self.Name(), f.processes)
+	pause, wait = f.pacer.Next(watch, failed)
+	return pause, wait, after
+}
+
+// errNoProgress tells that the service names a revision again that has not been
+// read in whole yet. It spaces the calls; the state machine repeats the reads.
+const errNoProgress = errors.ConstError("the revision has not been read yet")
+
+// call asks the service once for a revision above after.
+func (f *folders) call(ctx context.Context, wait time.Duration, after uint64) error {
 	metrics.serviceCalls.Add(1)
-	manifest, changed, err := config.Watch(ctx, after, wait)
+	manifest, changed, err := f.service().Watch(ctx, after, wait)
 	if err != nil {
+		metrics.serviceErrors.Add(1)
+		f.node.opts.Logger.Warn("configuration service can't be read", "error", err)
 		return err
 	}
-	f.mu.Lock()
-	f.pace.Succeeded()
-	spread := f.pace.Spread()
-	f.mu.Unlock()
 	if !changed {
-		return f.idle(after)
+		return nil
 	}
-	if after > 0 {
-		f.node.sleep(spread)
-	}
-	return f.read(ctx, config, manifest)
-}
-
-// idle returns an error that spaces the calls if a service without any
-// revision answers at once.
-func (f *folders) idle(after uint64) error {
-	if after == 0 {
+	f.mu.Lock()
+	again := manifest.Revision == f.told
+	f.told = max(f.told, manifest.Revision)
+	f.mu.Unlock()
+	f.event(func(now time.Time, s *revision.State) []revision.Action {
+		return s.Manifest(now, revision.Source{}, manifest)
+	})
+	if again {
 		return errNoProgress
 	}
 	return nil
 }
 
-// read reads the files of a manifest that are not held yet.
-func (f *folders) read(ctx context.Context, config *platform.Config, manifest platform.Manifest) error {
-	reads := f.event(func(s *revision.State) []revision.Action { return s.Manifest(time.Now(), manifest) })
-	for _, file := range reads {
-		metrics.serviceCalls.Add(1)
-		data, err := config.File(ctx, file)
-		if err != nil {
-			var torn *platform.TornReadError
-			isTorn := errors.As(err, &torn)
-			f.event(func(s *revision.State) []revision.Action { return s.ReadFailed(time.Now(), file, isTorn) })
-			return err
-		}
-		f.event(func(s *revision.State) []revision.Action { return s.FileRead(time.Now(), file, data) })
-	}
+func (f *folders) service() *platform.Config {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.state.Handled() < manifest.Revision {
-		return errNoProgress
+	return f.node.opts.Folders[f.active]
+}
+
+// read reads files for the state machine until the node stops.
+func (f *folders) read() error {
+	ctx := f.node.tomb.Context(context.Background())
+	for {
+		select {
+		case <-f.node.tomb.Dying():
+			return nil
+		case a := <-f.reads:
+			f.readFile(ctx, a)
+		}
 	}
-	return nil
+}
+
+func (f *folders) readFile(ctx context.Context, a revision.ReadFile) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	metrics.serviceCalls.Add(1)
+	data, err := f.service().File(ctx, platform.ManifestFile{Name: a.Name, SHA256: a.SHA256})
+	if err != nil {
+		metrics.serviceErrors.Add(1)
+		f.node.opts.Logger.Warn("folder file can't be read", "file", a.Name, "error", err)
+		f.event(func(now time.Time, s *revision.State) []revision.Action { return s.ReadFailed(now, a.Name, a.SHA256) })
+		return
+	}
+	f.event(func(now time.Time, s *revision.State) []revision.Action {
+		return s.FileRead(now, a.Name, a.SHA256, data)
+	})
 }
--- a/node/members.go
+++ b/node/members.go
@@ -30,11 +30,15 @@
 			})
 		}
 	}
+	names := make([]string, len(entries))
+	for i, e := range entries {
+		names[i] = e.Name
+	}
 	m.mu.Lock()
 	changes := m.state.SetList(now, entries)
-	peers := len(m.state.Peers())
+	peers := m.state.Peers()
 	m.mu.Unlock()
-	m.node.folders.setFleet(peers, len(entries))
+	m.node.folders.setFleet(peers, names)
 	m.tell(changes)
 }
 
@@ -71,12 +75,19 @@
 	}
 }
 
+// setRevision sets the folder revision that heartbeats tell.
+func (m *members) setRevision(revision uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.state.SetRevision(revision)
+}
+
 // announce tells the peers at once of a revision that came into force.
-func (m *members) announce(now time.Time) {
+func (m *members) announce() {
 	m.mu.Lock()
-	m.state.SetRevision(m.node.folders.revision())
 	peers := m.state.Peers()
 	m.mu.Unlock()
+	now := time.Now()
 	for _, peer := range peers {
 		m.node.send(peer, m.node.heartbeat(now, nil))
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -18,7 +18,6 @@
 	"github.com/goldcrestmux/goldcrestmux/revision"
 	"github.com/goldcrestmux/goldcrestmux/view"
 	"github.com/goldcrestmux/goldcrestmux/wire"
-	"github.com/juju/errors"
 	"gopkg.in/tomb.v2"
 )
 
@@ -29,6 +28,8 @@
 	// gapThreshold is the time without a tick after which the process counts
 	// as having been paused.
 	gapThreshold = time.Second
+	// folderSeed sets the random source of the folder's pace apart.
+	folderSeed = 4
 )
 
 // Links sends frames to other processes by name.
@@ -92,7 +93,6 @@
 
 // New returns a node that is not started.
 func New(opts Options) *Node {
-	now := time.Now()
 	n := &Node{opts: opts}
 	n.members = &members{
 		node: n,
@@ -100,30 +100,21 @@
 			Self: opts.Self, Region: opts.Region, Interval: opts.Heartbeat, Peers: opts.Peers,
 		}),
 	}
-	n.folders = &folders{
-		node:  n,
-		state: revision.New(now, revision.Options{Check: check}),
-		pace:  revision.NewPace(rand.New(rand.NewPCG(opts.Self.Incarnation, 4))),
-	}
+	n.folders = newFolders(n, revision.Options{
+		Check: check,
+		Rand:  rand.New(rand.NewPCG(opts.Self.Incarnation, folderSeed)),
+	})
 	n.views = &views{node: n, tracker: view.New(view.Options{MaxAge: opts.VMMaxAge})}
 	return n
 }
 
-// errEmptyFolder is the fault of a folder without files: most likely the
-// operators' files were lost, and serving nothing is not what they want.
-const errEmptyFolder = errors.ConstError("the folder holds no files")
-
-func check(files []folder.File) (*folder.Merged, error) {
-	if len(files) == 0 {
-		return nil, errEmptyFolder
-	}
-	return folder.Load(files)
-}
-
 // Start starts to follow the platform.
 func (n *Node) Start() {
 	n.tomb.Go(n.tick)
 	n.tomb.Go(n.folders.follow)
+	for range readWorkers {
+		n.tomb.Go(n.folders.read)
+	}
 	n.tomb.Go(n.views.poll)
 }
 
@@ -168,7 +159,7 @@
 		}
 		last = now
 		n.members.tick(now)
-		n.folders.tick(now)
+		n.folders.tick()
 		n.views.tick(now)
 	}
 }
@@ -185,6 +176,7 @@
 	n.opts.Logger.Warn("the process was paused")
 	metrics.gaps.Add(1)
 	n.members.gap(now)
+	n.folders.gap()
 	if n.opts.Events.Gap != nil {
 		n.opts.Events.Gap()
 	}
--- a/node/state.go
+++ b/node/state.go
@@ -12,12 +12,32 @@
 
 // State is the dump of a node's state.
 type State struct {
-	Ready  bool          `json:"ready"`
-	Why    string        `json:"why,omitempty"`
-	Folder revision.Info `json:"folder"`
-	View   ViewState     `json:"vm_list"`
-	Peers  []string      `json:"peers"`
-	Aware  bool          `json:"aware"`
+	Ready  bool        `json:"ready"`
+	Why    string      `json:"why,omitempty"`
+	Folder FolderState `json:"folder"`
+	View   ViewState   `json:"vm_list"`
+	Peers  []string    `json:"peers"`
+	Aware  bool        `json:"aware"`
+}
+
+// FolderState describes the folder revision in force.
+type FolderState struct {
+	Revision uint64 `json:"revision"`
+	Digest   string `json:"digest"`
+	// Source is "service" or the peer that passed the revision on.
+	Source string `json:"source"`
+	// AgeMillis is the time since the revision came into force here.
+	AgeMillis int64           `json:"age_ms"`
+	Counts    revision.Counts `json:"counts"`
+}
+
+func newFolderState(now time.Time, s revision.Status) FolderState {
+	out := FolderState{Revision: s.Revision, Digest: s.Digest, Counts: s.Counts}
+	if s.Revision > 0 {
+		out.Source = s.Source.String()
+		out.AgeMillis = now.Sub(s.Since).Milliseconds()
+	}
+	return out
 }
 
 // ViewState describes the copy of the VM list that the process goes by.
@@ -33,9 +53,7 @@
 	now := time.Now()
 	s := State{}
 	s.Ready, s.Why = n.Ready()
-	n.folders.mu.Lock()
-	s.Folder = n.folders.state.Info(now)
-	n.folders.mu.Unlock()
+	s.Folder = newFolderState(now, n.folders.status())
 	n.views.mu.Lock()
 	list, asOf, known := n.views.tracker.List()
 	s.View = ViewState{Sequence: list.Sequence, Down: n.views.down}
--- /dev/null
+++ b/revision/config.go
@@ -0,0 +1,118 @@
+package revision
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/goldcrestmux/goldcrestmux/folder"
+)
+
+// Defaults of Options.
+const (
+	DefaultStartupPeers  = 3
+	DefaultStartupWait   = 5 * time.Second
+	DefaultAskTimeout    = 2 * time.Second
+	DefaultReadTimeout   = 5 * time.Second
+	DefaultRetryMin      = 250 * time.Millisecond
+	DefaultRetryMax      = 10 * time.Second
+	DefaultReadParallel  = 2
+	DefaultReadBurst     = 16
+	DefaultReadBudget    = 800
+	DefaultWatchers      = 200
+	DefaultWatchWait     = 20 * time.Second
+	DefaultWatchJitter   = 500 * time.Millisecond
+	DefaultPollInterval  = 15 * time.Second
+	DefaultWatchRetryMin = 500 * time.Millisecond
+	DefaultWatchRetryMax = 30 * time.Second
+)
+
+// maxAnswerBytes bounds the file contents in one answer to a peer, so that it
+// fits into a frame. The peer asks again for the rest.
+const maxAnswerBytes = 2 << 20
+
+// Check checks the files of a revision, sorted by name, as a whole and returns
+// the contracts that they define.
+type Check func([]folder.File) (*folder.Contracts, error)
+
+// Options configures a State and a Pacer. A zero field means the default
+// constant; Check and Rand are required.
+type Options struct {
+	Check Check
+	Rand  *rand.Rand
+	// StartupPeers is the number of peers that a fresh process must hear of
+	// their revision before it is ready, or all peers if there are fewer.
+	StartupPeers int
+	// StartupWait is the time after which a fresh process is ready without
+	// them, if it has a revision in force.
+	StartupWait time.Duration
+	// AskTimeout is the time after which a peer's missing answer is given up.
+	AskTimeout time.Duration
+	// ReadTimeout is the time after which a file read is given up.
+	ReadTimeout time.Duration
+	// RetryMin and RetryMax bound the pause before a failed read or ask is
+	// repeated. It doubles from one to the other, and half of it is jitter.
+	RetryMin time.Duration
+	RetryMax time.Duration
+	// ReadParallel is the number of file reads in progress at once.
+	ReadParallel int
+	// ReadBurst is the largest number of files that one process reads without
+	// a pause.
+	ReadBurst int
+	// ReadBudget is the number of file reads a second that all processes
+	// together may make.
+	ReadBudget int
+	// Watchers is the largest number of processes that watch the service. The
+	// others poll it every PollInterval and hear of changes from peers.
+	Watchers int
+	// WatchWait is how long the service holds a watch.
+	WatchWait time.Duration
+	// WatchJitter is the longest pause before a watch is renewed.
+	WatchJitter time.Duration
+	// PollInterval is the mean time between two polls.
+	PollInterval time.Duration
+	// WatchRetryMin and WatchRetryMax bound the pause after a failed watch.
+	WatchRetryMin time.Duration
+	WatchRetryMax time.Duration
+}
+
+func orDefault[T int | time.Duration](value *T, def T) {
+	if *value == 0 {
+		*value = def
+	}
+}
+
+func (o Options) withDefaults() Options {
+	orDefault(&o.StartupPeers, DefaultStartupPeers)
+	orDefault(&o.StartupWait, DefaultStartupWait)
+	orDefault(&o.AskTimeout, DefaultAskTimeout)
+	orDefault(&o.ReadTimeout, DefaultReadTimeout)
+	orDefault(&o.RetryMin, DefaultRetryMin)
+	orDefault(&o.RetryMax, DefaultRetryMax)
+	orDefault(&o.ReadParallel, DefaultReadParallel)
+	orDefault(&o.ReadBurst, DefaultReadBurst)
+	orDefault(&o.ReadBudget, DefaultReadBudget)
+	orDefault(&o.Watchers, DefaultWatchers)
+	orDefault(&o.WatchWait, DefaultWatchWait)
+	orDefault(&o.WatchJitter, DefaultWatchJitter)
+	orDefault(&o.PollInterval, DefaultPollInterval)
+	orDefault(&o.WatchRetryMin, DefaultWatchRetryMin)
+	orDefault(&o.WatchRetryMax, DefaultWatchRetryMax)
+	return o
+}
+
+// backoff returns the pause after the given number of failures in a row.
+func backoff(r *rand.Rand, failures int, shortest, longest time.Duration) time.Duration {
+	pause := shortest
+	for i := 1; i < failures && pause < longest; i++ {
+		pause *= 2
+	}
+	pause = min(pause, longest)
+	return pause/2 + jitter(r, pause/2)
+}
+
+func jitter(r *rand.Rand, limit time.Duration) time.Duration {
+	if limit <= 0 {
+		return 0
+	}
+	return time.Duration(r.Int64N(int64(limit)))
+}
