--- a/standin/answer.go
+++ b/standin/answer.go
@@ -12,7 +12,7 @@
 const garbage = `{"id": <html>`
 
 // answer sends the result of the work, with the faults that are set.
-func (j *job) answer(w http.ResponseWriter) {
+func (j *job) answer(w http.ResponseWriter, r *http.Request) {
 	answer := j.result()
 	t := j.t
 	t.mu.Lock()
@@ -29,7 +29,7 @@
 		time.Sleep(faults.LateBy.Std())
 	}
 	j.travelBack()
-	t.setHeaders(w)
+	t.setHeaders(w, r)
 	switch {
 	case bad:
 		_, _ = w.Write([]byte(garbage))
--- a/standin/conn.go
+++ b/standin/conn.go
@@ -63,6 +63,9 @@
 	}
 }
 
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
 // targetConn is a connection to a target. It can be made silent: it then
 // stays open, but nothing passes any more.
 type targetConn struct {
--- a/standin/serve.go
+++ b/standin/serve.go
@@ -54,7 +54,7 @@
 	from := r.Header.Get(platform.HeaderDataCentre)
 	t.swallowIfCutOff(from, r)
 	time.Sleep(2 * t.distance(from, t.layout.DataCentre))
-	t.setHeaders(w)
+	t.setHeaders(w, r)
 	writeJSON(w, http.StatusOK, t.tellHealth())
 }
 
@@ -63,7 +63,7 @@
 	t.swallowIfCutOff(from, r)
 	var cancel platform.TargetCancel
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(&cancel); err != nil {
-		t.refuse(w, &platform.TargetRefusal{Code: string(code.BadRequest), NotRun: true}, http.StatusBadRequest)
+		t.refuse(w, r, &platform.TargetRefusal{Code: string(code.BadRequest), NotRun: true}, http.StatusBadRequest)
 		return
 	}
 	time.Sleep(t.distance(from, t.layout.DataCentre))
@@ -73,7 +73,7 @@
 	if ok {
 		stop(errCanceled)
 	}
-	t.setHeaders(w)
+	t.setHeaders(w, r)
 	w.WriteHeader(http.StatusNoContent)
 }
 
@@ -85,30 +85,30 @@
 	}
 	t.swallowIfCutOff(j.from, r)
 	if err := j.parse(w, r); err != nil {
-		t.refuse(w, j.refusal(code.BadRequest, true), http.StatusBadRequest)
+		t.refuse(w, r, j.refusal(code.BadRequest, true), http.StatusBadRequest)
 		return
 	}
 	stop := j.begin(r)
 	defer stop()
 	if err := j.sleep(t.distance(j.from, t.layout.DataCentre)); err != nil {
-		j.answerStopped(w, true)
+		j.answerStopped(w, r, true)
 		return
 	}
 	if refusal, status := j.admit(); refusal != nil {
 		j.travelBack()
-		t.refuse(w, refusal, status)
+		t.refuse(w, r, refusal, status)
 		return
 	}
 	if err := j.sleep(t.serviceTime()); err != nil {
 		j.end(false)
-		j.answerStopped(w, false)
+		j.answerStopped(w, r, false)
 		return
 	}
 	t.gate.wait()
 	if !j.end(true) {
 		panic(http.ErrAbortHandler)
 	}
-	j.answer(w)
+	j.answer(w, r)
 }
 
 func (j *job) parse(w http.ResponseWriter, r *http.Request) error {
@@ -247,7 +247,7 @@
 }
 
 // answerStopped answers a request that ended before its work was done.
-func (j *job) answerStopped(w http.ResponseWriter, notRun bool) {
+func (j *job) answerStopped(w http.ResponseWriter, r *http.Request, notRun bool) {
 	cause := context.Cause(j.ctx)
 	if errors.Is(cause, errStopped) {
 		panic(http.ErrAbortHandler)
@@ -257,7 +257,7 @@
 		status = statusCanceled
 	}
 	j.travelBack()
-	j.t.refuse(w, j.refusal(stopCode(cause), notRun), status)
+	j.t.refuse(w, r, j.refusal(stopCode(cause), notRun), status)
 }
 
 // statusCanceled is the status of the answer to a canceled request.
@@ -275,22 +275,24 @@
 }
 
 // refuse answers a request that doesn't run to its end.
-func (t *Target) refuse(w http.ResponseWriter, refusal *platform.TargetRefusal, status int) {
+func (t *Target) refuse(w http.ResponseWriter, r *http.Request, refusal *platform.TargetRefusal, status int) {
 	t.mu.Lock()
 	t.stats.Refused++
 	t.mu.Unlock()
 	if refusal.NotRun {
 		t.ledger.refuse(code.Code(refusal.Code))
 	}
-	t.setHeaders(w)
+	t.setHeaders(w, r)
 	writeJSON(w, status, refusal)
 }
 
-func (t *Target) setHeaders(w http.ResponseWriter) {
+// setHeaders tells the boot. It counts as told if the connection can pass it on.
+func (t *Target) setHeaders(w http.ResponseWriter, r *http.Request) {
+	conn, _ := r.Context().Value(connKey{}).(*targetConn)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	w.Header().Set(platform.HeaderBoot, t.bootID)
-	if t.told.IsZero() {
+	if t.told.IsZero() && (conn == nil || !conn.silent.Load()) {
 		t.told = time.Now()
 	}
 	if t.draining {
--- a/standin/target.go
+++ b/standin/target.go
@@ -250,6 +250,7 @@
 		Handler:     t.handler(),
 		IdleTimeout: idleTimeout,
 		ErrorLog:    log.New(io.Discard, "", 0),
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 	}
 	t.server = server
 	go server.Serve(&targetListener{Listener: listener, t: t})
