Measure the slopes of cost by make slopes

Processor time of whole processes comes from /proc of a stand-in, three relays and three gateways that it starts on loopback; all else is measured inside the command.

--- a/Makefile
+++ b/Makefile
@@ -21,3 +21,6 @@
 
 demo: build
 	./scripts/demo.sh
+
+slopes: build
+	go run ./slopes -bin $(BIN)
--- /dev/null
+++ b/slopes/control.go
@@ -0,0 +1,164 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/goldcrestmux/goldcrestmux/member"
+	"github.com/goldcrestmux/goldcrestmux/wire"
+)
+
+// Durations of the measurements of control.
+const (
+	idlePeriod = 2 * time.Second
+	beatPeriod = 120 // intervals between heartbeats
+	tickPeriod = 100 * time.Millisecond
+)
+
+// measureControl takes what a process spends on control while nothing is asked
+// of it, in bytes and in processor time.
+func measureControl() ([]slope, error) {
+	slopes := []slope{heartbeatBytes(), heartbeatTime(), listBytes()}
+	idle, err := relayIdle()
+	if err != nil {
+		return nil, err
+	}
+	views, err := relayViews()
+	if err != nil {
+		return nil, err
+	}
+	folders, err := relayFolders()
+	if err != nil {
+		return nil, err
+	}
+	return append(slopes, idle, views[0], views[1], folders), nil
+}
+
+// heartbeatBytes takes the encoded size of the heartbeats that one process
+// sends per second in a fleet without changes. It receives as many on average.
+func heartbeatBytes() slope {
+	var points []point
+	for _, vms := range vmCounts {
+		sent := 0
+		beat(newMembers(vms), func(f *wire.Frame) {
+			data, err := wire.Encode(f)
+			if err == nil {
+				sent += len(data)
+			}
+		})
+		points = append(points, point{float64(2 * vms), float64(sent) / beatPeriod})
+	}
+	return newSlope("control: heartbeats sent, no change", "bytes/s", "member (2 per VM)", points)
+}
+
+// heartbeatTime takes the processor time of the membership's state machine.
+func heartbeatTime() slope {
+	var points []point
+	for _, vms := range vmCounts {
+		s := newMembers(vms)
+		before := ownTime()
+		beat(s, func(*wire.Frame) {})
+		points = append(points, point{float64(2 * vms), float64((ownTime() - before).Microseconds()) / beatPeriod})
+	}
+	return newSlope("control: membership", "us of processor/s", "member (2 per VM)", points)
+}
+
+// beat runs a membership for beatPeriod seconds of scripted time, in which each
+// peer answers every heartbeat with one of the same content.
+func beat(s *member.State, sent func(*wire.Frame)) {
+	offer := &wire.FolderOffer{Revision: 1234, Digest: fmt.Sprintf("%064d", 0)}
+	view := &wire.ViewOffer{Sequence: 1234, AgeMillis: 500}
+	for now := start; now.Before(start.Add(beatPeriod * time.Second)); now = now.Add(tickPeriod) {
+		for _, h := range s.Tick(now).Heartbeats {
+			sent(&wire.Frame{Members: h.Updates, Offer: offer, ViewOffer: view})
+			s.Heard(now, h.To, 1, h.Updates)
+		}
+	}
+}
+
+// listBytes takes the size of one read of the VM list.
+func listBytes() slope {
+	var points []point
+	for _, vms := range vmCounts {
+		data, err := json.Marshal(vmList(1, vms))
+		if err == nil {
+			points = append(points, point{float64(vms), float64(len(data))})
+		}
+	}
+	return newSlope("control: one read of the VM list", "bytes", "VM", points)
+}
+
+// relayIdle takes the processor time of a relay that has nothing to do.
+func relayIdle() (slope, error) {
+	var points []point
+	for _, targets := range targetCounts {
+		_, release, err := newRelay(targets, fleetVMs)
+		if err != nil {
+			return slope{}, errors.Trace(err)
+		}
+		time.Sleep(settle)
+		before := ownTime()
+		time.Sleep(idlePeriod)
+		used := ownTime() - before
+		release()
+		points = append(points, point{float64(targets), float64(used.Microseconds()) / idlePeriod.Seconds()})
+	}
+	return newSlope("control: relay's ticks, idle", "us of processor/s", "target", points), nil
+}
+
+// relayViews takes the processor time of a read of the VM list at a relay,
+// first of one without a change and then of one in which a VM is replaced.
+func relayViews() ([]slope, error) {
+	const reads = 5
+	var same, changed []point
+	for _, vms := range vmCounts {
+		r, release, err := newRelay(fleetTargets, vms)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		time.Sleep(settle)
+		list := vmList(1, vms)
+		before := ownTime()
+		for range reads {
+			r.SetView(list, time.Now())
+		}
+		between := ownTime()
+		for i := range reads {
+			list = vmList(uint64(2+i), vms)
+			list.VMs[1+i].Name = fmt.Sprintf("new%d", i)
+			r.SetView(list, time.Now())
+		}
+		after := ownTime()
+		release()
+		same = append(same, point{float64(vms), millis(between-before) / reads})
+		changed = append(changed, point{float64(vms), millis(after-between) / reads})
+	}
+	return []slope{
+		newSlope(fmt.Sprintf("control: unchanged VM list at a relay of %d targets", fleetTargets), "ms of processor", "VM", same),
+		newSlope(fmt.Sprintf("control: changed VM list at a relay of %d targets", fleetTargets), "ms of processor", "VM", changed),
+	}, nil
+}
+
+// relayFolders takes the processor time of putting contracts in force.
+func relayFolders() (slope, error) {
+	var points []point
+	for _, targets := range targetCounts {
+		r, release, err := newRelay(targets, fleetVMs)
+		if err != nil {
+			return slope{}, errors.Trace(err)
+		}
+		time.Sleep(settle)
+		c := contracts(targets)
+		before := ownTime()
+		r.SetContracts(c)
+		used := ownTime() - before
+		release()
+		points = append(points, point{float64(targets), millis(used)})
+	}
+	return newSlope("control: a change of the folder at a relay", "ms of processor", "target", points), nil
+}
+
+func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
