--- a/permit/table.go
+++ b/permit/table.go
@@ -107,7 +107,7 @@
 	changed := !t.haveView || v.Sequence != t.view.Sequence
 	missed := changed && t.haveView && v.AsOf.Sub(t.view.AsOf) > t.opts.ViewMaxAge
 	if missed {
-		out = t.forget(now)
+		out = t.forget(now, t.listDown)
 	}
 	if !t.haveView {
 		t.since = now
@@ -125,8 +125,9 @@
 }
 
 // forget starts the history of views anew after changes may have been missed,
-// and gives up every permit: another relay may have taken it.
-func (t *Table) forget(now time.Time) []Action {
+// and gives up every permit: another relay may have taken it. After an outage
+// of the list for all, permits above 0 stay.
+func (t *Table) forget(now time.Time, outage bool) []Action {
 	t.past = nil
 	t.rank = &ranking{}
 	t.since = now
@@ -136,7 +137,9 @@
 		r := t.records[k]
 		switch r.state {
 		case stateHeld:
-			out = append(out, t.drain(k, r))
+			if k.Index == 0 || !outage {
+				out = append(out, t.drain(k, r))
+			}
 		case stateWaiting:
 			r.state = stateIdle
 			r.claim = nil
@@ -318,11 +321,11 @@
 	return held
 }
 
-// HoldsZero reports whether permit 0 of the group is usable now, and with it
-// the group's cold targets.
+// HoldsZero reports whether permit 0 of the group is usable now. In ModeWarmOnly
+// it gives no right to cold targets.
 func (t *Table) HoldsZero(now time.Time, group string) bool {
 	r := t.records[Key{Group: group}]
-	return t.Mode(now) == ModeFull && r != nil && r.state == stateHeld
+	return t.Mode(now) != ModeSuspended && r != nil && r.state == stateHeld
 }
 
 // Owners returns the owner of each permit of the group by the current view;
