Probe lost targets, and retire connections that went silent

Cause: a target that fell or crashed and came back got no work again. The state machine offered one request to try it, but told gateways the state out, so none was routed there, and nothing else asked the target. Now the holder of permit 0 probes a lost target at growing intervals, and an answer makes it cold. Also: a cancellation that the target does not confirm counts like a timeout, a successful probe after either retires the open connections, permits that count for warm targets only are told to the targets' state machines, and a fresh gateway is ready when every shard is reached, or after 20 s. The scripted test fails without the probe.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -78,12 +78,17 @@
 	if ok, why := p.node.Ready(); !ok {
 		return false, why
 	}
-	if !p.gateway.Reaches() {
-		return false, "no relay has told what it holds"
+	search := p.gateway.Uncovered()
+	if search != "" && time.Since(p.started) < coverGrace {
+		return false, "search " + search + " has a shard that no relay reaches yet"
 	}
 	return true, ""
 }
 
+// coverGrace is how long a fresh gateway waits for relays to reach every shard.
+// After that it serves what can be reached.
+const coverGrace = 20 * time.Second
+
 // leave makes readiness fail and tells the peers. Requests that the balancer
 // still sends are served.
 func (p *gatewayProcess) leave() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -95,8 +95,8 @@
 // Requests returns the number of requests in progress.
 func (g *Gateway) Requests() int { return g.inflight.len() + g.admission.waiting() }
 
-// Reaches reports whether a relay has told what it holds.
-func (g *Gateway) Reaches() bool { return g.routes.anyRelay() }
+// Uncovered returns a search of which a shard can't be reached now, or "".
+func (g *Gateway) Uncovered() string { return g.routes.uncovered(time.Now()) }
 
 // Up implements the part of link.Handler that concerns gateways.
 func (g *Gateway) Up(*link.Link) {}
--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -27,7 +27,6 @@
 	searches map[string]*searchState
 	targets  map[string]struct{}
 	versions map[versionKey]*pinnedVersion
-	relays   map[string]struct{} // those that have told what they hold
 }
 
 // searchState is what a gateway has learned about one search. It is guarded by
@@ -45,7 +44,6 @@
 		hedging:  hedging,
 		searches: make(map[string]*searchState),
 		targets:  make(map[string]struct{}),
-		relays:   make(map[string]struct{}),
 	}
 }
 
@@ -91,20 +89,37 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.table.SetHoldings(relay, holdings)
-	r.relays[relay] = struct{}{}
 }
 
 func (r *routes) dropRelay(relay string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.table.DropRelay(relay)
-	delete(r.relays, relay)
 }
 
-func (r *routes) anyRelay() bool {
+// uncovered returns a search of which a shard can't be reached now, or "".
+func (r *routes) uncovered(now time.Time) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.relays) > 0
+	for name, s := range r.searches {
+		version, _ := s.versions.Restart(now, "")
+		pinned := r.versions[versionKey{name, version}]
+		if pinned == nil || !r.reaches(now, pinned) {
+			return name
+		}
+	}
+	return ""
+}
+
+// reaches reports whether each shard of a version has a usable replica.
+// Routes.mu is held.
+func (r *routes) reaches(now time.Time, pinned *pinnedVersion) bool {
+	for _, shard := range pinned.shards {
+		if _, c := r.table.Pick(now, r.rng, shard.Replicas, replica.First, nil); c == code.NoReplica {
+			return false
+		}
+	}
+	return true
 }
 
 // choose returns the index version that a new query pins, or nil if there is none.
--- a/relay/permits.go
+++ b/relay/permits.go
@@ -121,7 +121,7 @@
 }
 
 func sameUse(a, b target.Permits) bool {
-	return a.Held == b.Held && a.Zero == b.Zero && slices.Equal(a.Peers, b.Peers)
+	return a.Held == b.Held && a.Zero == b.Zero && a.WarmOnly == b.WarmOnly && slices.Equal(a.Peers, b.Peers)
 }
 
 // setGroups replaces the groups and their entries.
@@ -164,8 +164,9 @@
 		return target.Permits{Held: perVMHeld, Zero: true}
 	}
 	out := target.Permits{
-		Held: len(p.table.Held(now, group)),
-		Zero: p.table.HoldsZero(now, group),
+		Held:     len(p.table.Held(now, group)),
+		Zero:     p.table.HoldsZero(now, group),
+		WarmOnly: p.table.Mode(now) == permit.ModeWarmOnly,
 	}
 	for _, owner := range p.table.Owners(group) {
 		if owner != "" && owner != p.relay.opts.Self.Name() && !slices.Contains(out.Peers, owner) {
--- a/relay/work.go
+++ b/relay/work.go
@@ -161,6 +161,8 @@
 		return target.Reset
 	case code.Timeout:
 		return target.Timeout
+	case code.Canceled:
+		return canceledKind(result)
 	case code.Unreachable:
 		return unreachableKind(result.Err)
 	default:
@@ -168,6 +170,16 @@
 	}
 }
 
+// canceledKind tells a cancellation that the target confirmed, or that left
+// before the request did, from one that got no answer: then the connection may
+// be silent, as after a timeout.
+func canceledKind(result platform.Result) target.Kind {
+	if result.Sent && result.Refusal == nil {
+		return target.Timeout
+	}
+	return target.Canceled
+}
+
 // unreachableKind tells a target that refuses connections from one to which no
 // connection could be made in time.
 func unreachableKind(err error) target.Kind {
@@ -195,8 +207,11 @@
 		ctx, cancel := context.WithTimeout(r.tomb.Context(context.Background()), probeTimeout)
 		defer cancel()
 		health, err := e.client.Probe(ctx)
+		if err == nil {
+			e.client.Retire() // the target answers, so a connection was at fault
+		}
 		e.change(func(now time.Time, m *target.Machine) []target.Action {
-			if err != nil {
+			if err != nil || health.Draining {
 				return m.Probe(now, false, "", false)
 			}
 			return m.Probe(now, true, health.Boot, health.Claim.Warm)
--- a/target/cold.go
+++ b/target/cold.go
@@ -34,7 +34,7 @@
 }
 
 // lose is turnCold for a target that takes no requests at all: the holder of
-// permit 0 tries it with single requests at growing intervals.
+// permit 0 probes it at growing intervals.
 func (m *Machine) lose(now time.Time, why string) []Action {
 	if m.lost {
 		m.why = why
@@ -55,11 +55,10 @@
 	m.delayTry(now)
 }
 
-// delayTry doubles the interval between tries.
+// delayTry doubles the interval between probes of a lost target.
 func (m *Machine) delayTry(now time.Time) {
 	m.tryWait = min(max(2*m.tryWait, m.opts.TryMin), m.opts.TryMax)
 	m.tryAt = now.Add(m.tryWait)
-	m.tryDue = false
 }
 
 func (m *Machine) turnWarm(now time.Time, boot, why string) []Action {
--- a/target/machine.go
+++ b/target/machine.go
@@ -26,8 +26,7 @@
 	ramp   int    // the permit-0 holder's allowance while cold
 	done   int    // completed requests since the last step of the ramp
 
-	lost    bool // nothing listens, or it drains: try with single requests
-	tryDue  bool
+	lost    bool // nothing listens, or it drains: probed at growing intervals
 	tryAt   time.Time
 	tryWait time.Duration
 
@@ -128,8 +127,6 @@
 		return m.permits.Held
 	case !m.permits.Zero || m.permits.WarmOnly:
 		return 0
-	case m.lost && m.tryDue:
-		return 1
 	case m.lost:
 		return 0
 	case m.ramp >= m.contract.Slots:
@@ -174,7 +171,6 @@
 // Sent tells that a request is about to be written.
 func (m *Machine) Sent(time.Time) Ticket {
 	m.inflight++
-	m.tryDue = false
 	return m.epoch
 }
 
@@ -200,9 +196,6 @@
 		m.abandoned = now
 		out = append(out, m.probe()...)
 	}
-	if m.lost && !m.tryDue && !m.tryAt.After(now) {
-		m.delayTry(now)
-	}
 	return append(out, m.settle(now)...)
 }
 
@@ -275,9 +268,16 @@
 func (m *Machine) Probe(now time.Time, ok bool, boot string, claimsWarm bool) []Action {
 	m.probing = false
 	if !ok {
+		if m.lost {
+			m.delayTry(now)
+		}
 		return append(m.lose(now, "probe failed"), m.settle(now)...)
 	}
 	out := m.seeBoot(now, boot)
+	if m.lost {
+		m.lost = false
+		m.why = "answers again, not yet proved warm"
+	}
 	if !claimsWarm && m.warm && now.Sub(m.lastOK) > claimTrust {
 		out = append(out, m.turnCold(now, "claims to be cold", false)...)
 	}
@@ -294,8 +294,8 @@
 
 // Tick lets time take effect. Call it at NextTick at the latest.
 func (m *Machine) Tick(now time.Time) []Action {
-	if m.lost && !m.tryAt.After(now) && m.inflight == 0 {
-		m.tryDue = true
+	if m.mayTry() && !m.tryAt.After(now) {
+		return append(m.probe(), m.settle(now)...)
 	}
 	if m.wantsGrant() && !m.askAt.After(now) {
 		return append(m.ask(now), m.settle(now)...)
@@ -303,10 +303,15 @@
 	return m.settle(now)
 }
 
+// mayTry reports whether this relay looks when a lost target answers again.
+func (m *Machine) mayTry() bool {
+	return m.lost && m.admin && m.permits.Zero && !m.probing
+}
+
 // NextTick returns when Tick is due at the latest, or the zero time.
 func (m *Machine) NextTick() time.Time {
 	var next time.Time
-	if m.lost && !m.tryDue {
+	if m.mayTry() {
 		next = m.tryAt
 	}
 	if m.wantsGrant() && (next.IsZero() || m.askAt.Before(next)) {
--- a/target/machine_test.go
+++ b/target/machine_test.go
@@ -83,7 +83,33 @@
 	}
 	m.one(now, Outcome{Kind: Refused})
 	m.Probe(now, true, "1", true)
-	if m.State() != wire.TargetOut || m.Limit() != 0 {
+	if m.State() != wire.TargetCold || m.Limit() != m.contract.ColdSlots {
 		t.Errorf("state %v, limit %d after a claim to be warm", m.State(), m.Limit())
 	}
 }
+
+func TestLostTargetIsProbedUntilItAnswers(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	m := warmHolder(now)
+	m.one(now, Outcome{Kind: Refused})
+	wait := DefaultTryMin
+	for range 4 {
+		if m.State() != wire.TargetOut || m.Limit() != 0 {
+			t.Fatalf("state %v, limit %d of a lost target", m.State(), m.Limit())
+		}
+		if early := m.Tick(now.Add(wait - 1)); len(early) != 0 {
+			t.Fatalf("actions %v before the probe is due", early)
+		}
+		now = m.NextTick()
+		if due := m.Tick(now); len(due) != 1 || due[0] != (ProbeNow{Target: m.opts.Name}) {
+			t.Fatalf("actions %v, want a probe", due)
+		}
+		m.Probe(now, false, "", false)
+		wait *= 2
+	}
+	m.Tick(m.NextTick())
+	m.Probe(now, true, "2", false)
+	if m.State() != wire.TargetCold || m.Limit() != m.contract.ColdSlots {
+		t.Fatalf("state %v, limit %d after an answer, want cold", m.State(), m.Limit())
+	}
+}
--- a/target/model_test.go
+++ b/target/model_test.go
@@ -203,6 +203,8 @@
 			f.send(n, a.To, func(to *node) { perform(f, to, to.table.Answer(f.now, n.name, a.Answer)) })
 		case Notify:
 			f.send(n, a.To, func(to *node) { perform(f, to, to.machine.Notice(f.now, n.name, a.Notice)) })
+		case ProbeNow:
+			perform(f, n, n.machine.Probe(f.now, !f.down, fmt.Sprint(f.boot), true))
 		case permit.Draining:
 			n.drain = append(n.drain, a.Key)
 		case permit.Acquired:
