Run failure scenarios of a real tier from scripts

Promises of the whole tier can only be shown with its real processes. A small command set on top of testscript starts a stand-in and VMs on loopback, makes things fail, drives checked load, and compares the load report, the stand-in's ledger and the processes' state with what must hold.

Ruled out: running the roles inside the test process, since kill -9, SIGSTOP and exit codes need processes of their own; each VM has an IP number of its own, so that a process that starts again gets its old ports.

--- /dev/null
+++ b/scenario/commands.go
@@ -0,0 +1,343 @@
+package scenario
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/goldcrestmux/goldcrestmux/load"
+	"github.com/goldcrestmux/goldcrestmux/standin"
+	"github.com/goldcrestmux/goldcrestmux/wire"
+)
+
+const (
+	pollInterval = 20 * time.Millisecond
+	readyTimeout = 30 * time.Second
+)
+
+var errUsage = errors.ConstError("wrong arguments")
+
+// commands returns the commands of the script language.
+func commands() map[string]func(*testscript.TestScript, bool, []string) {
+	all := map[string]func(*script, *testscript.TestScript, []string) error{
+		"standin": func(s *script, _ *testscript.TestScript, args []string) error {
+			return s.tier.startStandin(s.options.Seed, args)
+		},
+		"settings": (*script).addSettings,
+		"tier":     (*script).startTier,
+		"ready":    func(s *script, _ *testscript.TestScript, _ []string) error { return s.awaitReady() },
+		"kill":     (*script).kill,
+		"freeze":   signalCommand(syscall.SIGSTOP),
+		"thaw":     signalCommand(syscall.SIGCONT),
+		"term":     (*script).terminate,
+		"start":    (*script).startProcesses,
+		"vms":      (*script).changeVMs,
+		"cables":   (*script).changeCables,
+		"folder":   (*script).changeFolder,
+		"config":   (*script).changeConfig,
+		"target":   (*script).changeTargets,
+		"load":     (*script).runLoad,
+		"mark":     (*script).mark,
+		"until":    (*script).until,
+		"expect":   (*script).expect,
+		"await":    (*script).await,
+	}
+	out := make(map[string]func(*testscript.TestScript, bool, []string))
+	for name, run := range all {
+		out[name] = func(ts *testscript.TestScript, neg bool, args []string) {
+			if neg {
+				ts.Fatalf("%s can't be negated", name)
+			}
+			ts.Check(run(ts.Value(scriptKey{}).(*script), ts, args))
+		}
+	}
+	return out
+}
+
+func (s *script) addSettings(_ *testscript.TestScript, args []string) error {
+	if len(args) < 2 {
+		return errUsage
+	}
+	role := wire.Role(args[0])
+	s.tier.settings[role] = append(s.tier.settings[role], args[1:]...)
+	return nil
+}
+
+func (s *script) startTier(_ *testscript.TestScript, args []string) error {
+	if len(args) == 0 {
+		return errUsage
+	}
+	n, err := strconv.Atoi(args[0])
+	if err != nil {
+		return err
+	}
+	s.tier.cables = slices.Contains(args[1:], "cables")
+	if err := s.tier.startVMs(n); err != nil {
+		return err
+	}
+	return s.awaitReady()
+}
+
+// awaitReady waits until every running gateway answers completely.
+func (s *script) awaitReady() error {
+	return poll(readyTimeout, func() error {
+		for _, v := range s.tier.vms {
+			if !v.processes[wire.RoleGateway].running() {
+				continue
+			}
+			if err := s.tier.probe(v.addresses[wire.RoleGateway][listenAPI]); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+// poll calls check until it succeeds, and returns its last error when the time is over.
+func poll(timeout time.Duration, check func() error) error {
+	deadline := time.Now().Add(timeout)
+	for {
+		err := check()
+		if err == nil || time.Now().After(deadline) {
+			return errors.Annotatef(err, "after %v", timeout)
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+func (s *script) kill(_ *testscript.TestScript, args []string) error {
+	return s.each(args, func(p *process) error {
+		p.kill()
+		return nil
+	})
+}
+
+func signalCommand(sig os.Signal) func(*script, *testscript.TestScript, []string) error {
+	return func(s *script, _ *testscript.TestScript, args []string) error {
+		return s.each(args, func(p *process) error { return p.signal(sig) })
+	}
+}
+
+func (s *script) each(names []string, do func(*process) error) error {
+	for _, name := range names {
+		selected, err := s.tier.selected(name)
+		if err != nil {
+			return err
+		}
+		for _, p := range selected {
+			if err := do(p); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// terminate signals all named processes at once and checks their exit codes.
+func (s *script) terminate(_ *testscript.TestScript, args []string) error {
+	if len(args) < 2 {
+		return errUsage
+	}
+	within, err := time.ParseDuration(args[0])
+	if err != nil {
+		return err
+	}
+	var results []chan error
+	err = s.each(args[1:], func(p *process) error {
+		result := make(chan error, 1)
+		results = append(results, result)
+		go func() {
+			code, err := p.terminate(within)
+			if err == nil && code != 0 {
+				err = errors.Errorf("%s exited with code %d", p.name, code)
+			}
+			result <- err
+		}()
+		return nil
+	})
+	for _, result := range results {
+		if failed := <-result; failed != nil {
+			err = failed
+		}
+	}
+	return err
+}
+
+func (s *script) startProcesses(_ *testscript.TestScript, args []string) error {
+	for _, name := range args {
+		v, role, err := s.tier.find(name)
+		if err != nil {
+			return err
+		}
+		if v.processes[role].running() {
+			return errors.Errorf("%s runs already", name)
+		}
+		if err := s.tier.startRole(v, role); err != nil {
+			return err
+		}
+		if err := v.learnAddresses(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *script) changeVMs(_ *testscript.TestScript, args []string) error {
+	if len(args) < 2 {
+		return errUsage
+	}
+	if args[0] == "lag" {
+		return s.tier.lag.UnmarshalText([]byte(args[1]))
+	}
+	for _, name := range args[1:] {
+		v, err := s.tier.vm(name)
+		if err != nil {
+			return err
+		}
+		switch args[0] {
+		case "leaving":
+			v.leaving = true
+		case "drop":
+			v.listed = false
+		case "add":
+			v.listed, v.leaving = true, false
+		default:
+			return errUsage
+		}
+	}
+	return s.tier.publish()
+}
+
+func (s *script) changeCables(_ *testscript.TestScript, args []string) error {
+	change := standin.CableChange{}
+	switch len(args) {
+	case 2:
+		change.VM = args[1]
+	case 3:
+		change.From, change.To = args[1], args[2]
+	default:
+		return errUsage
+	}
+	change.Mode = standin.CableMode(args[0])
+	return s.tier.admin.SetCables(context.Background(), change)
+}
+
+func (s *script) changeFolder(ts *testscript.TestScript, args []string) error {
+	ctx := context.Background()
+	switch {
+	case len(args) == 3 && args[0] == "put":
+		_, err := s.tier.admin.PutFile(ctx, args[1], []byte(ts.ReadFile(args[2])))
+		return err
+	case len(args) == 2 && args[0] == "remove":
+		_, err := s.tier.admin.RemoveFile(ctx, args[1])
+		return err
+	default:
+		return errUsage
+	}
+}
+
+func (s *script) changeConfig(_ *testscript.TestScript, args []string) error {
+	if len(args) == 0 {
+		return errUsage
+	}
+	fault := standin.ConfigFault{Mode: standin.ConfigMode(args[0]), DataCentres: args[1:]}
+	return s.tier.admin.SetConfig(context.Background(), fault)
+}
+
+func (s *script) changeTargets(_ *testscript.TestScript, args []string) error {
+	if len(args) < 2 {
+		return errUsage
+	}
+	fields := make(map[string]json.RawMessage)
+	for _, arg := range args[1:] {
+		key, value, _ := strings.Cut(arg, "=")
+		fields[key] = toJSON(value)
+	}
+	data, err := json.Marshal(fields)
+	if err != nil {
+		return err
+	}
+	var change standin.TargetChange
+	if err := decodeStrictly(data, &change); err != nil {
+		return err
+	}
+	switch {
+	case args[0] == "all":
+	case slices.Contains(s.tier.layout.DataCentres, args[0]):
+		change.DataCentre = args[0]
+	default:
+		change.Targets = strings.Split(args[0], ",")
+	}
+	_, err = s.tier.admin.ChangeTargets(context.Background(), change)
+	return err
+}
+
+func (s *script) runLoad(ts *testscript.TestScript, args []string) error {
+	if len(args) == 0 {
+		return errUsage
+	}
+	if args[0] == "wait" {
+		report, err := s.load.wait()
+		if err != nil {
+			return err
+		}
+		for _, fault := range report.FaultList {
+			ts.Logf("fault %s of %s: %s", fault.Kind, fault.Request, fault.Detail)
+		}
+		return report.WriteTable(ts.Stdout())
+	}
+	plan, err := s.plan(ts, args[1:])
+	if err != nil {
+		return err
+	}
+	plan.Name = ts.Name()
+	plan.Gateways = s.tier.gateways()
+	plan.Standins = []string{s.tier.standin.addresses["admin"]}
+	plan.Seed = s.options.Seed
+	s.load.stop()
+	s.load = startLoad(plan)
+	return nil
+}
+
+func (s *script) plan(ts *testscript.TestScript, args []string) (load.Plan, error) {
+	if len(args) == 1 && !strings.Contains(args[0], "=") {
+		return load.ParsePlan([]byte(ts.ReadFile(args[0])))
+	}
+	return parsePlan(append([]string{"search=" + s.tier.layout.Searches[0].Name}, args...))
+}
+
+func (s *script) mark(_ *testscript.TestScript, args []string) error {
+	var after time.Duration
+	switch len(args) {
+	case 1:
+	case 2:
+		var err error
+		if after, err = time.ParseDuration(args[1]); err != nil {
+			return err
+		}
+	default:
+		return errUsage
+	}
+	s.marks[args[0]] = time.Now().Add(after)
+	return nil
+}
+
+func (s *script) until(_ *testscript.TestScript, args []string) error {
+	if len(args) != 1 {
+		return errUsage
+	}
+	at, ok := s.marks[args[0]]
+	if !ok {
+		return errors.NotFoundf("mark %q", args[0])
+	}
+	time.Sleep(time.Until(at))
+	return nil
+}
--- /dev/null
+++ b/scenario/scenario.go
@@ -0,0 +1,107 @@
+// Package scenario runs scripted failure scenarios against a whole query tier
+// of real processes on loopback. A script starts a stand-in and some VMs,
+// drives load, makes things fail, and states what must hold.
+//
+// The commands, beside those of testscript:
+//
+//	standin [FLAG...]              start the stand-in with flags of gcmux-standin
+//	settings ROLE FLAG...          add settings to the processes that start later
+//	tier N [cables]                start N VMs with a gateway and a relay each,
+//	                               list them, and await ready
+//	ready                          await that all running gateways answer completely
+//	kill|freeze|thaw PROCESS...    SIGKILL, SIGSTOP, SIGCONT
+//	term WITHIN PROCESS...         SIGTERM to all; each must exit with 0 in time
+//	start PROCESS...               start again, on the same addresses
+//	vms leaving|drop|add VM...     change the platform's list of VMs
+//	vms lag DURATION               later changes of the list are seen after it
+//	cables MODE FROM TO|VM         mode up, cut or silent
+//	folder put NAME FILE|remove NAME
+//	config MODE [DATACENTRE...]    mode up, down, stale or torn
+//	target SELECTOR KEY[=VALUE]... change targets: "all", a data centre or names
+//	                               joined by commas; keys of standin.TargetChange
+//	load start KEY=VALUE...|FILE   start load: keys of load.Stream and "duration",
+//	                               or a plan in JSON
+//	load wait                      await its end
+//	mark NAME [DURATION]           remember the time of now, plus the duration
+//	until NAME                     wait for the marked time
+//	expect DOC PATH OP VALUE       check a document; see lookup for paths
+//	await DURATION DOC PATH OP VALUE
+//	                               check until it holds or the time is over
+//
+// A document is "load" (the last report), "ledger" or "ledger@MARK" (the
+// stand-in's), or "state:PROCESS", where PROCESS may also be "all", "relays"
+// or "gateways". All selected values must fulfil the comparison; none counts
+// as one that is 0. A value that starts with "@" is a mark, one that starts
+// with "." a path in the same document.
+package scenario
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/goldcrestmux/goldcrestmux/wire"
+)
+
+// MaxParallel is the number of scripts that run at once.
+const MaxParallel = 3
+
+// Options configures the scripts.
+type Options struct {
+	// Bin is the directory of the built programs.
+	Bin string
+	// Seed selects the records, arrivals and queries.
+	Seed uint64
+}
+
+// subnets numbers the scripts, so that no two use the same IP numbers.
+var subnets atomic.Uint32
+
+type scriptKey struct{}
+
+// script is the state of one running script.
+type script struct {
+	options Options
+	tier    *tier
+	load    *loadRun
+	marks   map[string]time.Time
+}
+
+// failer is the part of testing.T that tells whether a script failed.
+type failer interface{ Failed() bool }
+
+// Params returns the parameters that run the scripts of a directory.
+func Params(dir string, o Options) testscript.Params {
+	free := make(chan struct{}, MaxParallel)
+	return testscript.Params{
+		Dir:  dir,
+		Cmds: commands(),
+		Setup: func(env *testscript.Env) error {
+			free <- struct{}{}
+			s := &script{options: o, marks: make(map[string]time.Time), tier: &tier{
+				bin: o.Bin, subnet: byte(subnets.Add(1)%254 + 1), settings: make(map[wire.Role][]string),
+			}}
+			env.Values[scriptKey{}] = s
+			env.Defer(func() {
+				if t, ok := env.T().(failer); ok && t.Failed() {
+					s.showLogs(env.T())
+				}
+				s.load.stop()
+				s.tier.stop()
+				<-free
+			})
+			return nil
+		},
+	}
+}
+
+// showLogs prints the ends of all logs.
+func (s *script) showLogs(t testscript.T) {
+	for _, p := range s.tier.all {
+		t.Log("log of " + p.name + ":")
+		for _, line := range p.lastLines() {
+			t.Log("  " + line)
+		}
+	}
+}
--- /dev/null
+++ b/scenario/tier.go
@@ -0,0 +1,290 @@
+package scenario
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net"
+	"net/http"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/goldcrestmux/goldcrestmux/platform"
+	"github.com/goldcrestmux/goldcrestmux/standin"
+	"github.com/goldcrestmux/goldcrestmux/wire"
+)
+
+// Names of the listeners of a process, as in its log.
+const (
+	listenAPI      = "api"
+	listenLink     = "link"
+	listenOperator = "operator"
+)
+
+const region = "region-1"
+
+// shortTimes are settings of both roles that let permits change hands within
+// seconds.
+var shortTimes = []string{"-vm-list-poll=100ms", "-heartbeat=200ms", "-stop-timeout=10s"}
+
+// shortFencing are the settings of a relay that fit shortTimes.
+var shortFencing = []string{
+	"-vm-list-max-age=600ms", "-vm-list-lag=300ms", "-handover-wait=400ms",
+	"-quiet-period=500ms", "-fencing-delay=2s", "-start-delay=2s",
+}
+
+// vm is one VM of the tier: a gateway and a relay.
+type vm struct {
+	name       string
+	dataCentre string
+	ip         net.IP
+	listed     bool
+	leaving    bool
+	processes  map[wire.Role]*process
+	// addresses keeps what the listeners got, so that a process that is
+	// started again has its old addresses.
+	addresses map[wire.Role]map[string]string
+}
+
+// tier is a stand-in with the VMs of a query tier. The caller serialises its methods.
+type tier struct {
+	bin      string // directory of the programs
+	subnet   byte   // third number of the VMs' IP numbers
+	standin  *process
+	admin    *standin.Admin
+	platform string
+	layout   standin.Layout
+	vms      []*vm
+	settings map[wire.Role][]string // beyond the short times
+	lag      standin.Duration
+	cables   bool
+	all      []*process // also those that have ended
+}
+
+func (t *tier) startStandin(seed uint64, args []string) error {
+	args = append([]string{fmt.Sprintf("-seed=%d", seed), "-max-run=10m"}, args...)
+	p, err := t.start("standin", "gcmux-standin", args)
+	if err != nil {
+		return err
+	}
+	t.standin = p
+	address, err := p.address("admin")
+	if err != nil {
+		return err
+	}
+	t.admin = standin.NewAdmin(address)
+	if t.platform, err = p.address("platform"); err != nil {
+		return err
+	}
+	t.layout, err = t.admin.Layout(context.Background())
+	return err
+}
+
+func (t *tier) start(name, program string, args []string) (*process, error) {
+	p, err := startProcess(name, filepath.Join(t.bin, program), args)
+	if err == nil {
+		t.all = append(t.all, p)
+	}
+	return p, err
+}
+
+// startVMs starts n VMs, in turn in the data centres, and lists them.
+func (t *tier) startVMs(n int) error {
+	for i := range n {
+		v := &vm{
+			name:       fmt.Sprintf("vm%d", i+1),
+			dataCentre: t.layout.DataCentres[i%len(t.layout.DataCentres)],
+			ip:         net.IPv4(127, 77, t.subnet, byte(i+1)),
+			listed:     true,
+			processes:  make(map[wire.Role]*process),
+			addresses:  make(map[wire.Role]map[string]string),
+		}
+		t.vms = append(t.vms, v)
+		for _, role := range []wire.Role{wire.RoleRelay, wire.RoleGateway} {
+			if err := t.startRole(v, role); err != nil {
+				return err
+			}
+		}
+	}
+	for _, v := range t.vms {
+		if err := v.learnAddresses(); err != nil {
+			return err
+		}
+	}
+	return t.publish()
+}
+
+// startRole starts the VM's process of the role on the addresses that it had.
+func (t *tier) startRole(v *vm, role wire.Role) error {
+	url := "http://" + t.platform
+	args := []string{
+		"-vm=" + v.name, "-data-centre=" + v.dataCentre, "-region=" + region,
+		"-folder-url=" + url, "-vm-list-url=" + url, "-log-format=json",
+	}
+	listeners := []string{listenLink, listenOperator}
+	args = append(args, shortTimes...)
+	if role == wire.RoleRelay {
+		args = append(args, shortFencing...)
+	} else {
+		listeners = append(listeners, listenAPI)
+	}
+	for _, l := range listeners {
+		address := v.ip.String() + ":0"
+		if old, ok := v.addresses[role][l]; ok {
+			address = old
+		}
+		args = append(args, "-"+l+"-listen="+address)
+	}
+	p, err := t.start(wire.Process{VM: v.name, Role: role}.Name(), "gcmux-"+string(role), append(args, t.settings[role]...))
+	v.processes[role] = p
+	return err
+}
+
+func (v *vm) learnAddresses() error {
+	for role, p := range v.processes {
+		if _, err := p.address(listenLink); err != nil {
+			return err
+		}
+		if role == wire.RoleGateway {
+			if _, err := p.address(listenAPI); err != nil {
+				return err
+			}
+		}
+		p.mu.Lock()
+		v.addresses[role] = maps.Clone(p.addresses)
+		p.mu.Unlock()
+	}
+	return nil
+}
+
+// publish gives the list of VMs to the platform.
+func (t *tier) publish() error {
+	change := standin.VMsChange{Lag: &t.lag, Cables: &t.cables}
+	for _, v := range t.vms {
+		if !v.listed {
+			continue
+		}
+		links := make(map[wire.Role]string)
+		for role, addresses := range v.addresses {
+			links[role] = addresses[listenLink]
+		}
+		change.VMs = append(change.VMs, platform.VM{
+			Name: v.name, DataCentre: v.dataCentre, Region: region, Leaving: v.leaving, Links: links,
+		})
+	}
+	return t.admin.SetVMs(context.Background(), change)
+}
+
+func (t *tier) vm(name string) (*vm, error) {
+	i := slices.IndexFunc(t.vms, func(v *vm) bool { return v.name == name })
+	if i < 0 {
+		return nil, errors.NotFoundf("VM %q", name)
+	}
+	return t.vms[i], nil
+}
+
+// find returns a VM and one of its roles from a name such as "vm1/relay".
+func (t *tier) find(name string) (*vm, wire.Role, error) {
+	vmName, role, _ := strings.Cut(name, "/")
+	v, err := t.vm(vmName)
+	if err != nil {
+		return nil, "", err
+	}
+	if v.processes[wire.Role(role)] == nil {
+		return nil, "", errors.NotFoundf("process %q", name)
+	}
+	return v, wire.Role(role), nil
+}
+
+// selected returns the running processes that a name selects: "all", a role
+// with an "s" such as "relays", or one process.
+func (t *tier) selected(name string) ([]*process, error) {
+	if strings.Contains(name, "/") {
+		v, role, err := t.find(name)
+		if err != nil {
+			return nil, err
+		}
+		return []*process{v.processes[role]}, nil
+	}
+	var out []*process
+	for _, v := range t.vms {
+		for _, role := range []wire.Role{wire.RoleGateway, wire.RoleRelay} {
+			if p := v.processes[role]; p.running() && (name == "all" || name == string(role)+"s") {
+				out = append(out, p)
+			}
+		}
+	}
+	if len(out) == 0 {
+		return nil, errors.NotFoundf("processes %q", name)
+	}
+	return out, nil
+}
+
+// gateways returns the callers' addresses of all gateways, also of those that are down.
+func (t *tier) gateways() []string {
+	var out []string
+	for _, v := range t.vms {
+		out = append(out, v.addresses[wire.RoleGateway][listenAPI])
+	}
+	return out
+}
+
+// probe returns nil if the gateway says that it is ready and answers every
+// search completely.
+func (t *tier) probe(gateway string) error {
+	client := http.Client{Timeout: probeTimeout}
+	resp, err := client.Get("http://" + gateway + "/ready")
+	if err != nil {
+		return err
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Errorf("gateway %s isn't ready", gateway)
+	}
+	for _, s := range t.layout.Searches {
+		if err := probeSearch(&client, gateway, s.Name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// probeTimeout bounds a probe's request.
+const probeTimeout = 2 * time.Second
+
+func probeSearch(client *http.Client, gateway, search string) error {
+	body := []byte(`{"query": {"limit": 1}}`)
+	req, err := http.NewRequest(http.MethodPost, "http://"+gateway+"/v1/search/"+search, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+standin.Token(search))
+	resp, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	var answer struct {
+		Complete bool `json:"complete"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
+		return err
+	}
+	if !answer.Complete {
+		return errors.Errorf("gateway %s answers search %s with status %d and not completely", gateway, search, resp.StatusCode)
+	}
+	return nil
+}
+
+// stop ends all processes.
+func (t *tier) stop() {
+	for _, p := range t.all {
+		p.kill()
+	}
+}
