--- a/scenario/commands.go
+++ b/scenario/commands.go
@@ -34,7 +34,7 @@
 		"settings": (*script).addSettings,
 		"tier":     (*script).startTier,
 		"ready":    func(s *script, _ *testscript.TestScript, _ []string) error { return s.awaitReady() },
-		"kill":     (*script).kill,
+		"kill9":    (*script).kill,
 		"freeze":   signalCommand(syscall.SIGSTOP),
 		"thaw":     signalCommand(syscall.SIGCONT),
 		"term":     (*script).terminate,
--- a/scenario/scenario.go
+++ b/scenario/scenario.go
@@ -9,7 +9,7 @@
 //	tier N [cables]                start N VMs with a gateway and a relay each,
 //	                               list them, and await ready
 //	ready                          await that all running gateways answer completely
-//	kill|freeze|thaw PROCESS...    SIGKILL, SIGSTOP, SIGCONT
+//	kill9|freeze|thaw PROCESS...   SIGKILL, SIGSTOP, SIGCONT
 //	term WITHIN PROCESS...         SIGTERM to all; each must exit with 0 in time
 //	start PROCESS...               start again, on the same addresses
 //	vms leaving|drop|add VM...     change the platform's list of VMs
