--- a/wire/messages.go
+++ b/wire/messages.go
@@ -61,6 +61,9 @@
 	FolderAnswer   *FolderAnswer    `cbor:"15,keyasint,omitempty"`
 	Leaving        *Leaving         `cbor:"16,keyasint,omitempty"`
 	Refusal        *ProtocolRefusal `cbor:"17,keyasint,omitempty"`
+	ViewOffer      *ViewOffer       `cbor:"18,keyasint,omitempty"`
+	ViewAsk        *ViewAsk         `cbor:"19,keyasint,omitempty"`
+	ViewAnswer     *ViewAnswer      `cbor:"20,keyasint,omitempty"`
 }
 
 // Hello opens a link in both directions and negotiates the protocol version.
@@ -222,8 +225,23 @@
 	Ask bool `cbor:"6,keyasint,omitempty"`
 	// Ack is the highest Seq that the sender has seen from the receiver.
 	Ack uint64 `cbor:"7,keyasint,omitempty"`
-	// NewBoot is true if the sign of coldness is that Boot replaced another boot.
-	NewBoot bool `cbor:"8,keyasint,omitempty"`
+	// Signs lists the signs of coldness that the sender knows of since it last
+	// believed the target to be warm.
+	Signs []TargetSign `cbor:"8,keyasint,omitempty"`
+}
+
+// TargetSign is a sign that a target has turned cold, as one relay saw it.
+type TargetSign struct {
+	// Origin is the process name of the relay that saw it.
+	Origin string `cbor:"1,keyasint"`
+	// Seq orders the signs of one origin.
+	Seq uint64 `cbor:"2,keyasint"`
+	// Lost is true if the target takes no requests at all.
+	Lost bool `cbor:"3,keyasint,omitempty"`
+	// Boot is the target's boot as the origin knew it.
+	Boot string `cbor:"4,keyasint,omitempty"`
+	// NewBoot is true if the sign is that Boot replaced another boot.
+	NewBoot bool `cbor:"5,keyasint,omitempty"`
 }
 
 // MemberStatus is the state of a member as heartbeats spread it.
@@ -285,3 +303,34 @@
 	// GraceMillis is the time, in milliseconds, after which the sender exits.
 	GraceMillis uint32 `cbor:"1,keyasint"`
 }
+
+// ViewOffer tells how fresh the sender's copy of the VM list is.
+type ViewOffer struct {
+	Sequence uint64 `cbor:"1,keyasint"`
+	// AgeMillis is the time since the platform was asked, in milliseconds.
+	AgeMillis uint32 `cbor:"2,keyasint"`
+}
+
+// ViewAsk asks for the receiver's copy of the VM list.
+type ViewAsk struct {
+	// Seq is repeated in the answer.
+	Seq uint64 `cbor:"1,keyasint"`
+}
+
+// ViewAnswer carries a copy of the VM list.
+type ViewAnswer struct {
+	Seq      uint64 `cbor:"1,keyasint"`
+	Sequence uint64 `cbor:"2,keyasint"`
+	// AgeMillis is the time since the platform was asked, in milliseconds.
+	AgeMillis uint32 `cbor:"3,keyasint"`
+	VMs       []VM   `cbor:"4,keyasint"`
+}
+
+// VM is one entry of a copy of the VM list.
+type VM struct {
+	Name       string          `cbor:"1,keyasint"`
+	DataCentre string          `cbor:"2,keyasint"`
+	Region     string          `cbor:"3,keyasint"`
+	Leaving    bool            `cbor:"4,keyasint,omitempty"`
+	Links      map[Role]string `cbor:"5,keyasint"`
+}
