--- a/scenario/commands.go
+++ b/scenario/commands.go
@@ -19,8 +19,10 @@
 )
 
 const (
-	pollInterval = 20 * time.Millisecond
-	readyTimeout = 30 * time.Second
+	// reportInterval is the width of the steps in a load report.
+	reportInterval = 250 * time.Millisecond
+	pollInterval   = 20 * time.Millisecond
+	readyTimeout   = 30 * time.Second
 )
 
 var errUsage = errors.ConstError("wrong arguments")
@@ -289,8 +291,9 @@
 		if err != nil {
 			return err
 		}
-		for _, fault := range report.FaultList {
-			ts.Logf("fault %s of %s: %s", fault.Kind, fault.Request, fault.Detail)
+		for _, step := range report.Steps {
+			ts.Logf("from %v: %d of %d answered, complete %.3f, p99 %v",
+				step.From.Std(), step.Answered, step.Scheduled, step.CompleteShare, step.P99.Std())
 		}
 		return report.WriteTable(ts.Stdout())
 	}
@@ -302,6 +305,7 @@
 	plan.Gateways = s.tier.gateways()
 	plan.Standins = []string{s.tier.standin.addresses["admin"]}
 	plan.Seed = s.options.Seed
+	plan.Interval = standin.Duration(reportInterval)
 	s.load.stop()
 	s.load = startLoad(plan)
 	return nil
--- a/scenario/scenario.go
+++ b/scenario/scenario.go
@@ -36,6 +36,8 @@
 package scenario
 
 import (
+	"context"
+	"encoding/json"
 	"sync/atomic"
 	"time"
 
@@ -96,8 +98,14 @@
 	}
 }
 
-// showLogs prints the ends of all logs.
+// showLogs prints the ends of all logs and the ledger.
 func (s *script) showLogs(t testscript.T) {
+	if s.tier.admin != nil {
+		if ledger, err := s.tier.admin.Ledger(context.Background(), time.Time{}); err == nil {
+			text, _ := json.Marshal(ledger)
+			t.Log("ledger: " + string(text))
+		}
+	}
 	for _, p := range s.tier.all {
 		t.Log("log of " + p.name + ":")
 		for _, line := range p.lastLines() {
