--- a/scenario/expect.go
+++ b/scenario/expect.go
@@ -10,7 +10,7 @@
 	"github.com/juju/errors"
 	"github.com/rogpeppe/go-internal/testscript"
 
-	"github.com/goldcrestmux/goldcrestmux/ctl"
+	"github.com/goldcrestmux/goldcrestmux/operator"
 )
 
 // stateTimeout bounds the asking of a process for its state.
@@ -151,7 +151,7 @@
 		if err != nil {
 			return nil, err
 		}
-		resp, err := client.Get("http://" + address + ctl.PathState)
+		resp, err := client.Get("http://" + address + operator.PathState)
 		if err != nil {
 			return nil, errors.Annotatef(err, "ask %s", p.name)
 		}
