--- a/daemon/run.go
+++ b/daemon/run.go
@@ -25,6 +25,7 @@
 		return ExitUsage
 	}
 	log, level := s.Logger(stderr)
+	relaxCollector()
 	r, err := newRole(s, log, level)
 	if err != nil {
 		log.Error("can't start", "error", err)
