--- a/scenario/commands.go
+++ b/scenario/commands.go
@@ -33,6 +33,7 @@
 		"standin": func(s *script, _ *testscript.TestScript, args []string) error {
 			return s.tier.startStandin(s.options.Seed, args)
 		},
+		"vmlist":   func(s *script, _ *testscript.TestScript, _ []string) error { return s.tier.startList() },
 		"settings": (*script).addSettings,
 		"tier":     (*script).startTier,
 		"ready":    func(s *script, _ *testscript.TestScript, _ []string) error { return s.awaitReady() },
@@ -229,7 +230,7 @@
 		return errUsage
 	}
 	change.Mode = standin.CableMode(args[0])
-	return s.tier.admin.SetCables(context.Background(), change)
+	return s.tier.list.SetCables(context.Background(), change)
 }
 
 func (s *script) changeFolder(ts *testscript.TestScript, args []string) error {
--- a/scenario/expect.go
+++ b/scenario/expect.go
@@ -58,15 +58,15 @@
 		return err
 	}
 	for _, doc := range docs {
-		if err := s.checkDocument(e, doc); err != nil {
+		if err := s.checkDocument(e, doc, docs[0]); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (s *script) checkDocument(e expectation, doc any) error {
-	want, err := s.value(e.value, doc)
+func (s *script) checkDocument(e expectation, doc, first any) error {
+	want, err := s.value(e.value, doc, first)
 	if err != nil {
 		return err
 	}
@@ -87,7 +87,7 @@
 }
 
 // value returns the right side of a comparison: a mark, a path or a literal.
-func (s *script) value(text string, doc any) (string, error) {
+func (s *script) value(text string, doc, first any) (string, error) {
 	if name, ok := strings.CutPrefix(text, "@"); ok {
 		at, ok := s.marks[name]
 		if !ok {
@@ -95,6 +95,10 @@
 		}
 		return at.Format(time.RFC3339Nano), nil
 	}
+	path, inFirst := strings.CutPrefix(text, "^")
+	if inFirst {
+		doc, text = first, "."+path
+	}
 	if path, ok := strings.CutPrefix(text, "."); ok {
 		if found := lookup(doc, path); len(found) > 0 {
 			return toText(found[0]), nil
--- a/scenario/scenario.go
+++ b/scenario/scenario.go
@@ -5,6 +5,7 @@
 // The commands, beside those of testscript:
 //
 //	standin [FLAG...]              start the stand-in with flags of gcmux-standin
+//	vmlist                         serve the list of VMs by a process of its own
 //	settings ROLE FLAG...          add settings to the processes that start later
 //	tier N [cables]                start N VMs with a gateway and a relay each,
 //	                               list them, and await ready
@@ -32,7 +33,8 @@
 // stand-in's), or "state:PROCESS", where PROCESS may also be "all", "relays"
 // or "gateways". All selected values must fulfil the comparison; none counts
 // as one that is 0. A value that starts with "@" is a mark, one that starts
-// with "." a path in the same document.
+// with "." a path in the same document, and one that starts with "^" a path in
+// the first of several documents.
 package scenario
 
 import (
--- a/scenario/tier.go
+++ b/scenario/tier.go
@@ -27,6 +27,12 @@
 	listenOperator = "operator"
 )
 
+// Names of the processes that aren't of the tier.
+const (
+	processStandin = "standin"
+	processList    = "vmlist"
+)
+
 const region = "region-1"
 
 // shortTimes are settings of both roles that let permits change hands within
@@ -39,6 +45,10 @@
 	"-quiet-period=500ms", "-fencing-delay=2s", "-start-delay=2s",
 }
 
+// shortLinger is how long a gateway that stops takes new requests. The load
+// generator looks for readiness several times meanwhile.
+const shortLinger = "-linger=1s"
+
 // vm is one VM of the tier: a gateway and a relay.
 type vm struct {
 	name       string
@@ -59,6 +69,9 @@
 	standin  *process
 	admin    *standin.Admin
 	platform string
+	// list serves the list of VMs; it is the stand-in unless startList was called.
+	list     *standin.Admin
+	listURL  string
 	layout   standin.Layout
 	vms      []*vm
 	settings map[wire.Role][]string // beyond the short times
@@ -69,7 +82,7 @@
 
 func (t *tier) startStandin(seed uint64, args []string) error {
 	args = append([]string{fmt.Sprintf("-seed=%d", seed), "-max-run=10m"}, args...)
-	p, err := t.start("standin", "gcmux-standin", args)
+	p, err := t.start(processStandin, "gcmux-standin", args)
 	if err != nil {
 		return err
 	}
@@ -82,10 +95,28 @@
 	if t.platform, err = p.address("platform"); err != nil {
 		return err
 	}
+	t.list, t.listURL = t.admin, "http://"+t.platform
 	t.layout, err = t.admin.Layout(context.Background())
 	return err
 }
 
+// startList starts another stand-in that serves the list of VMs alone, so that
+// the list can fail by itself.
+func (t *tier) startList() error {
+	p, err := t.start(processList, "gcmux-standin", []string{"-max-run=10m", "-records=1"})
+	if err != nil {
+		return err
+	}
+	admin, err := p.address("admin")
+	if err != nil {
+		return err
+	}
+	t.list = standin.NewAdmin(admin)
+	address, err := p.address("platform")
+	t.listURL = "http://" + address
+	return err
+}
+
 func (t *tier) start(name, program string, args []string) (*process, error) {
 	p, err := startProcess(name, filepath.Join(t.bin, program), args)
 	if err == nil {
@@ -125,7 +156,7 @@
 	url := "http://" + t.platform
 	args := []string{
 		"-vm=" + v.name, "-data-centre=" + v.dataCentre, "-region=" + region,
-		"-folder-url=" + url, "-vm-list-url=" + url, "-log-format=json",
+		"-folder-url=" + url, "-vm-list-url=" + t.listURL, "-log-format=json",
 	}
 	listeners := []string{listenLink, listenOperator}
 	args = append(args, shortTimes...)
@@ -133,6 +164,7 @@
 		args = append(args, shortFencing...)
 	} else {
 		listeners = append(listeners, listenAPI)
+		args = append(args, shortLinger)
 	}
 	for _, l := range listeners {
 		address := v.ip.String() + ":0"
@@ -178,7 +210,7 @@
 			Name: v.name, DataCentre: v.dataCentre, Region: region, Leaving: v.leaving, Links: links,
 		})
 	}
-	return t.admin.SetVMs(context.Background(), change)
+	return t.list.SetVMs(context.Background(), change)
 }
 
 func (t *tier) vm(name string) (*vm, error) {
@@ -203,7 +235,7 @@
 }
 
 // selected returns the running processes that a name selects: "all", a role
-// with an "s" such as "relays", or one process.
+// with an "s" such as "relays", or one process, also "standin" and "vmlist".
 func (t *tier) selected(name string) ([]*process, error) {
 	if strings.Contains(name, "/") {
 		v, role, err := t.find(name)
@@ -213,6 +245,11 @@
 		return []*process{v.processes[role]}, nil
 	}
 	var out []*process
+	for _, p := range t.all {
+		if p.name == name {
+			out = append(out, p)
+		}
+	}
 	for _, v := range t.vms {
 		for _, role := range []wire.Role{wire.RoleGateway, wire.RoleRelay} {
 			if p := v.processes[role]; p.running() && (name == "all" || name == string(role)+"s") {
