Make the random choice of a replica selectable; add a stragglers set-up

The setting replica-choice was read and not used. It serves as a baseline to measure the choice by load against.

--- a/cmd/gcmux-standin/main.go
+++ b/cmd/gcmux-standin/main.go
@@ -34,7 +34,7 @@
 
 func run(args []string) error {
 	flags := flag.NewFlagSet("gcmux-standin", flag.ContinueOnError)
-	setups := flags.String("setup", string(standin.SetupSmall), "comma-separated set-ups: competitions, hrabovsky, small")
+	setups := flags.String("setup", string(standin.SetupSmall), "comma-separated set-ups: competitions, hrabovsky, small, stragglers")
 	seed := flags.Uint64("seed", 1, "seed of the records and of all random choices")
 	records := flags.Int("records", corpus.DefaultRecords, "records of each search")
 	admin := flags.String("admin", "127.0.0.1:0", "`host:port` of the admin API")
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/goldcrestmux/goldcrestmux/hedge"
 	"github.com/goldcrestmux/goldcrestmux/link"
 	"github.com/goldcrestmux/goldcrestmux/node"
+	"github.com/goldcrestmux/goldcrestmux/replica"
 	"github.com/goldcrestmux/goldcrestmux/settings"
 	"github.com/goldcrestmux/goldcrestmux/wire"
 )
@@ -33,8 +34,8 @@
 	p.gateway = gateway.New(gateway.Options{
 		Self: p.self, Logger: log, Links: p.pool, MaxBody: int64(s.MaxBodyBytes),
 		Admission: admission.Options{MaxLimit: s.Concurrency, MaxQueue: s.QueueLength},
-		Hedge:     hedge.Options{Mode: hedge.Mode(s.Hedging)},
-		Ready:     p.ready,
+		Hedge:     hedge.Options{Mode: hedge.Mode(s.Hedging)}, ReplicaChoice: replica.Mode(s.ReplicaChoice),
+		Ready: p.ready,
 	})
 	p.newNode(wire.RoleRelay, node.Events{Contracts: p.setContracts, Status: p.setStatus})
 	err := p.listen(level, func() any { return p.dump() },
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/goldcrestmux/goldcrestmux/folder"
 	"github.com/goldcrestmux/goldcrestmux/hedge"
 	"github.com/goldcrestmux/goldcrestmux/link"
+	"github.com/goldcrestmux/goldcrestmux/replica"
 	"github.com/goldcrestmux/goldcrestmux/wire"
 )
 
@@ -36,6 +37,8 @@
 	Admission admission.Options
 	// Hedge configures when a second attempt is sent.
 	Hedge hedge.Options
+	// ReplicaChoice selects how a replica is chosen.
+	ReplicaChoice replica.Mode
 	// Ready tells whether the process may serve, and if not, why.
 	Ready func() (bool, string)
 }
@@ -61,9 +64,11 @@
 		opts.MaxBody = DefaultMaxBody
 	}
 	g := &Gateway{
-		opts:      opts,
-		links:     opts.Links,
-		routes:    newRoutes(opts.Self.Incarnation, opts.Self.DataCentre, opts.Hedge),
+		opts:  opts,
+		links: opts.Links,
+		routes: newRoutes(opts.Self.Incarnation, opts.Hedge, replica.Options{
+			DataCentre: opts.Self.DataCentre, Mode: opts.ReplicaChoice,
+		}),
 		admission: newAdmissions(opts.Admission, rand.New(rand.NewPCG(opts.Self.Incarnation, 3))),
 		inflight:  &inflight{byID: make(map[uint64]*mailbox)},
 	}
--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -36,10 +36,10 @@
 	versions *snapshot.Chooser
 }
 
-func newRoutes(seed uint64, dataCentre string, hedging hedge.Options) *routes {
+func newRoutes(seed uint64, hedging hedge.Options, choice replica.Options) *routes {
 	return &routes{
 		rng:      rand.New(rand.NewPCG(seed, 2)),
-		table:    replica.New(replica.Options{DataCentre: dataCentre}),
+		table:    replica.New(choice),
 		budgets:  budget.NewTable(budget.Options{}),
 		hedging:  hedging,
 		searches: make(map[string]*searchState),
--- a/replica/pick.go
+++ b/replica/pick.go
@@ -128,7 +128,7 @@
 // target. A cold route drawn second yields to a warm one.
 func (t *Table) choose(now time.Time, rng *rand.Rand, c *candidates) Choice {
 	first := c.draw(rng)
-	if c.count == 0 || first.state == wire.TargetCold {
+	if c.count == 0 || first.state == wire.TargetCold || t.opts.Mode == ModeRandom {
 		return first.choice()
 	}
 	second := c.draw(rng)
--- a/replica/table.go
+++ b/replica/table.go
@@ -23,8 +23,21 @@
 	DefaultServiceDecay = 5 * time.Second
 )
 
+// Mode selects how a replica is chosen.
+type Mode string
+
+// Modes. ModeRandom serves as a baseline.
+const (
+	// ModeP2C takes the better of two routes drawn at random.
+	ModeP2C Mode = "p2c"
+	// ModeRandom takes the first route that is drawn.
+	ModeRandom Mode = "random"
+)
+
 // Options sets up a Table. A zero duration means its default.
 type Options struct {
+	// Mode is how a replica is chosen; ModeP2C if empty.
+	Mode Mode
 	// DataCentre is where the gateway stands; it breaks ties only.
 	DataCentre string
 	// ShedPause is how long a target that shed work is demoted, if its refusal
--- a/standin/layout.go
+++ b/standin/layout.go
@@ -17,6 +17,8 @@
 	SetupCompetitions Setup = "competitions"
 	SetupHrabovsky    Setup = "hrabovsky"
 	SetupSmall        Setup = "small"
+	// SetupStragglers is one search of 40 shards with two replicas each.
+	SetupStragglers Setup = "stragglers"
 )
 
 // Names of the two index versions of each search.
@@ -115,6 +117,9 @@
 	SetupSmall: {
 		{"small", corpus.Competition, 8, 1, 4, 2, 25, millisecond},
 	},
+	SetupStragglers: {
+		{"wide", corpus.Competition, 80, 1, 40, 2, 25, millisecond},
+	},
 }
 
 // NewLayout returns the layout of the named set-ups. Target addresses are
