--- a/Makefile
+++ b/Makefile
@@ -34,3 +34,8 @@
 		echo "seed $$seed"; \
 		go test -count=1 -timeout=20m -run '^TestScenarios$$' $(SKIP) ./scenario -args -seed $$seed || exit 1; \
 	done
+
+# ONLY names one experiment, such as stragglers.
+ONLY ?= *
+bench: build
+	$(BIN)/gcmux-bench -bin $(BIN) -results bench/results bench/$(ONLY).jsonc
--- /dev/null
+++ b/bench/table.go
@@ -0,0 +1,65 @@
+package bench
+
+import (
+	"fmt"
+	"io"
+	"strings"
+)
+
+// WriteTable writes the outcomes as tables of Markdown. Beside each figure of a
+// baseline stands the ratio of the first variant's figure to it.
+func WriteTable(w io.Writer, outcomes []*Outcome) error {
+	var b strings.Builder
+	for _, o := range outcomes {
+		fmt.Fprintf(&b, "### %s\n\n%s\n\n", o.Name, o.About)
+		o.writeFigures(&b)
+		o.writeVerdicts(&b)
+	}
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+func (o *Outcome) writeFigures(b *strings.Builder) {
+	b.WriteString("| variant |")
+	for _, c := range columns {
+		fmt.Fprintf(b, " %s |", strings.ReplaceAll(string(c), "_", " "))
+	}
+	b.WriteString("\n|---|" + strings.Repeat("---|", len(columns)) + "\n")
+	for i, r := range o.Results {
+		fmt.Fprintf(b, "| %s |", r.Variant)
+		for _, c := range columns {
+			value := r.value(c, "")
+			fmt.Fprintf(b, " %s", figures[c].format(value))
+			if i > 0 && value != 0 {
+				fmt.Fprintf(b, " (x%.2f)", o.Results[0].value(c, "")/value)
+			}
+			b.WriteString(" |")
+		}
+		b.WriteString("\n")
+	}
+	b.WriteString("\n")
+}
+
+func (o *Outcome) writeVerdicts(b *strings.Builder) {
+	if len(o.Verdicts) > 0 {
+		b.WriteString("| goal | measured | verdict |\n|---|---|---|\n")
+	}
+	for i := range o.Verdicts {
+		v := &o.Verdicts[i]
+		word := "pass"
+		if !v.Met {
+			word = "**miss**"
+		}
+		measured := v.Goal.show(v.Value)
+		if v.Value >= never {
+			measured = "not seen"
+		}
+		fmt.Fprintf(b, "| %s | %s | %s |\n", v.Goal.String(), measured, word)
+	}
+	b.WriteString("\n")
+	for _, r := range o.Results {
+		if r.Failure != "" {
+			fmt.Fprintf(b, "%s: the replacement failed: %s\n\n", r.Variant, r.Failure)
+		}
+	}
+}
--- /dev/null
+++ b/bench/tier.go
@@ -0,0 +1,300 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/goldcrestmux/goldcrestmux/daemon"
+	"github.com/goldcrestmux/goldcrestmux/operator"
+	"github.com/goldcrestmux/goldcrestmux/platform"
+	"github.com/goldcrestmux/goldcrestmux/standin"
+	"github.com/goldcrestmux/goldcrestmux/wire"
+)
+
+// Names of listeners as in the logs.
+const (
+	listenAPI      = "api"
+	listenLink     = "link"
+	listenOperator = "operator"
+	listenAdmin    = "admin"
+	listenPlatform = "platform"
+)
+
+const (
+	region       = "region-1"
+	readyTimeout = 30 * time.Second
+	pollInterval = 50 * time.Millisecond
+	askTimeout   = 2 * time.Second
+)
+
+// Settings of the processes, which let permits change hands within seconds.
+var (
+	commonArgs  = []string{"-vm-list-poll=100ms", "-heartbeat=200ms", "-stop-timeout=10s", "-log-format=json"}
+	gatewayArgs = []string{"-linger=1s"}
+	relayArgs   = []string{
+		"-vm-list-max-age=600ms", "-vm-list-lag=300ms", "-handover-wait=400ms",
+		"-quiet-period=500ms", "-fencing-delay=2s", "-start-delay=2s",
+	}
+)
+
+// vm is one VM with its processes.
+type vm struct {
+	entry     platform.VM
+	processes map[wire.Role]*process
+	addresses map[wire.Role]map[string]string
+}
+
+// tier is a stand-in with the VMs of a query tier. The caller serialises its
+// methods, but for limits.
+type tier struct {
+	bin      string
+	variant  *Variant
+	standin  *process
+	admin    *standin.Admin
+	layout   standin.Layout
+	platform string
+	vms      []*vm
+	started  int // VMs so far, also those that were replaced
+	client   http.Client
+}
+
+// startTier starts a stand-in and the VMs, and waits until the gateways are ready.
+func startTier(ctx context.Context, bin string, x *Experiment, v *Variant) (*tier, error) {
+	t := &tier{bin: bin, variant: v, client: http.Client{Timeout: askTimeout}}
+	err := t.startStandin(ctx, append(x.Standin, v.Standin...), x.Files)
+	for i := 0; err == nil && i < x.VMs; i++ {
+		err = t.startVM(i, nil)
+	}
+	if err == nil {
+		err = t.publish(ctx)
+	}
+	if err == nil {
+		err = t.awaitReady(ctx)
+	}
+	if err != nil {
+		t.stop()
+		return nil, errors.Trace(err)
+	}
+	return t, nil
+}
+
+func (t *tier) startStandin(ctx context.Context, args []string, files []File) error {
+	p, err := startProcess(t.bin, "gcmux-standin", append([]string{"-max-run=5m"}, args...)...)
+	if err != nil {
+		return err
+	}
+	t.standin = p
+	address, err := p.address(listenAdmin)
+	if err != nil {
+		return err
+	}
+	if t.platform, err = p.address(listenPlatform); err != nil {
+		return err
+	}
+	t.admin = standin.NewAdmin(address)
+	if t.layout, err = t.admin.Layout(ctx); err != nil {
+		return err
+	}
+	for _, f := range files {
+		if _, err := t.admin.PutFile(ctx, f.Name, f.Content); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startVM starts a VM in place i, on the given addresses if there are any.
+func (t *tier) startVM(i int, addresses map[wire.Role]map[string]string) error {
+	t.started++
+	v := &vm{
+		entry: platform.VM{
+			Name:       fmt.Sprintf("vm%d", t.started),
+			DataCentre: t.layout.DataCentres[i%len(t.layout.DataCentres)],
+			Region:     region, Links: make(map[wire.Role]string),
+		},
+		processes: make(map[wire.Role]*process), addresses: make(map[wire.Role]map[string]string),
+	}
+	if i < len(t.vms) {
+		t.vms[i] = v
+	} else {
+		t.vms = append(t.vms, v)
+	}
+	for _, role := range []wire.Role{wire.RoleRelay, wire.RoleGateway} {
+		if err := t.startRole(v, role, addresses[role]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startRole starts a process and learns its addresses.
+func (t *tier) startRole(v *vm, role wire.Role, addresses map[string]string) error {
+	listeners := []string{listenLink, listenOperator}
+	args := []string{
+		"-vm=" + v.entry.Name, "-data-centre=" + v.entry.DataCentre, "-region=" + region,
+		"-folder-url=http://" + t.platform, "-vm-list-url=http://" + t.platform,
+	}
+	args = append(args, commonArgs...)
+	if role == wire.RoleRelay {
+		args = append(append(args, relayArgs...), t.variant.Relay...)
+	} else {
+		listeners = append(listeners, listenAPI)
+		args = append(append(args, gatewayArgs...), t.variant.Gateway...)
+	}
+	for _, l := range listeners {
+		address := addresses[l]
+		if address == "" {
+			address = "127.0.0.1:0"
+		}
+		args = append(args, "-"+l+"-listen="+address)
+	}
+	p, err := startProcess(t.bin, "gcmux-"+string(role), args...)
+	if err != nil {
+		return err
+	}
+	v.processes[role] = p
+	v.addresses[role] = make(map[string]string)
+	for _, l := range listeners {
+		if v.addresses[role][l], err = p.address(l); err != nil {
+			return err
+		}
+	}
+	v.entry.Links[role] = v.addresses[role][listenLink]
+	return nil
+}
+
+// publish gives the list of VMs to the platform.
+func (t *tier) publish(ctx context.Context) error {
+	var change standin.VMsChange
+	for _, v := range t.vms {
+		change.VMs = append(change.VMs, v.entry)
+	}
+	return t.admin.SetVMs(ctx, change)
+}
+
+// replace replaces each VM by a new one on the same addresses, one after the
+// other. The new one has to be ready before the next is stopped.
+func (t *tier) replace(ctx context.Context) error {
+	for i := range t.vms {
+		old := t.vms[i]
+		old.entry.Leaving = true
+		if err := t.publish(ctx); err != nil {
+			return err
+		}
+		for _, role := range []wire.Role{wire.RoleGateway, wire.RoleRelay} {
+			if err := old.processes[role].terminate(); err != nil {
+				return errors.Annotate(err, old.entry.Name)
+			}
+		}
+		if err := t.startVM(i, old.addresses); err != nil {
+			return err
+		}
+		if err := t.publish(ctx); err != nil {
+			return err
+		}
+		if err := t.awaitReady(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (t *tier) gateways() []string {
+	var out []string
+	for _, v := range t.vms {
+		out = append(out, v.addresses[wire.RoleGateway][listenAPI])
+	}
+	return out
+}
+
+// awaitReady waits until every gateway says that it is ready.
+func (t *tier) awaitReady(ctx context.Context) error {
+	end := time.Now().Add(readyTimeout)
+	for {
+		ready := 0
+		for _, address := range t.gateways() {
+			resp, err := t.client.Get("http://" + address + "/ready")
+			if err != nil {
+				continue
+			}
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				ready++
+			}
+		}
+		if ready == len(t.vms) {
+			return nil
+		}
+		if time.Now().After(end) {
+			return errors.Timeoutf("%d of %d gateways ready", ready, len(t.vms))
+		}
+		if err := sleep(ctx, pollInterval); err != nil {
+			return err
+		}
+	}
+}
+
+// limits returns what all relays together may run at each target at once.
+func (t *tier) limits() (map[string]int, error) {
+	out := make(map[string]int)
+	for _, v := range t.vms {
+		var dump daemon.RelayDump
+		if err := t.state(v.addresses[wire.RoleRelay][listenOperator], &dump); err != nil {
+			return nil, err
+		}
+		for _, target := range dump.Relay.Targets {
+			out[target.Target] += target.Limit
+		}
+	}
+	return out, nil
+}
+
+func (t *tier) state(address string, to any) error {
+	resp, err := t.client.Get("http://" + address + operator.PathState)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer resp.Body.Close()
+	return errors.Trace(json.NewDecoder(resp.Body).Decode(to))
+}
+
+// warm reports whether the relays may use all slots of the targets.
+func (t *tier) warm(searches []string) (bool, error) {
+	limits, err := t.limits()
+	if err != nil {
+		return false, err
+	}
+	for _, target := range t.layout.Targets {
+		if limits[target.Name] < target.Slots && slices.Contains(searches, target.Search) {
+			return false, nil
+		}
+	}
+	return true, nil
+}
+
+// stop ends all processes.
+func (t *tier) stop() {
+	for _, v := range t.vms {
+		for _, p := range v.processes {
+			p.kill()
+		}
+	}
+	if t.standin != nil {
+		t.standin.kill()
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
+}
--- /dev/null
+++ b/cmd/gcmux-bench/main.go
@@ -0,0 +1,96 @@
+// Command gcmux-bench runs the experiments in the given files, each as the same
+// load on tiers with different settings, and writes a table, JSON and plots. It
+// exits with 1 if a run couldn't be made and with 2 if a goal was missed.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+
+	"github.com/juju/errors"
+
+	"github.com/goldcrestmux/goldcrestmux/bench"
+)
+
+const (
+	exitFailed = 1
+	exitMissed = 2
+)
+
+func main() {
+	missed, err := run(os.Args[1:])
+	if errors.Is(err, flag.ErrHelp) {
+		return
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "gcmux-bench:", err)
+		os.Exit(exitFailed)
+	}
+	if missed > 0 {
+		fmt.Fprintf(os.Stderr, "%d goals missed\n", missed)
+		os.Exit(exitMissed)
+	}
+}
+
+func run(args []string) (missed int, err error) {
+	flags := flag.NewFlagSet("gcmux-bench", flag.ContinueOnError)
+	bin := flags.String("bin", "bin", "`directory` of the programs")
+	results := flags.String("results", "bench/results", "`directory` that the results are written to")
+	if err := flags.Parse(args); err != nil {
+		return 0, err
+	}
+	if err := os.MkdirAll(*results, 0o755); err != nil {
+		return 0, err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	var outcomes []*bench.Outcome
+	for _, file := range flags.Args() {
+		x, err := bench.Read(file)
+		if err != nil {
+			return missed, err
+		}
+		o, err := bench.Run(ctx, *bin, x, os.Stderr)
+		if err != nil {
+			return missed, err
+		}
+		if err := save(*results, o); err != nil {
+			return missed, err
+		}
+		outcomes = append(outcomes, o)
+		missed += o.Missed()
+	}
+	return missed, tabulate(filepath.Join(*results, "table.md"), outcomes)
+}
+
+// save writes the figures and the plots of one experiment.
+func save(dir string, o *bench.Outcome) error {
+	data, err := json.MarshalIndent(o, "", "  ")
+	if err != nil {
+		return err
+	}
+	base := filepath.Join(dir, o.Name)
+	if err := os.WriteFile(base+".json", data, 0o644); err != nil {
+		return err
+	}
+	if err := o.Plot(base + "-p99.png"); err != nil {
+		return err
+	}
+	return o.PlotGoodput(base + "-goodput.png")
+}
+
+func tabulate(file string, outcomes []*bench.Outcome) error {
+	f, err := os.Create(file)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	return bench.WriteTable(io.MultiWriter(os.Stdout, f), outcomes)
+}
