--- a/bench/experiment.go
+++ b/bench/experiment.go
@@ -39,6 +39,9 @@
 	// WarmRate is the rate of requests, per second and search, that warms the
 	// targets before the load.
 	WarmRate float64 `json:"warm_rate"`
+	// Settle is how long the load itself, without events, runs before it is
+	// measured, so that windows and estimates are filled.
+	Settle standin.Duration `json:"settle"`
 	// Load is the load; its gateways, stand-ins and events are set by the run.
 	Load load.Plan `json:"load"`
 	// Events happen during the load, at times counted from its start.
--- a/bench/figure.go
+++ b/bench/figure.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"encoding/json"
 	"fmt"
 	"time"
 
@@ -18,6 +19,15 @@
 	Return *Return `json:"return,omitempty"`
 	// Failure says why a change of VMs couldn't be made; empty if none failed.
 	Failure string `json:"failure,omitempty"`
+	// Processes are the counters of the tier's processes after the load.
+	Processes []ProcessMetrics `json:"processes"`
+}
+
+// ProcessMetrics are the counters that a process published itself.
+type ProcessMetrics struct {
+	Process string          `json:"process"`
+	Gateway json.RawMessage `json:"gateway,omitempty"`
+	Relay   json.RawMessage `json:"relay,omitempty"`
 }
 
 // figureKind is how a figure is read and printed.
--- a/bench/run.go
+++ b/bench/run.go
@@ -57,6 +57,9 @@
 	if err := t.warmUp(ctx, x); err != nil {
 		return nil, err
 	}
+	if err := t.settle(ctx, x, v); err != nil {
+		return nil, err
+	}
 	fmt.Fprintf(progress, "warm after %v\n", time.Since(began).Round(time.Millisecond))
 	return t.measure(ctx, x, v, progress)
 }
@@ -87,6 +90,19 @@
 	return errors.Timeoutf("warming the targets")
 }
 
+// settle runs the load without events.
+func (t *tier) settle(ctx context.Context, x *Experiment, v *Variant) error {
+	if x.Settle == 0 {
+		return nil
+	}
+	plan := x.plan(v, t)
+	plan.Events = nil
+	plan.Seed++
+	plan.Duration = x.Settle
+	_, err := load.Run(ctx, plan, io.Discard)
+	return errors.Annotate(err, "settle")
+}
+
 // measure runs the load with what goes beside it.
 func (t *tier) measure(ctx context.Context, x *Experiment, v *Variant, progress io.Writer) (*Result, error) {
 	result := &Result{Variant: v.Name}
@@ -106,6 +122,7 @@
 	result.Report, err = load.Run(ctx, plan, progress)
 	cancel()
 	beside.Wait()
+	result.Processes = t.metrics()
 	return result, err
 }
 
--- a/bench/tier.go
+++ b/bench/tier.go
@@ -245,7 +245,8 @@
 	out := make(map[string]int)
 	for _, v := range t.vms {
 		var dump daemon.RelayDump
-		if err := t.state(v.addresses[wire.RoleRelay][listenOperator], &dump); err != nil {
+		address := v.addresses[wire.RoleRelay][listenOperator]
+		if err := t.get(address, operator.PathState, &dump); err != nil {
 			return nil, err
 		}
 		for _, target := range dump.Relay.Targets {
@@ -255,8 +256,24 @@
 	return out, nil
 }
 
-func (t *tier) state(address string, to any) error {
-	resp, err := t.client.Get("http://" + address + operator.PathState)
+// metrics returns the counters of all processes that answer.
+func (t *tier) metrics() []ProcessMetrics {
+	var out []ProcessMetrics
+	for _, v := range t.vms {
+		for _, role := range []wire.Role{wire.RoleGateway, wire.RoleRelay} {
+			var m ProcessMetrics
+			err := t.get(v.addresses[role][listenOperator], operator.PathMetrics, &m)
+			m.Process = wire.Process{VM: v.entry.Name, Role: role}.Name()
+			if err == nil {
+				out = append(out, m)
+			}
+		}
+	}
+	return out
+}
+
+func (t *tier) get(address, path string, to any) error {
+	resp, err := t.client.Get("http://" + address + path)
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -33,8 +33,10 @@
 	p.process = newProcess(s, log, p)
 	p.gateway = gateway.New(gateway.Options{
 		Self: p.self, Logger: log, Links: p.pool, MaxBody: int64(s.MaxBodyBytes),
-		Admission: admission.Options{MaxLimit: s.Concurrency, MaxQueue: s.QueueLength},
-		Hedge:     hedge.Options{Mode: hedge.Mode(s.Hedging)}, ReplicaChoice: replica.Mode(s.ReplicaChoice),
+		Admission: admission.Options{
+			Mode: admission.Mode(s.Admission), MaxLimit: s.Concurrency, MaxQueue: s.QueueLength,
+		},
+		Hedge: hedge.Options{Mode: hedge.Mode(s.Hedging)}, ReplicaChoice: replica.Mode(s.ReplicaChoice),
 		Ready: p.ready,
 	})
 	p.newNode(wire.RoleRelay, node.Events{Contracts: p.setContracts, Status: p.setStatus})
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -13,10 +13,17 @@
 	errors   expvar.Map // requests answered with an error, by code
 	attempts expvar.Int // sub-requests sent
 	extras   expvar.Int // of these, hedges and budgeted retries
+	denied   expvar.Map // extras that were due and not sent, by reason
 	restarts expvar.Int // queries restarted on another index version
 	stray    expvar.Int // replies to queries that have ended
 }
 
+// Reasons for which an extra attempt is not sent.
+const (
+	deniedBySearch = "search_budget"
+	deniedByTarget = "target_budget"
+)
+
 func newMetrics() *gatewayMetrics {
 	m := &gatewayMetrics{}
 	published := expvar.NewMap("gateway")
@@ -27,6 +34,7 @@
 	published.Set("errors", &m.errors)
 	published.Set("attempts", &m.attempts)
 	published.Set("extras", &m.extras)
+	published.Set("denied", &m.denied)
 	published.Set("restarts", &m.restarts)
 	published.Set("stray", &m.stray)
 	return m
--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -196,7 +196,11 @@
 func (s searchRoutes) Pick(now time.Time, targets []string, purpose replica.Purpose, avoid []replica.Avoid) (replica.Choice, code.Code) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.Pick(now, s.rng, targets, purpose, avoid)
+	choice, c := s.table.Pick(now, s.rng, targets, purpose, avoid)
+	if c != code.OK && purpose == replica.Extra {
+		metrics.denied.Add(string(c), 1)
+	}
+	return choice, c
 }
 
 // Sent implements query.Router.
@@ -233,7 +237,15 @@
 func (s searchRoutes) TryExtra(now time.Time, target string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.budgets.TryExtra(now, s.search, target)
+	if s.budgets.TryExtra(now, s.search, target) {
+		return true
+	}
+	if s.budgets.AllowsSearch(now, s.search) {
+		metrics.denied.Add(deniedByTarget, 1)
+	} else {
+		metrics.denied.Add(deniedBySearch, 1)
+	}
+	return false
 }
 
 // hedgeDelay returns the delay after which an attempt is hedged now.
--- a/settings/option.go
+++ b/settings/option.go
@@ -90,6 +90,7 @@
 		countOption("max-body-bytes", "largest body of a caller's request, in bytes", "1048576", 1, maxBodyBytes, &s.MaxBodyBytes),
 		countOption("concurrency", "number of callers' requests in progress", "256", 1, maxCount, &s.Concurrency),
 		countOption("queue-length", "number of callers' requests that wait", "512", 0, maxCount, &s.QueueLength),
+		choiceOption("admission", "which requests of callers run and which wait", &s.Admission, AdmissionAdaptive, AdmissionFixed, AdmissionFIFO),
 		choiceOption("hedging", "when a shard is asked a second time", &s.Hedging, HedgingAdaptive, HedgingFixed, HedgingOff),
 		choiceOption("replica-choice", "how a replica is picked", &s.ReplicaChoice, ReplicaChoiceP2C, ReplicaChoiceRandom),
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -86,6 +86,8 @@
 	// TargetQueue is the number of sub-requests that wait for one target; relays only.
 	TargetQueue int
 
+	// Admission tells which requests of callers run and which wait; gateways only.
+	Admission Admission
 	// Hedging tells when a shard is asked a second time; gateways only.
 	Hedging Hedging
 	// ReplicaChoice tells how a replica is picked; gateways only.
@@ -103,6 +105,20 @@
 	LogJSON LogFormat = "json"
 )
 
+// Admission is the policy for requests of callers.
+type Admission string
+
+// Admission policies.
+const (
+	// AdmissionAdaptive adapts the number of requests in progress, shares it
+	// between callers and drops what can't be met.
+	AdmissionAdaptive Admission = "adaptive"
+	// AdmissionFixed keeps the number of requests in progress.
+	AdmissionFixed Admission = "fixed"
+	// AdmissionFIFO keeps it, serves in order of arrival and drops nothing.
+	AdmissionFIFO Admission = "fifo"
+)
+
 // Hedging is the policy for second attempts.
 type Hedging string
 
