Bound extra attempts by target at the relay, which sees all of them

Cause sought: with 1% stragglers and 40 shards at 50/s, about a third of the hedges that are due are denied by the target's budget at the gateway (counter denied.target_budget: 214 of 553, 173 of 475, 180 of 496 in 25 s) and few for want of a replica. A gateway sees a third of a target's first attempts, and 5% of them, rounded down, is 1 to 4 in 10 s. The gateway now bounds by search, the relay by target, and a hedge that one relay refuses goes by the other.

Ruled out: hedges that lose (refusals and cancels at relays are few), the search's budget (never denied), cold targets.

--- a/bench/figure.go
+++ b/bench/figure.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/goldcrestmux/goldcrestmux/load"
+	"github.com/goldcrestmux/goldcrestmux/standin"
 )
 
 // FigureName names a figure of a run.
@@ -21,6 +22,8 @@
 	Failure string `json:"failure,omitempty"`
 	// Processes are the counters of the tier's processes after the load.
 	Processes []ProcessMetrics `json:"processes"`
+	// Targets are the counters of the targets after the load.
+	Targets []standin.TargetStats `json:"targets"`
 }
 
 // ProcessMetrics are the counters that a process published itself.
--- a/bench/run.go
+++ b/bench/run.go
@@ -122,7 +122,12 @@
 	result.Report, err = load.Run(ctx, plan, progress)
 	cancel()
 	beside.Wait()
+	if err != nil {
+		return nil, err
+	}
 	result.Processes = t.metrics()
+	ledger, err := t.admin.Ledger(context.WithoutCancel(ctx), time.Time{})
+	result.Targets = ledger.Targets
 	return result, err
 }
 
--- a/budget/table.go
+++ b/budget/table.go
@@ -39,23 +39,26 @@
 }
 
 // First counts a first attempt of the search at the target. An attempt that
-// replaces one of which no byte reached a target counts as a first one too.
+// replaces one of which no byte reached a target counts as a first one too. An
+// empty target leaves the budgets of targets to others.
 func (t *Table) First(now time.Time, search, target string) {
 	t.window(t.searches, search).First(now)
-	t.window(t.targets, target).First(now)
+	if target != "" {
+		t.window(t.targets, target).First(now)
+	}
 	t.stats.Firsts++
 }
 
 // TryExtra counts an extra attempt of the search at the target and returns
-// true, or returns false and counts nothing if either budget is used up.
+// true, or returns false and counts nothing if either budget is used up. An
+// empty target needs the search's budget only.
 func (t *Table) TryExtra(now time.Time, search, target string) bool {
 	bySearch := t.window(t.searches, search)
-	byTarget := t.window(t.targets, target)
 	if !bySearch.Allows(now) {
 		t.stats.DeniedBySearch++
 		return false
 	}
-	if !byTarget.TryExtra(now) {
+	if target != "" && !t.window(t.targets, target).TryExtra(now) {
 		t.stats.DeniedByTarget++
 		return false
 	}
--- a/code/code.go
+++ b/code/code.go
@@ -28,7 +28,8 @@
 	Shed             Code = "shed"         // the target refused the work
 	VersionGone      Code = "version_gone" // the target no longer serves the version
 	VersionNotLoaded Code = "version_not_loaded"
-	NoReplica        Code = "no_replica" // no relay holds a usable replica
+	NoReplica        Code = "no_replica"  // no relay holds a usable replica
+	OverBudget       Code = "over_budget" // an extra attempt beyond the target's budget
 
 	// Failures: the work may have run.
 	Timeout          Code = "timeout"
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -18,11 +18,9 @@
 	stray    expvar.Int // replies to queries that have ended
 }
 
-// Reasons for which an extra attempt is not sent.
-const (
-	deniedBySearch = "search_budget"
-	deniedByTarget = "target_budget"
-)
+// deniedBySearch is the reason for an extra attempt that was not sent because
+// the search's budget was used up. Other reasons are codes.
+const deniedBySearch = "search_budget"
 
 func newMetrics() *gatewayMetrics {
 	m := &gatewayMetrics{}
--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -60,7 +60,6 @@
 	for name := range r.targets {
 		if _, ok := c.Targets[name]; !ok {
 			r.table.RemoveTarget(name)
-			r.budgets.ForgetTarget(name)
 			delete(r.targets, name)
 		}
 	}
@@ -221,31 +220,30 @@
 		RetryAfter: o.RetryAfter,
 	})
 	state := s.searches[s.search]
+	if o.Code == code.OverBudget {
+		metrics.denied.Add(string(o.Code), 1)
+	}
 	if state != nil && o.First && (o.Code == code.OK || o.Code == code.Canceled) {
 		state.hedge.Observe(now, o.Took)
 	}
 }
 
-// First implements query.Budget.
-func (s searchRoutes) First(now time.Time, target string) {
+// First implements query.Budget. The relays bound extra attempts by target.
+func (s searchRoutes) First(now time.Time, _ string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.budgets.First(now, s.search, target)
+	s.budgets.First(now, s.search, "")
 }
 
 // TryExtra implements query.Budget.
-func (s searchRoutes) TryExtra(now time.Time, target string) bool {
+func (s searchRoutes) TryExtra(now time.Time, _ string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.budgets.TryExtra(now, s.search, target) {
-		return true
-	}
-	if s.budgets.AllowsSearch(now, s.search) {
-		metrics.denied.Add(deniedByTarget, 1)
-	} else {
+	granted := s.budgets.TryExtra(now, s.search, "")
+	if !granted {
 		metrics.denied.Add(deniedBySearch, 1)
 	}
-	return false
+	return granted
 }
 
 // hedgeDelay returns the delay after which an attempt is hedged now.
--- a/query/attempt.go
+++ b/query/attempt.go
@@ -54,6 +54,14 @@
 	m.send(now, i, route, true)
 }
 
+// hedgeElsewhere sends a hedge that a relay refused by another route, if there
+// is one: each relay has a budget of its own for a target.
+func (m *Machine) hedgeElsewhere(now time.Time, a *attempt) {
+	s := &m.shards[a.shard]
+	s.avoid = append(s.avoid, blamed(a.Route, code.OverBudget))
+	m.hedge(now, a.shard)
+}
+
 // withRunning returns avoid and the targets at which attempts for a shard run.
 func (m *Machine) withRunning(i int, avoid []replica.Avoid) []replica.Avoid {
 	out := slices.Clone(avoid)
@@ -129,6 +137,10 @@
 		m.answer(now, a.shard, r)
 		return
 	}
+	if r.Code == code.OverBudget && s.running > 0 {
+		m.hedgeElsewhere(now, a)
+		return
+	}
 	s.reason = r.Code
 	if s.running > 0 {
 		return
@@ -244,7 +256,7 @@
 // if the relay refused, and else the target.
 func blamed(r replica.Choice, c code.Code) replica.Avoid {
 	switch c {
-	case code.NotHeld, code.Stopping, code.NotReady, code.Overloaded, code.TargetCold:
+	case code.NotHeld, code.Stopping, code.NotReady, code.Overloaded, code.OverBudget, code.TargetCold:
 		return replica.Avoid{Relay: r.Relay, Target: r.Target}
 	default:
 		return replica.Avoid{Target: r.Target}
--- a/query/query_test.go
+++ b/query/query_test.go
@@ -205,3 +205,21 @@
 		t.Fatalf("status %v, report %+v; want finished with s0 missing", m.Status(), report)
 	}
 }
+
+// A hedge that a relay refuses because its budget for the target is used up
+// goes by the other relay, and the refusal doesn't speak against the target.
+func TestRefusedHedgeGoesByAnotherRelay(t *testing.T) {
+	m := newMachine(&scripted{extras: 10}, false)
+	m.Start(at(0))
+	hedges := append([]Attempt(nil), m.Tick(at(10)).Send...)
+	if len(hedges) != 2 {
+		t.Fatalf("hedges: %v", hedges)
+	}
+	second := m.Reply(at(11), hedges[0].ID, reply(hedges[0], code.OverBudget, code.NotRun)).Send
+	if len(second) != 1 || !second[0].Hedge || second[0].Route.Relay == hedges[0].Route.Relay || second[0].Route.Target != hedges[0].Route.Target {
+		t.Fatalf("after the refusal of %v: %v", hedges[0], second)
+	}
+	if third := m.Reply(at(12), second[0].ID, reply(second[0], code.OverBudget, code.NotRun)).Send; len(third) != 0 {
+		t.Errorf("a hedge without a route: %v", third)
+	}
+}
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/goldcrestmux/goldcrestmux/budget"
 	"github.com/goldcrestmux/goldcrestmux/code"
 	"github.com/goldcrestmux/goldcrestmux/folder"
 	"github.com/goldcrestmux/goldcrestmux/link"
@@ -27,6 +28,7 @@
 	machine  *target.Machine
 	queue    jobQueue
 	running  map[jobID]*job
+	extras   *budget.Window
 	told     wire.Holding // what gateways were told last
 	gone     bool         // no longer in the contracts
 }
@@ -44,6 +46,7 @@
 		}),
 		machine: target.New(target.Options{Name: c.Name, Contract: contract}),
 		running: make(map[jobID]*job),
+		extras:  budget.NewWindow(budget.MaxShare, 0),
 		told:    wire.Holding{Target: c.Name},
 	}
 }
@@ -79,6 +82,8 @@
 		return code.NotHeld
 	case len(e.queue) >= e.relay.opts.QueuePerTarget:
 		return code.Overloaded
+	case j.sub.Hedge && !e.extras.TryExtra(now):
+		return code.OverBudget
 	default:
 		return code.OK
 	}
@@ -110,6 +115,9 @@
 			continue
 		}
 		e.running[j.id] = j
+		if !j.sub.Hedge {
+			e.extras.First(now)
+		}
 		ready = append(ready, readyJob{entry: e, job: j, ticket: e.machine.Sent(now)})
 	}
 	return ready
