Give each replica its part of first attempts

Cause: with hedges bounded by target at the relays, 40% of those that were due were still denied. The targets' counters showed why: of two replicas, one got 335 and the other 955 of the first attempts in 25 s, because the smallest difference of estimated service times decided. The slower half has few first attempts, so few hedges may go there, and it is just there that the hedges of the faster half have to go. A service time of up to twice the mean now counts as the mean.

TestPair held that a single lost attempt moves work away from a target, against what the package promises of single stragglers. It now holds both: one doesn't, a few in a row do.

--- a/bench/figure.go
+++ b/bench/figure.go
@@ -16,6 +16,8 @@
 type Result struct {
 	Variant string       `json:"variant"`
 	Report  *load.Report `json:"report"`
+	// Warm tells whether all targets were warm when the load began.
+	Warm bool `json:"warm"`
 	// Return is how the watched targets came back; nil if none were watched.
 	Return *Return `json:"return,omitempty"`
 	// Failure says why a change of VMs couldn't be made; empty if none failed.
--- a/bench/table.go
+++ b/bench/table.go
@@ -58,6 +58,9 @@
 	}
 	b.WriteString("\n")
 	for _, r := range o.Results {
+		if !r.Warm {
+			fmt.Fprintf(b, "%s: not all targets were warm when the load began.\n\n", r.Variant)
+		}
 		if r.Failure != "" {
 			fmt.Fprintf(b, "%s: the replacement failed: %s\n\n", r.Variant, r.Failure)
 		}
--- a/replica/pick.go
+++ b/replica/pick.go
@@ -153,7 +153,11 @@
 // once for itself and once for each round of requests ahead of it.
 func (t *Table) cost(now time.Time, r *route) float64 {
 	rounds := float64(t.load(now, r)) / float64(r.limit)
-	return max(t.serviceTime(now, r.target), 1) * (1 + rounds)
+	service := t.serviceTime(now, r.target)
+	if service <= t.opts.Tolerance*t.meanService {
+		service = t.meanService
+	}
+	return max(service, 1) * (1 + rounds)
 }
 
 func (r *route) choice() Choice {
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -102,12 +102,21 @@
 	table.Done(epoch, "r", "cold", Outcome{Code: code.OK, Queue: 1})
 	pick(targets[2:], "", code.TargetCold)
 	pick(targets[1:], "near", code.OK)
-	// An attempt that lost to its hedge tells that its target is slow.
+	// Attempts that lost to their hedges tell that their target is slow, but one
+	// of them doesn't condemn it.
 	for _, name := range []string{"near", "near", "far"} {
 		table.Done(epoch, "r", name, Outcome{Code: code.OK, Service: time.Millisecond})
 	}
-	table.Sent("r", "near")
-	table.Done(epoch, "r", "near", Outcome{Code: code.Canceled, Service: time.Second})
+	lose := func() {
+		table.Sent("r", "near")
+		table.Done(epoch, "r", "near", Outcome{Code: code.Canceled, Service: time.Second})
+	}
+	lose()
+	pick(targets[:2], "near", code.OK)
+	table.Done(epoch, "r", "near", Outcome{Code: code.OK, Service: time.Millisecond})
+	for range 5 {
+		lose()
+	}
 	pick(targets[:2], "far", code.OK)
 	// What another relay holds doesn't make up for a failure.
 	table.Done(epoch, "r", "far", Outcome{Code: code.BadAnswer})
--- a/replica/table.go
+++ b/replica/table.go
@@ -21,6 +21,7 @@
 	DefaultMaxPause     = 8 * time.Second
 	DefaultQueueMemory  = 100 * time.Millisecond
 	DefaultServiceDecay = 5 * time.Second
+	DefaultTolerance    = 2.0
 )
 
 // Mode selects how a replica is chosen.
@@ -52,6 +53,11 @@
 	// ServiceDecay is the time in which an unused target's measured service
 	// time falls half way back to the mean of all, so that it is tried again.
 	ServiceDecay time.Duration
+	// Tolerance is the multiple of the mean service time of all targets up to
+	// which a target's own counts as the mean. A replica that is a little
+	// slower is not avoided: the budget of hedges to a target follows its
+	// first attempts, so that each replica needs its part of them.
+	Tolerance float64
 }
 
 func (o Options) withDefaults() Options {
@@ -60,11 +66,13 @@
 	setDefault(&o.MaxPause, DefaultMaxPause)
 	setDefault(&o.QueueMemory, DefaultQueueMemory)
 	setDefault(&o.ServiceDecay, DefaultServiceDecay)
+	setDefault(&o.Tolerance, DefaultTolerance)
 	return o
 }
 
-func setDefault(field *time.Duration, value time.Duration) {
-	if *field == 0 {
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
 		*field = value
 	}
 }
