--- /dev/null
+++ b/relay/entry_test.go
@@ -0,0 +1,62 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/goldcrestmux/goldcrestmux/budget"
+	"github.com/goldcrestmux/goldcrestmux/code"
+	"github.com/goldcrestmux/goldcrestmux/target"
+	"github.com/goldcrestmux/goldcrestmux/wire"
+)
+
+// Whichever gateways send them, extra attempts at a target stay within their
+// share of the first attempts that a relay sent there, and first attempts are
+// never refused for it.
+func TestExtraAttemptsAreBoundedByTarget(t *testing.T) {
+	const gateways, firsts = 9, 400
+	e := &entry{
+		relay:   &Relay{opts: Options{QueuePerTarget: DefaultQueuePerTarget}},
+		machine: target.New(target.Options{Name: "t", Contract: target.Contract{Slots: 2, ColdSlots: 1, WarmAfter: 1}}),
+		running: make(map[jobID]*job),
+		extras:  budget.NewWindow(budget.MaxShare, 0),
+	}
+	now := time.Unix(1_700_000_000, 0)
+	e.machine.SetAdmin(now, true, "")
+	e.machine.SetPermits(now, target.Permits{Held: 2, Zero: true})
+	submit := func(id uint64, hedge bool) code.Code {
+		j := &job{
+			id: jobID{id: id}, index: -1, deadline: now.Add(time.Second),
+			batch: &wire.Batch{}, sub: wire.SubRequest{ID: id, Hedge: hedge},
+		}
+		refusal := e.refusal(now, j)
+		if refusal != code.OK {
+			return refusal
+		}
+		e.queue.add(j)
+		for _, w := range e.pump(now) {
+			delete(e.running, w.job.id)
+			e.machine.Done(now, target.Outcome{Kind: target.OK, Ticket: w.ticket, Boot: "b"})
+		}
+		return code.OK
+	}
+	extras := 0
+	for i := range uint64(firsts) {
+		now = now.Add(10 * time.Millisecond)
+		if c := submit(i*(gateways+1), false); c != code.OK {
+			t.Fatalf("first attempt %d: %s", i, c)
+		}
+		for g := range uint64(gateways) {
+			switch c := submit(i*(gateways+1)+1+g, true); c {
+			case code.OK:
+				extras++
+			case code.OverBudget:
+			default:
+				t.Fatalf("extra attempt: %s", c)
+			}
+		}
+	}
+	if most := int(budget.MaxShare * firsts); extras > most || extras < most*9/10 {
+		t.Errorf("%d extra attempts for %d first ones, want about %d", extras, firsts, most)
+	}
+}
