Serve urgent callers first at the relays too

Cause: at 3 times the capacity an urgent caller kept neither its p99 nor its coverage, though admission let it in at once. The relays' queues were ordered by deadline, and bulk requests that had waited for admission have less time left than fresh urgent ones, so the order of admission was turned round. A batch now carries the caller's priority, and queues are ordered by it first.

--- a/gateway/action.go
+++ b/gateway/action.go
@@ -44,14 +44,14 @@
 		return nil, err
 	}
 	admitted := time.Now()
-	answer, err := g.runAction(r, search, &body, deadline)
+	answer, err := g.runAction(r, caller, search, &body, deadline)
 	g.finish(id, search.Name, err, time.Since(admitted))
 	return answer, err
 }
 
 // runAction runs an admitted action at the one shard that holds its key. Once
 // begun it goes on if the caller goes away: its outcome would not change.
-func (g *Gateway) runAction(r *http.Request, search folder.Search, body *ActionRequest, deadline time.Time) (*ActionAnswer, *Error) {
+func (g *Gateway) runAction(r *http.Request, caller folder.Caller, search folder.Search, body *ActionRequest, deadline time.Time) (*ActionAnswer, *Error) {
 	payload, err := json.Marshal(body.Action)
 	if err != nil {
 		return nil, &Error{Code: code.Internal, Message: err.Error(), Run: code.NotRun}
@@ -70,6 +70,7 @@
 		wait:     deadline,
 		deadline: deadline,
 		action:   true,
+		priority: caller.Priority,
 	})
 	if out.ledger.Complete() {
 		return &ActionAnswer{ID: body.ID, Search: search.Name, Shard: shard.Name}, nil
--- a/gateway/exec.go
+++ b/gateway/exec.go
@@ -110,6 +110,7 @@
 	wait     time.Time
 	deadline time.Time
 	action   bool
+	priority int
 }
 
 // outcome is how a run of a task ended.
@@ -249,6 +250,7 @@
 		Payload:  x.task.payload,
 		Deadline: x.task.deadline,
 		Action:   x.task.action,
+		Priority: uint8(x.task.priority),
 	}
 }
 
--- a/gateway/search.go
+++ b/gateway/search.go
@@ -51,7 +51,7 @@
 		return nil, err
 	}
 	admitted := time.Now()
-	answer, err := g.runSearch(r, search, &body, deadline)
+	answer, err := g.runSearch(r, caller, search, &body, deadline)
 	g.finish(id, search.Name, err, time.Since(admitted))
 	return answer, err
 }
@@ -106,7 +106,7 @@
 
 // runSearch runs an admitted search, anew on another version if the pinned one
 // vanishes.
-func (g *Gateway) runSearch(r *http.Request, search folder.Search, body *SearchRequest, deadline time.Time) (*SearchAnswer, *Error) {
+func (g *Gateway) runSearch(r *http.Request, caller folder.Caller, search folder.Search, body *SearchRequest, deadline time.Time) (*SearchAnswer, *Error) {
 	payload, err := json.Marshal(body.Query)
 	if err != nil {
 		return nil, &Error{Code: code.Internal, Message: err.Error(), Run: code.NotRun}
@@ -116,7 +116,10 @@
 	if pinned == nil {
 		return nil, noVersion()
 	}
-	t := &task{search: search, payload: payload, deadline: deadline, wait: earlier(now.Add(search.Wait), deadline)}
+	t := &task{
+		search: search, payload: payload, deadline: deadline,
+		wait: earlier(now.Add(search.Wait), deadline), priority: caller.Priority,
+	}
 	run := code.NotRun
 	for restarts := 0; ; restarts++ {
 		t.version = pinned.version
--- a/relay/entry_test.go
+++ b/relay/entry_test.go
@@ -60,3 +60,20 @@
 		t.Errorf("%d extra attempts for %d first ones, want about %d", extras, firsts, most)
 	}
 }
+
+// Urgent work comes before less urgent work that has less time left.
+func TestUrgentWorkComesFirst(t *testing.T) {
+	var q jobQueue
+	now := time.Unix(1_700_000_000, 0)
+	for id, priority := range []uint8{5, 5, 0, 9} {
+		q.add(&job{
+			id: jobID{id: uint64(id)}, deadline: now.Add(time.Duration(3-id) * time.Second),
+			batch: &wire.Batch{Priority: priority},
+		})
+	}
+	for i, want := range []uint64{2, 1, 0, 3} {
+		if got := q.next().id.id; got != want {
+			t.Errorf("place %d: job %d, want %d", i, got, want)
+		}
+	}
+}
--- a/relay/job.go
+++ b/relay/job.go
@@ -58,11 +58,18 @@
 	j.reply(wire.Reply{Code: c, Run: code.NotRun, Queue: uint16(queue)})
 }
 
-// jobQueue holds the waiting jobs of one target, the earliest deadline first.
+// jobQueue holds the waiting jobs of one target: the most urgent callers' first,
+// and of these the earliest deadline first. The order by deadline alone would
+// put work that has waited for admission before urgent work that has not.
 type jobQueue []*job
 
-func (q jobQueue) Len() int           { return len(q) }
-func (q jobQueue) Less(a, b int) bool { return q[a].deadline.Before(q[b].deadline) }
+func (q jobQueue) Len() int { return len(q) }
+func (q jobQueue) Less(a, b int) bool {
+	if q[a].batch.Priority != q[b].batch.Priority {
+		return q[a].batch.Priority < q[b].batch.Priority
+	}
+	return q[a].deadline.Before(q[b].deadline)
+}
 
 func (q jobQueue) Swap(a, b int) {
 	q[a], q[b] = q[b], q[a]
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -96,6 +96,8 @@
 	// Action marks non-idempotent work: never retried once a byte may have left.
 	Action bool         `cbor:"6,keyasint,omitempty"`
 	Subs   []SubRequest `cbor:"7,keyasint"`
+	// Priority is the caller's: 0 is the most urgent.
+	Priority uint8 `cbor:"8,keyasint,omitempty"`
 	// Deadline is local to a process: links turn it into DeadlineMicros when
 	// they write, and back when they receive.
 	Deadline time.Time `cbor:"-"`
