--- a/link/pool.go
+++ b/link/pool.go
@@ -22,6 +22,8 @@
 	checkInterval = 50 * time.Millisecond
 	// handshakeTimeout bounds dialling and the exchange of Hello frames.
 	handshakeTimeout = 2 * time.Second
+	// sweepInterval is the time between two searches for unwanted links.
+	sweepInterval = time.Second
 	// onDemandIdle is how long a link without a standing wish is kept unused.
 	onDemandIdle = 60 * time.Second
 	// maxDials bounds the number of dials in progress.
@@ -176,21 +178,28 @@
 func (p *Pool) loop() error {
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
+	var swept time.Time
 	for {
 		select {
 		case <-p.tomb.Dying():
 			return nil
 		case <-ticker.C:
 			now := time.Now()
-			p.checkLinks(now)
+			for _, l := range p.Links() {
+				l.check(now)
+			}
+			if now.Sub(swept) >= sweepInterval {
+				swept = now
+				p.closeUnwanted(now)
+			}
 			p.dialMissing(now)
 		}
 	}
 }
 
-func (p *Pool) checkLinks(now time.Time) {
+// closeUnwanted closes on-demand links that have been unused for long.
+func (p *Pool) closeUnwanted(now time.Time) {
 	for _, l := range p.Links() {
-		l.check(now)
 		if p.unwanted(l, now) {
 			l.Close(ErrClosed)
 		}
--- a/slopes/control.go
+++ b/slopes/control.go
@@ -7,6 +7,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/goldcrestmux/goldcrestmux/link"
 	"github.com/goldcrestmux/goldcrestmux/member"
 	"github.com/goldcrestmux/goldcrestmux/wire"
 )
@@ -21,7 +22,15 @@
 // measureControl takes what a process spends on control while nothing is asked
 // of it, in bytes and in processor time.
 func measureControl() ([]slope, error) {
-	slopes := []slope{heartbeatBytes(), heartbeatTime(), listBytes()}
+	pings, err := pingBytes()
+	if err != nil {
+		return nil, err
+	}
+	links, err := linksIdle()
+	if err != nil {
+		return nil, err
+	}
+	slopes := []slope{heartbeatBytes(), heartbeatTime(), listBytes(), pings, links}
 	idle, err := relayIdle()
 	if err != nil {
 		return nil, err
@@ -91,20 +100,72 @@
 	return newSlope("control: one read of the VM list", "bytes", "VM", points)
 }
 
+// pingBytes takes the encoded size of the pings and answers that one end of
+// idle links sends per second, without the overhead of WebSocket, TCP and IP.
+func pingBytes() (slope, error) {
+	data, err := wire.Encode(&wire.Frame{Ping: &wire.Ping{Seq: uint64(start.UnixNano())}})
+	if err != nil {
+		return slope{}, errors.Trace(err)
+	}
+	const check = 50 * time.Millisecond
+	near := link.NewLiveness(link.LivenessOptions{}, start)
+	far := link.NewLiveness(link.LivenessOptions{}, start)
+	frames := 0
+	for now := start; now.Before(start.Add(beatPeriod * time.Second)); now = now.Add(check) {
+		if near.Check(now) == link.VerdictPing || far.Check(now) == link.VerdictPing {
+			near.Heard(now)
+			far.Heard(now)
+			frames++ // each end sends either the ping or the answer
+		}
+	}
+	var points []point
+	for _, n := range linkCounts {
+		points = append(points, point{float64(n), float64(n*frames*len(data)) / beatPeriod})
+	}
+	return newSlope("control: pings sent on idle links", "bytes/s", "link", points), nil
+}
+
+// linksIdle takes the processor time of idle links, per end. What the pools at
+// the far ends use by themselves is taken off.
+func linksIdle() (slope, error) {
+	var points []point
+	for _, n := range linkCounts {
+		with, err := idleTime(n, holdLinks)
+		if err != nil {
+			return slope{}, err
+		}
+		without, err := idleTime(n, holdPools)
+		if err != nil {
+			return slope{}, err
+		}
+		points = append(points, point{float64(n), with - without})
+	}
+	return newSlope("control: idle links", "us of processor/s", "link end", points), nil
+}
+
+// idleTime returns the processor time in microseconds a second that n parts use
+// while they are held.
+func idleTime(n int, hold func(int) (func(), error)) (float64, error) {
+	release, err := hold(n)
+	if err != nil {
+		return 0, err
+	}
+	defer release()
+	time.Sleep(settle)
+	before := ownTime()
+	time.Sleep(idlePeriod)
+	return float64((ownTime() - before).Microseconds()) / idlePeriod.Seconds(), nil
+}
+
 // relayIdle takes the processor time of a relay that has nothing to do.
 func relayIdle() (slope, error) {
 	var points []point
 	for _, targets := range targetCounts {
-		_, release, err := newRelay(targets, fleetVMs)
+		used, err := idleTime(targets, holdRelay)
 		if err != nil {
 			return slope{}, errors.Trace(err)
 		}
-		time.Sleep(settle)
-		before := ownTime()
-		time.Sleep(idlePeriod)
-		used := ownTime() - before
-		release()
-		points = append(points, point{float64(targets), float64(used.Microseconds()) / idlePeriod.Seconds()})
+		points = append(points, point{float64(targets), used})
 	}
 	return newSlope("control: relay's ticks, idle", "us of processor/s", "target", points), nil
 }
--- a/slopes/memory.go
+++ b/slopes/memory.go
@@ -116,6 +116,21 @@
 	return release, nil
 }
 
+// holdPools holds the n/2 pools of holdLinks without links.
+func holdPools(n int) (func(), error) {
+	pools := make([]*link.Pool, n/2)
+	for i := range pools {
+		pools[i] = link.NewPool(link.Options{
+			Self: wire.Process{VM: vmName(i), Role: wire.RoleGateway, Incarnation: 1}, Handler: newEcho(0), Logger: quiet,
+		})
+	}
+	return func() {
+		for _, p := range pools {
+			p.Close()
+		}
+	}, nil
+}
+
 func holdMembers(n int) (func(), error) {
 	s := newMembers(n / 2)
 	return func() { runtime.KeepAlive(s) }, nil
