--- a/slopes/control.go
+++ b/slopes/control.go
@@ -9,6 +9,7 @@
 
 	"github.com/goldcrestmux/goldcrestmux/link"
 	"github.com/goldcrestmux/goldcrestmux/member"
+	"github.com/goldcrestmux/goldcrestmux/platform"
 	"github.com/goldcrestmux/goldcrestmux/wire"
 )
 
@@ -30,7 +31,7 @@
 	if err != nil {
 		return nil, err
 	}
-	slopes := []slope{heartbeatBytes(), heartbeatTime(), listBytes(), pings, links}
+	slopes := []slope{heartbeatBytes(), heartbeatTime(), listBytes(), listTime(), pings, links}
 	idle, err := relayIdle()
 	if err != nil {
 		return nil, err
@@ -100,6 +101,25 @@
 	return newSlope("control: one read of the VM list", "bytes", "VM", points)
 }
 
+// listTime takes the processor time of parsing one read of the VM list.
+func listTime() slope {
+	const reads = 200
+	var points []point
+	for _, vms := range vmCounts {
+		data, err := json.Marshal(vmList(1, vms))
+		if err != nil {
+			continue
+		}
+		before := ownTime()
+		for range reads {
+			var list platform.VMList
+			_ = json.Unmarshal(data, &list)
+		}
+		points = append(points, point{float64(vms), millis(ownTime()-before) / reads})
+	}
+	return newSlope("control: parsing the VM list", "ms of processor", "VM", points)
+}
+
 // pingBytes takes the encoded size of the pings and answers that one end of
 // idle links sends per second, without the overhead of WebSocket, TCP and IP.
 func pingBytes() (slope, error) {
--- a/slopes/tier.go
+++ b/slopes/tier.go
@@ -260,6 +260,26 @@
 	}, err
 }
 
+// rest takes the processor time of one process of each role without load. It
+// is of one size only.
+func (t *tier) rest(duration time.Duration) ([]slope, error) {
+	var slopes []slope
+	for _, role := range []wire.Role{wire.RoleGateway, wire.RoleRelay} {
+		before, err := t.read(role)
+		if err != nil {
+			return nil, err
+		}
+		time.Sleep(duration)
+		after, err := t.read(role)
+		if err != nil {
+			return nil, err
+		}
+		used := millis(after.since(before).processor) / duration.Seconds() / tierVMs
+		slopes = append(slopes, newSlope("one "+string(role)+" at rest", "ms of processor/s", "VM", []point{{tierVMs, used}}))
+	}
+	return slopes, nil
+}
+
 // measureTier takes the processor time of whole processes under load.
 func measureTier(ctx context.Context, opts options) ([]slope, error) {
 	t, err := startTier(ctx, opts.bin)
@@ -271,7 +291,10 @@
 		return nil, err
 	}
 	perSecond := 1e6 * opts.step.Seconds()
-	var slopes []slope
+	slopes, err := t.rest(opts.step)
+	if err != nil {
+		return nil, err
+	}
 	var relayAll, bytesAll, framesAll []point
 	var perQuery []point
 	for _, l := range tierLoads {
