target: the model tells what a relay can know by the time of the sign

A relay that wakes up late takes signs of earlier boots. The model took those for a sign of the present cold episode and reported work above the allowance (1 in 9,234 interleavings) that nobody could have known to be so.

--- a/target/cold.go
+++ b/target/cold.go
@@ -128,6 +128,7 @@
 
 // addSign keeps the last sign of each origin.
 func (m *Machine) addSign(s wire.TargetSign) {
+	m.seen[s.Origin] = s.Seq
 	m.signs = slices.DeleteFunc(m.signs, func(old wire.TargetSign) bool { return old.Origin == s.Origin })
 	m.signs = append(m.signs, s)
 }
@@ -204,7 +205,7 @@
 func (m *Machine) takeSigns(now time.Time, signs []wire.TargetSign) []Action {
 	news, lost := false, false
 	for _, s := range signs {
-		if s.Origin == m.opts.Self || s.Seq <= m.seen[s.Origin] {
+		if s.Seq <= m.seen[s.Origin] {
 			continue
 		}
 		m.seen[s.Origin] = s.Seq
