Test that no retry or hedge waits beyond the next tick

A property test compares the kept bound with every shard after each event; it fails without either of the two bounds for retries. The bound that a retry set for its own hedge turned out never to matter (the test passes without it: the shard's former hedge was due earlier) and is gone.

--- a/query/attempt.go
+++ b/query/attempt.go
@@ -199,9 +199,6 @@
 	}
 	s.extra = s.extra || drawsBudget(r)
 	m.try(now, a.shard)
-	if delay, ok := m.hedgeDelay(now); ok && s.canHedge() {
-		m.wakeBy(s.hedgeFrom.Add(delay))
-	}
 }
 
 // noteLacking notes that a replica does not serve the pinned version.
--- a/query/query_test.go
+++ b/query/query_test.go
@@ -1,6 +1,7 @@
 package query
 
 import (
+	"flag"
 	"testing"
 	"time"
 
@@ -8,8 +9,12 @@
 	"github.com/goldcrestmux/goldcrestmux/coverage"
 	"github.com/goldcrestmux/goldcrestmux/replica"
 	"github.com/goldcrestmux/goldcrestmux/wire"
+	"pgregory.net/rapid"
 )
 
+// Property tests run the same cases each time.
+var _, _ = flag.Set("rapid.seed", "1"), flag.Set("rapid.checks", "500")
+
 // scripted is a Router and Budget: it picks the first replica that is not
 // avoided, by relay "r" and then "q", and grants a fixed number of extras.
 type scripted struct {
@@ -205,3 +210,40 @@
 		t.Fatalf("status %v, report %+v; want finished with s0 missing", m.Status(), report)
 	}
 }
+
+// Whatever happens, the next tick is due no later than any retry or hedge.
+func TestNextTickCoversWhatIsDue(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine(&scripted{extras: rapid.IntRange(0, 3).Draw(t, "extras")}, false)
+		m.Start(at(0))
+		for ms := 1; ms < 60 && m.Status() == Running; ms++ {
+			id := uint32(rapid.IntRange(0, 8).Draw(t, "attempt"))
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 0:
+				m.NotSent(at(ms), id, code.Unreachable)
+			case 1:
+				m.Lost(at(ms), rapid.SampledFrom([]string{"r", "q"}).Draw(t, "relay"))
+			case 2:
+				if !at(ms).Before(m.NextTick()) {
+					m.Tick(at(ms))
+				}
+			}
+			checkNextTick(t, m)
+		}
+	})
+}
+
+func checkNextTick(t *rapid.T, m *Machine) {
+	if m.Status() != Running {
+		return
+	}
+	delay, _ := m.opts.Hedge(at(0))
+	for i := range m.shards {
+		s := &m.shards[i]
+		retry := !s.settled && !s.retryAt.IsZero() && s.retryAt.Before(m.NextTick())
+		hedge := !s.settled && s.canHedge() && s.hedgeFrom.Add(delay).Before(m.NextTick())
+		if retry || hedge {
+			t.Fatalf("shard %d is due before the next tick: retry %v, hedge %v", i, retry, hedge)
+		}
+	}
+}
