Send stalled work again on a new connection, and avoid links that are quiet

Ruled out: targets blamed for it (none turned cold), too few connections (3 or 4 of 25 open), cancellations that fail (they went through). Now a relay looks after 10 times the mean service time, at least 80 ms, whether the target answers on a new connection; if so, the open ones are retired, at most once a second, and the request is withdrawn and sent once more. A gateway learns after 200 ms that a busy link is quiet and prefers other relays.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -58,6 +58,9 @@
 // Dropped implements link.Handler.
 func (p *gatewayProcess) Dropped(l *link.Link, b wire.Batch) { p.gateway.Dropped(l, b) }
 
+// Quiet implements link.QuietObserver.
+func (p *gatewayProcess) Quiet(l *link.Link, quiet bool) { p.gateway.Quiet(l, quiet) }
+
 // Down implements link.Handler.
 func (p *gatewayProcess) Down(l *link.Link, _ error) { p.gateway.Down(l) }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -124,6 +124,11 @@
 	}
 }
 
+// Quiet tells that a relay may be silent: new work goes elsewhere if it can.
+func (g *Gateway) Quiet(l *link.Link, quiet bool) {
+	g.routes.setQuiet(l.Peer().Name(), quiet)
+}
+
 // Down tells every query that a link is gone.
 func (g *Gateway) Down(l *link.Link) {
 	name := l.Peer().Name()
--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,6 +28,7 @@
 	searches map[string]*searchState
 	targets  map[string]struct{}
 	versions map[versionKey]*pinnedVersion
+	quiet    []replica.Avoid // relays that may be silent
 }
 
 // searchState is what a gateway has learned about one search. It is guarded by
@@ -95,6 +97,30 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.table.DropRelay(relay)
+	r.quiet = slices.DeleteFunc(r.quiet, func(a replica.Avoid) bool { return a.Relay == relay })
+}
+
+// setQuiet notes whether a relay may be silent.
+func (r *routes) setQuiet(relay string, quiet bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	avoid := replica.Avoid{Relay: relay}
+	r.quiet = slices.DeleteFunc(r.quiet, func(a replica.Avoid) bool { return a == avoid })
+	if quiet {
+		r.quiet = append(r.quiet, avoid)
+	}
+}
+
+// pick returns a route that leads through no quiet relay if there is one.
+// Routes.mu is held.
+func (r *routes) pick(now time.Time, targets []string, purpose replica.Purpose, avoid []replica.Avoid) (replica.Choice, code.Code) {
+	if len(r.quiet) > 0 {
+		both := append(slices.Clone(avoid), r.quiet...)
+		if choice, c := r.table.Pick(now, r.rng, targets, purpose, both); c == code.OK {
+			return choice, c
+		}
+	}
+	return r.table.Pick(now, r.rng, targets, purpose, avoid)
 }
 
 // uncovered returns a search of which a shard can't be reached now, or "".
@@ -196,7 +222,7 @@
 func (s searchRoutes) Pick(now time.Time, targets []string, purpose replica.Purpose, avoid []replica.Avoid) (replica.Choice, code.Code) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.Pick(now, s.rng, targets, purpose, avoid)
+	return s.pick(now, targets, purpose, avoid)
 }
 
 // Sent implements query.Router.
--- a/link/link.go
+++ b/link/link.go
@@ -47,6 +47,13 @@
 	Down(*Link, error)
 }
 
+// QuietObserver is a Handler that wants to know of links that may be silent.
+type QuietObserver interface {
+	// Quiet is called when a link with outstanding sub-requests has not been
+	// heard for a while, and again when it is heard or idle.
+	Quiet(l *Link, quiet bool)
+}
+
 // Link is one connection to a peer. Its methods may be called concurrently.
 // Lock order: Link.mu is a leaf lock; no other lock is taken while it is held.
 type Link struct {
@@ -65,6 +72,7 @@
 	credit      int
 	outstanding int
 	live        *Liveness
+	quiet       bool
 	used        time.Time
 }
 
@@ -299,7 +307,13 @@
 func (l *Link) check(now time.Time) {
 	l.mu.Lock()
 	verdict := l.live.Check(now)
+	quiet := l.live.Quiet(now)
+	changed := quiet != l.quiet
+	l.quiet = quiet
 	l.mu.Unlock()
+	if observer, ok := l.pool.opts.Handler.(QuietObserver); ok && changed {
+		observer.Quiet(l, quiet)
+	}
 	switch verdict {
 	case VerdictPing:
 		_ = l.Send(&wire.Frame{Ping: &wire.Ping{Seq: uint64(now.UnixNano())}})
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -111,6 +111,24 @@
 	}
 }
 
+func TestQuietLinkIsToldBeforeItIsGivenUp(t *testing.T) {
+	start := time.Unix(1000, 0)
+	l := NewLiveness(LivenessOptions{BusyPing: 150 * time.Millisecond, BusyTimeout: 500 * time.Millisecond}, start)
+	if l.Quiet(start.Add(time.Second)) {
+		t.Fatal("an idle link is quiet")
+	}
+	l.SetBusy(start, true)
+	for ms, want := range map[int]bool{150: false, 190: false, 200: true, 499: true} {
+		if got := l.Quiet(start.Add(time.Duration(ms) * time.Millisecond)); got != want {
+			t.Errorf("quiet after %d ms: %v, want %v", ms, got, want)
+		}
+	}
+	l.Heard(start.Add(210 * time.Millisecond))
+	if l.Quiet(start.Add(300 * time.Millisecond)) {
+		t.Fatal("quiet although the peer was heard")
+	}
+}
+
 func TestPausedProcessDoesNotBlameItsPeers(t *testing.T) {
 	start := time.Unix(1000, 0)
 	l := NewLiveness(LivenessOptions{}, start)
--- a/link/liveness.go
+++ b/link/liveness.go
@@ -100,6 +100,17 @@
 	return VerdictPing
 }
 
+// Quiet reports whether a busy link has left its ping without an answer for a
+// while: it may be silent, and new work is better sent elsewhere.
+func (l *Liveness) Quiet(now time.Time) bool {
+	ping, _, silence := l.bounds(now)
+	return l.busy && silence >= ping+ping/quietPart
+}
+
+// quietPart is the part of the ping's delay that its answer may take before the
+// link counts as quiet.
+const quietPart = 3
+
 func (l *Liveness) bounds(now time.Time) (ping, timeout, silence time.Duration) {
 	silence = now.Sub(l.heard)
 	if !l.busy {
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -29,6 +29,7 @@
 	running  map[jobID]*job
 	told     wire.Holding // what gateways were told last
 	gone     bool         // no longer in the contracts
+	pulse    pulse
 }
 
 func (r *Relay) newEntry(c folder.Target, contract target.Contract) *entry {
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -8,6 +8,7 @@
 type relayMetrics struct {
 	received expvar.Int // sub-requests received
 	sent     expvar.Int // requests handed to target clients
+	resent   expvar.Int // of these, sent again because a connection was silent
 	refused  expvar.Map // sub-requests refused as not run, by code
 	outcomes expvar.Map // ends of requests to targets, by code
 }
@@ -17,6 +18,7 @@
 	published := expvar.NewMap("relay")
 	published.Set("received", &m.received)
 	published.Set("sent", &m.sent)
+	published.Set("resent", &m.resent)
 	published.Set("refused", &m.refused)
 	published.Set("outcomes", &m.outcomes)
 	return m
--- /dev/null
+++ b/relay/stall.go
@@ -0,0 +1,121 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/goldcrestmux/goldcrestmux/platform"
+	"github.com/goldcrestmux/goldcrestmux/target"
+	"github.com/juju/errors"
+)
+
+const (
+	// stallFactor times a target's mean service time is when a request without
+	// an answer counts as stalled, within minStall and maxStall.
+	stallFactor = 10
+	minStall    = 80 * time.Millisecond
+	maxStall    = 500 * time.Millisecond
+	// retireInterval is the shortest time between two moments at which the
+	// connections to one target are given up. It bounds how often slow work is
+	// taken for work on a silent connection.
+	retireInterval = time.Second
+	// meanWeight is the weight of a new sample in the mean service time.
+	meanWeight = 0.1
+)
+
+// errStalled is the cause of a request's withdrawal because its connection is
+// taken to be silent.
+const errStalled = errors.ConstError("no answer although the target answers on a new connection")
+
+// pulse tells whether a target's connections still carry answers. It is pure;
+// the caller serialises.
+type pulse struct {
+	mean    time.Duration // of the service time
+	retired time.Time     // when the connections were given up last
+}
+
+// served notes the service time of an answer.
+func (p *pulse) served(took time.Duration) {
+	if p.mean == 0 {
+		p.mean = took
+	}
+	p.mean += time.Duration(meanWeight * float64(took-p.mean))
+}
+
+// stallAfter returns the time without an answer after which a request counts
+// as stalled.
+func (p *pulse) stallAfter() time.Duration {
+	return min(max(stallFactor*p.mean, minStall), maxStall)
+}
+
+// mayRetire reports whether the connections may be given up now.
+func (p *pulse) mayRetire(now time.Time) bool { return now.Sub(p.retired) >= retireInterval }
+
+// retire notes that the connections were given up.
+func (p *pulse) retire(now time.Time) { p.retired = now }
+
+// condemned reports whether a request that was sent at a time is on a
+// connection that was given up since.
+func (p *pulse) condemned(sent time.Time) bool { return sent.Before(p.retired) }
+
+// search sends an idempotent request. If it stalls while the target answers on
+// a new connection, it is withdrawn there and sent once more, on a new one.
+func (r *Relay) search(e *entry, j *job, request *platform.TargetRequest) platform.Result {
+	ctx, withdraw := context.WithCancelCause(j.ctx)
+	defer withdraw(nil)
+	e.mu.Lock()
+	after := e.pulse.stallAfter()
+	e.mu.Unlock()
+	sent := time.Now()
+	timer := time.AfterFunc(after, func() { r.stalled(e, sent, withdraw) })
+	result := e.client.Do(ctx, platform.PathSearch, request, j.deadline)
+	timer.Stop()
+	if context.Cause(ctx) != errStalled || result.Answer != nil || j.ctx.Err() != nil {
+		return result
+	}
+	metrics.resent.Add(1)
+	request.ID += "-again"
+	return e.client.Do(j.ctx, platform.PathSearch, request, j.deadline)
+}
+
+// stalled looks into a request that got no answer for long.
+func (r *Relay) stalled(e *entry, sent time.Time, withdraw context.CancelCauseFunc) {
+	e.mu.Lock()
+	condemned := e.pulse.condemned(sent)
+	mayRetire := e.pulse.mayRetire(time.Now())
+	e.mu.Unlock()
+	if condemned || mayRetire && r.check(e) {
+		withdraw(errStalled)
+	}
+}
+
+// check asks a target for its health on a new connection. If it answers, a
+// connection was at fault and all that are open are given up. It tells the
+// target's machine, and reports whether the target answered.
+func (r *Relay) check(e *entry) bool {
+	ctx, cancel := context.WithTimeout(r.tomb.Context(context.Background()), probeTimeout)
+	defer cancel()
+	health, err := e.client.Probe(ctx)
+	answered := err == nil
+	if answered {
+		e.mu.Lock()
+		e.pulse.retire(time.Now())
+		e.mu.Unlock()
+		e.client.Retire()
+	}
+	e.change(func(now time.Time, m *target.Machine) []target.Action {
+		if !answered || health.Draining {
+			return m.Probe(now, false, "", false)
+		}
+		return m.Probe(now, true, health.Boot, health.Claim.Warm)
+	})
+	return answered
+}
+
+// probe checks a target without waiting for the outcome.
+func (r *Relay) probe(e *entry) {
+	r.tomb.Go(func() error {
+		r.check(e)
+		return nil
+	})
+}
--- a/relay/work.go
+++ b/relay/work.go
@@ -86,10 +86,6 @@
 		r.finish(w, platform.Result{Code: code.NotHeld, Run: code.NotRun})
 		return
 	}
-	path := platform.PathSearch
-	if j.batch.Action {
-		path = platform.PathAction
-	}
 	request := &platform.TargetRequest{
 		ID:      fmt.Sprintf("%d-%s-%d", j.id.link.Peer().Incarnation, j.id.link.Peer().VM, j.sub.ID),
 		Search:  j.batch.Search,
@@ -98,7 +94,11 @@
 		Payload: j.batch.Payload,
 	}
 	metrics.sent.Add(1)
-	r.finish(w, e.client.Do(j.ctx, path, request, j.deadline))
+	if j.batch.Action {
+		r.finish(w, e.client.Do(j.ctx, platform.PathAction, request, j.deadline))
+		return
+	}
+	r.finish(w, r.search(e, j, request))
 }
 
 // finish tells the target's machine how a job ended, then the gateway.
@@ -108,6 +108,9 @@
 	var depth int
 	e.mu.Lock()
 	delete(e.running, j.id)
+	if result.Code == code.OK {
+		e.pulse.served(result.Service)
+	}
 	depth = len(e.queue) + len(e.running)
 	e.mu.Unlock()
 	reply := newReply(result, depth)
@@ -200,22 +203,3 @@
 		}
 	}
 }
-
-// probe asks a target for its health on a new connection.
-func (r *Relay) probe(e *entry) {
-	r.tomb.Go(func() error {
-		ctx, cancel := context.WithTimeout(r.tomb.Context(context.Background()), probeTimeout)
-		defer cancel()
-		health, err := e.client.Probe(ctx)
-		if err == nil {
-			e.client.Retire() // the target answers, so a connection was at fault
-		}
-		e.change(func(now time.Time, m *target.Machine) []target.Action {
-			if err != nil || health.Draining {
-				return m.Probe(now, false, "", false)
-			}
-			return m.Probe(now, true, health.Boot, health.Claim.Warm)
-		})
-		return nil
-	})
-}
