--- a/link/pool.go
+++ b/link/pool.go
@@ -108,6 +108,16 @@
 		s.addr = addr
 		s.known = true
 	}
+	p.forget()
+}
+
+// forget drops the state of peers that are neither known nor linked. Pool.mu is held.
+func (p *Pool) forget() {
+	for name, s := range p.peers {
+		if !s.known && !s.dialing && s.link == nil {
+			delete(p.peers, name)
+		}
+	}
 }
 
 // peer returns the state for name, made if absent. Pool.mu is held.
--- a/standin/vms.go
+++ b/standin/vms.go
@@ -4,6 +4,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -47,6 +48,7 @@
 	}
 	if c.Cables != nil {
 		s.useCables = *c.Cables
+		s.list.Sequence++ // the addresses differ
 	}
 	if !c.Keep {
 		s.pending = append(s.pending, vmChange{visible: time.Now().Add(s.lag), vms: c.VMs})
@@ -68,6 +70,10 @@
 func (s *vmService) serve(w http.ResponseWriter, r *http.Request) {
 	list, useCables := s.view()
 	from := r.URL.Query().Get("from")
+	if r.URL.Query().Get("known") == strconv.FormatUint(list.Sequence, 10) {
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
 	if useCables && from != "" {
 		var err error
 		if list.VMs, err = s.overCables(from, list.VMs); err != nil {
