Track attempts in one place

The query machine kept its own record of what may have run beside the tracker of the package attempt, which nothing else used. It uses the tracker now, which also keeps anything from being sent at or after the deadline.

--- a/query/attempt.go
+++ b/query/attempt.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/goldcrestmux/goldcrestmux/attempt"
 	"github.com/goldcrestmux/goldcrestmux/code"
 	"github.com/goldcrestmux/goldcrestmux/replica"
 	"github.com/goldcrestmux/goldcrestmux/wire"
@@ -27,7 +28,9 @@
 		m.opts.Budget.First(now, route.Target)
 	}
 	s.hedgeFrom = now
-	m.send(now, i, route, false)
+	if c := m.send(now, i, route, false); c != code.OK {
+		m.miss(i, c)
+	}
 }
 
 // awaitRoute looks again later. Replicas that failed before may be tried again
@@ -65,12 +68,17 @@
 	return out
 }
 
-func (m *Machine) send(now time.Time, i int, route replica.Choice, hedge bool) {
+// send enters an attempt and has it sent, or returns why it must not be.
+func (m *Machine) send(now time.Time, i int, route replica.Choice, hedge bool) code.Code {
+	id := uint32(len(m.attempts))
+	if c := m.track(now, id); c != code.OK {
+		return c
+	}
 	s := &m.shards[i]
 	s.running++
-	a := attempt{
+	a := sub{
 		Attempt: Attempt{
-			ID:    uint32(len(m.attempts)),
+			ID:    id,
 			Shard: m.opts.Shards[i].Name,
 			Route: route,
 			Hedge: hedge || s.extra,
@@ -83,10 +91,20 @@
 	m.attempts = append(m.attempts, a)
 	m.opts.Router.Sent(now, route)
 	m.actions.Send = append(m.actions.Send, a.Attempt)
+	return code.OK
+}
+
+// track enters an attempt that is about to be sent. It returns why it must not
+// be: the deadline has passed, or an earlier attempt of an action may have run.
+func (m *Machine) track(now time.Time, id uint32) code.Code {
+	if !m.tracker.Add(uint64(id)) {
+		return code.OutcomeUnknown
+	}
+	return m.tracker.Send(now, uint64(id))
 }
 
 // running returns the attempt with the given number if it has not ended.
-func (m *Machine) running(id uint32) *attempt {
+func (m *Machine) running(id uint32) *sub {
 	if int(id) >= len(m.attempts) || m.attempts[id].done {
 		return nil
 	}
@@ -94,7 +112,7 @@
 }
 
 // echoes reports whether a reply answers what the attempt asked.
-func (m *Machine) echoes(a *attempt, r *wire.Reply) bool {
+func (m *Machine) echoes(a *sub, r *wire.Reply) bool {
 	return r.Shard == a.Shard && r.Target == a.Route.Target && r.Version == m.opts.Version
 }
 
@@ -119,7 +137,7 @@
 }
 
 // conclude ends an attempt and decides what follows for its shard.
-func (m *Machine) conclude(now time.Time, a *attempt, r *wire.Reply) {
+func (m *Machine) conclude(now time.Time, a *sub, r *wire.Reply) {
 	m.close(now, a, r)
 	s := &m.shards[a.shard]
 	if s.settled || m.status != Running {
@@ -136,9 +154,9 @@
 	m.retry(now, a, r)
 }
 
-func (m *Machine) close(now time.Time, a *attempt, r *wire.Reply) {
+func (m *Machine) close(now time.Time, a *sub, r *wire.Reply) {
 	a.done = true
-	a.run = r.Run
+	m.tracker.Set(uint64(a.ID), attempt.StateOf(r.Run))
 	m.shards[a.shard].running--
 	o := Outcome{
 		Code:       r.Code,
@@ -165,7 +183,7 @@
 }
 
 // cancel withdraws an attempt that still runs.
-func (m *Machine) cancel(now time.Time, a *attempt) {
+func (m *Machine) cancel(now time.Time, a *sub) {
 	if a.done {
 		return
 	}
@@ -174,7 +192,7 @@
 }
 
 // retry decides whether and when a shard whose last attempt failed is tried again.
-func (m *Machine) retry(now time.Time, a *attempt, r *wire.Reply) {
+func (m *Machine) retry(now time.Time, a *sub, r *wire.Reply) {
 	s := &m.shards[a.shard]
 	s.avoid = append(s.avoid, blamed(a.Route, r.Code))
 	if r.Code == code.VersionGone || r.Code == code.VersionNotLoaded {
@@ -184,7 +202,7 @@
 		m.giveUpVersion(now, a.shard, r.Code)
 		return
 	}
-	if m.opts.Action && r.Run != code.NotRun {
+	if !m.tracker.MayRetry(!m.opts.Action) {
 		m.miss(a.shard, r.Code)
 		m.settleFinished(now)
 		return
--- a/query/query.go
+++ b/query/query.go
@@ -9,6 +9,7 @@
 import (
 	"time"
 
+	"github.com/goldcrestmux/goldcrestmux/attempt"
 	"github.com/goldcrestmux/goldcrestmux/code"
 	"github.com/goldcrestmux/goldcrestmux/coverage"
 	"github.com/goldcrestmux/goldcrestmux/replica"
@@ -128,9 +129,10 @@
 	opts     Options
 	status   Status
 	shards   []shard
-	attempts []attempt
+	attempts []sub
 	open     int       // shards that are not settled
 	due      time.Time // no retry or hedge is due before; zero: none is
+	tracker  *attempt.Tracker
 	actions  Actions
 }
 
@@ -149,12 +151,11 @@
 	hedgeFrom time.Time
 }
 
-type attempt struct {
+type sub struct {
 	Attempt
 	shard    int
 	previous int // number of the shard's attempt before, or noAttempt
 	sent     time.Time
-	run      code.Run
 	done     bool
 }
 
@@ -170,8 +171,9 @@
 	return &Machine{
 		opts:     opts,
 		shards:   shards,
-		attempts: make([]attempt, 0, len(opts.Shards)+len(opts.Shards)/16+1),
+		attempts: make([]sub, 0, len(opts.Shards)+len(opts.Shards)/16+1),
 		open:     len(opts.Shards),
+		tracker:  attempt.New(opts.Deadline, opts.Action),
 	}
 }
 
@@ -362,18 +364,7 @@
 
 // NotRun tells whether the query's work ran: code.NotRun only if no attempt
 // can have run.
-func (m *Machine) NotRun() code.Run {
-	run := code.NotRun
-	for i := range m.attempts {
-		switch m.attempts[i].run {
-		case code.Ran:
-			return code.Ran
-		case code.RunUnknown:
-			run = code.RunUnknown
-		}
-	}
-	return run
-}
+func (m *Machine) NotRun() code.Run { return m.tracker.NotRun() }
 
 // Attempts returns the number of attempts so far.
 func (m *Machine) Attempts() int { return len(m.attempts) }
--- a/query/query_test.go
+++ b/query/query_test.go
@@ -247,3 +247,13 @@
 		}
 	}
 }
+
+func TestNothingIsSentAfterTheDeadline(t *testing.T) {
+	m := newMachine(&scripted{}, false)
+	if sent := m.Start(at(200)).Send; len(sent) != 0 {
+		t.Fatalf("sent %+v at the deadline", sent)
+	}
+	if m.Status() != Finished || m.NotRun() != code.NotRun {
+		t.Fatalf("status %v, run %v; want finished and not run", m.Status(), m.NotRun())
+	}
+}
