Open every caller's request in one place

Searches and actions went through the same steps, from the token to admission, in two copies; one piece of code serves both. The rule that puts a record into a shard stands once, and a message that nobody sent is gone.

--- a/corpus/corpus.go
+++ b/corpus/corpus.go
@@ -13,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/goldcrestmux/goldcrestmux/folder"
 	"github.com/goldcrestmux/goldcrestmux/platform"
 	"github.com/goldcrestmux/goldcrestmux/wire"
 )
@@ -95,7 +96,7 @@
 // ShardOf returns the name of the shard that holds the key, in a version that
 // has the given shards in ascending order.
 func ShardOf(key string, sorted []string) string {
-	return sorted[xxhash.Sum64String(key)%uint64(len(sorted))]
+	return folder.ShardOf(key, sorted)
 }
 
 // Shard returns the entries of one shard of a version, in the order of
--- a/gateway/action.go
+++ b/gateway/action.go
@@ -11,44 +11,34 @@
 	"github.com/goldcrestmux/goldcrestmux/coverage"
 	"github.com/goldcrestmux/goldcrestmux/folder"
 	"github.com/goldcrestmux/goldcrestmux/query"
-	"goji.io/pat"
 )
 
 // action serves POST /v1/action/:search.
 func (g *Gateway) action(r *http.Request) (any, *Error) {
-	start := time.Now()
-	index, caller, err := g.authenticate(r)
-	if err != nil {
-		return nil, err
-	}
-	search, err := index.authorize(caller, pat.Param(r, "search"))
+	var b ActionRequest
+	req, err := g.open(r, &b)
 	if err != nil {
 		return nil, err
 	}
+	answer, err := g.runAction(r, req.search, &b, req.deadline)
+	g.close(req, err)
+	return answer, err
+}
+
+// check implements body.
+func (b *ActionRequest) check(caller folder.Caller) *Error {
 	if !caller.Actions {
-		return nil, refusal(code.Forbidden, "caller "+caller.Name+" may not send actions")
-	}
-	var body ActionRequest
-	if err := readBody(r, &body); err != nil {
-		return nil, err
+		return refusal(code.Forbidden, "caller "+caller.Name+" may not send actions")
 	}
-	if body.Action.Key == "" || body.Action.ID == "" {
-		return nil, refusal(code.BadRequest, "action.id and action.key must be set")
+	if b.Action.Key == "" || b.Action.ID == "" {
+		return refusal(code.BadRequest, "action.id and action.key must be set")
 	}
-	deadline, err := deadlineOf(start, body.DeadlineMillis, search)
-	if err != nil {
-		return nil, err
-	}
-	id, err := g.admission.admit(caller.Name, search.Name, deadline, r.Context().Done())
-	if err != nil {
-		return nil, err
-	}
-	admitted := time.Now()
-	answer, err := g.runAction(r, search, &body, deadline)
-	g.finish(id, search.Name, err, time.Since(admitted))
-	return answer, err
+	return nil
 }
 
+// deadlineMillis implements body.
+func (b *ActionRequest) deadlineMillis() int64 { return b.DeadlineMillis }
+
 // runAction runs an admitted action at the one shard that holds its key. Once
 // begun it goes on if the caller goes away: its outcome would not change.
 func (g *Gateway) runAction(r *http.Request, search folder.Search, body *ActionRequest, deadline time.Time) (*ActionAnswer, *Error) {
--- a/gateway/search.go
+++ b/gateway/search.go
@@ -7,102 +7,40 @@
 	"strings"
 	"time"
 
-	"github.com/goldcrestmux/goldcrestmux/admission"
 	"github.com/goldcrestmux/goldcrestmux/code"
 	"github.com/goldcrestmux/goldcrestmux/coverage"
 	"github.com/goldcrestmux/goldcrestmux/folder"
 	"github.com/goldcrestmux/goldcrestmux/query"
-	"goji.io/pat"
 )
 
-const (
-	// answerMargin is the time kept for merging and writing the answer.
-	answerMargin = 2 * time.Millisecond
-	// maxRestarts is the number of times that a query is restarted on another version.
-	maxRestarts = 3
-	// failedRetryAfter is when a caller whose query failed may come back.
-	failedRetryAfter = 500 * time.Millisecond
-)
+// maxRestarts is the number of times that a query is restarted on another version.
+const maxRestarts = 3
 
 // search serves POST /v1/search/:search.
 func (g *Gateway) search(r *http.Request) (any, *Error) {
-	start := time.Now()
-	index, caller, err := g.authenticate(r)
-	if err != nil {
-		return nil, err
-	}
-	search, err := index.authorize(caller, pat.Param(r, "search"))
+	var b SearchRequest
+	req, err := g.open(r, &b)
 	if err != nil {
 		return nil, err
 	}
-	var body SearchRequest
-	if err := readBody(r, &body); err != nil {
-		return nil, err
-	}
-	if err := checkLimit(&body); err != nil {
-		return nil, err
-	}
-	deadline, err := deadlineOf(start, body.DeadlineMillis, search)
-	if err != nil {
-		return nil, err
-	}
-	id, err := g.admission.admit(caller.Name, search.Name, deadline, r.Context().Done())
-	if err != nil {
-		return nil, err
-	}
-	admitted := time.Now()
-	answer, err := g.runSearch(r, search, &body, deadline)
-	g.finish(id, search.Name, err, time.Since(admitted))
+	answer, err := g.runSearch(r, req.search, &b, req.deadline)
+	g.close(req, err)
 	return answer, err
 }
 
-// authenticate returns the contracts in force and the caller.
-func (g *Gateway) authenticate(r *http.Request) (*callerIndex, folder.Caller, *Error) {
-	index := g.contracts.Load()
-	if index == nil {
-		return nil, folder.Caller{}, &Error{
-			Code: code.NotReady, Message: "no configuration is in force yet", Run: code.NotRun, RetryAfter: failedRetryAfter,
-		}
-	}
-	caller, err := index.authenticate(r)
-	return index, caller, err
-}
-
-// finish tells admission how an admitted request ended.
-func (g *Gateway) finish(id uint64, search string, err *Error, took time.Duration) {
-	g.admission.finish(id, admission.Result{
-		OK:      succeeded(err),
-		Took:    took,
-		Typical: g.routes.typical(time.Now(), search),
-	})
-}
-
-// succeeded reports whether a request counts as served for the admission limit.
-func succeeded(err *Error) bool {
-	return err == nil || err.Code == code.BadRequest || err.Code == code.UnknownSearch
-}
-
-func checkLimit(body *SearchRequest) *Error {
-	if body.Query.Limit == 0 {
-		body.Query.Limit = DefaultLimit
+// check implements body.
+func (b *SearchRequest) check(folder.Caller) *Error {
+	if b.Query.Limit == 0 {
+		b.Query.Limit = DefaultLimit
 	}
-	if body.Query.Limit < 0 || body.Query.Limit > MaxLimit {
-		return refusal(code.BadRequest, "query.limit must be from 1 to 1000")
+	if b.Query.Limit < 0 || b.Query.Limit > MaxLimit {
+		return refusal(code.BadRequest, fmt.Sprintf("query.limit must be from 1 to %d", MaxLimit))
 	}
 	return nil
 }
 
-// deadlineOf returns when the answer has to be written.
-func deadlineOf(start time.Time, millis int64, s folder.Search) (time.Time, *Error) {
-	if millis < 0 {
-		return time.Time{}, refusal(code.DeadlinePassed, "deadline_ms is negative: the deadline has passed")
-	}
-	allowed := s.Deadline
-	if asked := time.Duration(millis) * time.Millisecond; millis > 0 && asked < allowed {
-		allowed = asked
-	}
-	return start.Add(allowed - answerMargin), nil
-}
+// deadlineMillis implements body.
+func (b *SearchRequest) deadlineMillis() int64 { return b.DeadlineMillis }
 
 // runSearch runs an admitted search, anew on another version if the pinned one
 // vanishes.
--- a/link/frame.go
+++ b/link/frame.go
@@ -87,9 +87,6 @@
 	if f.FolderAnswer != nil {
 		out.FolderAnswer = f.FolderAnswer
 	}
-	if f.Leaving != nil {
-		out.Leaving = f.Leaving
-	}
 	if f.Refusal != nil {
 		out.Refusal = f.Refusal
 	}
--- a/relay/frames.go
+++ b/relay/frames.go
@@ -54,9 +54,6 @@
 	for _, answer := range f.ReleaseAnswers {
 		r.permits.event(func(now time.Time, t *permit.Table) []permit.Action { return t.Answer(now, peer, answer) })
 	}
-	if f.Leaving != nil {
-		r.SetPeerLeaving(peer, true)
-	}
 }
 
 func (r *Relay) submit(now time.Time, l *link.Link, b *wire.Batch) {
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -59,7 +59,6 @@
 	Offer          *FolderOffer     `cbor:"13,keyasint,omitempty"`
 	FolderAsk      *FolderAsk       `cbor:"14,keyasint,omitempty"`
 	FolderAnswer   *FolderAnswer    `cbor:"15,keyasint,omitempty"`
-	Leaving        *Leaving         `cbor:"16,keyasint,omitempty"`
 	Refusal        *ProtocolRefusal `cbor:"17,keyasint,omitempty"`
 	ViewOffer      *ViewOffer       `cbor:"18,keyasint,omitempty"`
 	ViewAsk        *ViewAsk         `cbor:"19,keyasint,omitempty"`
@@ -298,12 +297,6 @@
 	Data   []byte `cbor:"3,keyasint,omitempty"`
 }
 
-// Leaving tells that the sender stops soon and takes no new work.
-type Leaving struct {
-	// GraceMillis is the time, in milliseconds, after which the sender exits.
-	GraceMillis uint32 `cbor:"1,keyasint"`
-}
-
 // ViewOffer tells how fresh the sender's copy of the VM list is.
 type ViewOffer struct {
 	Sequence uint64 `cbor:"1,keyasint"`
