--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -38,10 +38,10 @@
 	versions *snapshot.Chooser
 }
 
-func newRoutes(seed uint64, dataCentre string, hedging hedge.Options) *routes {
+func newRoutes(seed uint64, hedging hedge.Options, choice replica.Options) *routes {
 	return &routes{
 		rng:      rand.New(rand.NewPCG(seed, 2)),
-		table:    replica.New(replica.Options{DataCentre: dataCentre}),
+		table:    replica.New(choice),
 		budgets:  budget.NewTable(budget.Options{}),
 		hedging:  hedging,
 		searches: make(map[string]*searchState),
@@ -62,7 +62,6 @@
 	for name := range r.targets {
 		if _, ok := c.Targets[name]; !ok {
 			r.table.RemoveTarget(name)
-			r.budgets.ForgetTarget(name)
 			delete(r.targets, name)
 		}
 	}
@@ -222,7 +221,11 @@
 func (s searchRoutes) Pick(now time.Time, targets []string, purpose replica.Purpose, avoid []replica.Avoid) (replica.Choice, code.Code) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.pick(now, targets, purpose, avoid)
+	choice, c := s.pick(now, targets, purpose, avoid)
+	if c != code.OK && purpose == replica.Extra {
+		metrics.denied.Add(string(c), 1)
+	}
+	return choice, c
 }
 
 // Sent implements query.Router.
@@ -243,23 +246,30 @@
 		RetryAfter: o.RetryAfter,
 	})
 	state := s.searches[s.search]
+	if o.Code == code.OverBudget {
+		metrics.denied.Add(string(o.Code), 1)
+	}
 	if state != nil && o.First && (o.Code == code.OK || o.Code == code.Canceled) {
 		state.hedge.Observe(now, o.Took)
 	}
 }
 
-// First implements query.Budget.
-func (s searchRoutes) First(now time.Time, target string) {
+// First implements query.Budget. The relays bound extra attempts by target.
+func (s searchRoutes) First(now time.Time, _ string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.budgets.First(now, s.search, target)
+	s.budgets.First(now, s.search, "")
 }
 
 // TryExtra implements query.Budget.
-func (s searchRoutes) TryExtra(now time.Time, target string) bool {
+func (s searchRoutes) TryExtra(now time.Time, _ string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.budgets.TryExtra(now, s.search, target)
+	granted := s.budgets.TryExtra(now, s.search, "")
+	if !granted {
+		metrics.denied.Add(deniedBySearch, 1)
+	}
+	return granted
 }
 
 // hedgeDelay returns the delay after which an attempt is hedged now.
--- a/gateway/routes_test.go
+++ b/gateway/routes_test.go
@@ -12,7 +12,7 @@
 
 func TestNewWorkAvoidsQuietRelaysIfItCan(t *testing.T) {
 	now := time.Unix(1000, 0)
-	r := newRoutes(1, "dc1", hedge.Options{})
+	r := newRoutes(1, hedge.Options{}, replica.Options{DataCentre: "dc1"})
 	c := testContracts()
 	r.setContracts(now, c, newCallerIndex(c).versions)
 	held := []wire.Holding{{Target: "t0", State: wire.TargetWarm, Limit: 1}}
