Take targets out whose VM the platform lists as leaving

The earliest of the folder, the VM list, the target's own signal and its refusals counts; the VM list was missing. Contracts have a file of their own.

--- a/relay/leaving.go
+++ b/relay/leaving.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -10,14 +11,16 @@
 	"github.com/goldcrestmux/goldcrestmux/wire"
 )
 
-// leaving decides which relays own nothing although the VM list names them:
-// those that have said that they leave, and those in a data centre that the
-// operators have taken out. Its lock is a leaf lock.
+// leaving decides which relays own nothing although the VM list names them, and
+// which targets get no new work: those that have said that they leave, those
+// that the operators or the VM list take out, and all in a data centre that is
+// out. Its lock is a leaf lock.
 type leaving struct {
 	mu          sync.Mutex
-	announced   map[string]bool
+	announced   map[string]bool   // relays
 	dataCentres map[string]string // of each relay in the VM list
 	out         map[string]bool   // data centres
+	vms         map[string]bool   // those that the VM list says are leaving
 }
 
 func newLeaving() *leaving {
@@ -25,6 +28,7 @@
 		announced:   make(map[string]bool),
 		dataCentres: make(map[string]string),
 		out:         make(map[string]bool),
+		vms:         make(map[string]bool),
 	}
 }
 
@@ -48,15 +52,41 @@
 	}
 }
 
-func (l *leaving) setView(list platform.VMList) {
+// setView takes a copy of the VM list, and reports whether other VMs are leaving
+// now than before.
+func (l *leaving) setView(list platform.VMList) (changed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	clear(l.dataCentres)
+	vms := make(map[string]bool)
 	for _, vm := range list.VMs {
+		if vm.Leaving {
+			vms[vm.Name] = true
+		}
 		if _, ok := vm.Links[wire.RoleRelay]; ok {
 			l.dataCentres[wire.Process{VM: vm.Name, Role: wire.RoleRelay}.Name()] = vm.DataCentre
 		}
 	}
+	changed = !maps.Equal(vms, l.vms)
+	l.vms = vms
+	return changed
+}
+
+// admin returns whether new work may go to a target, and if not, why. The VM
+// list knows a target's VM by the target's name or that of its group.
+func (l *leaving) admin(t folder.Target) (in bool, why string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case t.State == folder.StateLeaving:
+		return false, "target is leaving by the folder"
+	case l.out[t.DataCentre]:
+		return false, "data centre " + t.DataCentre + " is out by the folder"
+	case l.vms[t.Name] || l.vms[t.Group]:
+		return false, "target's VM is leaving by the VM list"
+	default:
+		return true, ""
+	}
 }
 
 // relays returns, for each listed or announced relay, whether it leaves.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -11,7 +11,6 @@
 	"sync"
 	"time"
 
-	"github.com/goldcrestmux/goldcrestmux/folder"
 	"github.com/goldcrestmux/goldcrestmux/link"
 	"github.com/goldcrestmux/goldcrestmux/permit"
 	"github.com/goldcrestmux/goldcrestmux/platform"
@@ -150,110 +149,14 @@
 	return r.list
 }
 
-// SetContracts puts contracts in force. It is called by one goroutine at a time.
-func (r *Relay) SetContracts(c *folder.Contracts) {
-	warmAfter := warmAfterByTarget(c)
-	groups := make(map[string][]*entry)
-	slots := make(map[string]int)
-	for name, t := range c.Targets {
-		contract := target.Contract{Slots: t.Slots, ColdSlots: t.ColdSlots, WarmAfter: warmAfter[name]}
-		e := r.ensure(t, contract)
-		groups[t.Group] = append(groups[t.Group], e)
-		slots[t.Group] = max(slots[t.Group], t.Slots)
-		in, why := admin(c, t)
-		e.change(func(now time.Time, m *target.Machine) []target.Action {
-			m.SetAdmin(now, in, why)
-			return m.SetContract(now, contract)
-		})
-	}
-	r.removeMissing(c)
-	r.leaving.setContracts(c)
-	r.applyLeaving()
-	r.permits.setGroups(groups, slots)
-}
-
-// ensure returns the entry of a target, made anew if the target is new or has
-// another address.
-func (r *Relay) ensure(t folder.Target, contract target.Contract) *entry {
-	r.mu.Lock()
-	old := r.entries[t.Name]
-	if old != nil && old.contract.Address == t.Address {
-		r.mu.Unlock()
-		old.mu.Lock()
-		old.contract = t
-		old.mu.Unlock()
-		return old
-	}
-	e := r.newEntry(t, contract)
-	r.entries[t.Name] = e
-	r.list = nil
-	r.mu.Unlock()
-	if old != nil {
-		old.retire()
-	}
-	return e
-}
-
-func (r *Relay) removeMissing(c *folder.Contracts) {
-	r.mu.Lock()
-	var gone []*entry
-	for name, e := range r.entries {
-		if _, ok := c.Targets[name]; !ok {
-			gone = append(gone, e)
-			delete(r.entries, name)
-			r.list = nil
-		}
-	}
-	r.mu.Unlock()
-	for _, e := range gone {
-		e.retire()
-	}
-}
-
-// retire takes an entry out of use. Work in progress runs to its end.
-func (e *entry) retire() {
-	e.mu.Lock()
-	e.gone = true
-	e.mu.Unlock()
-	e.change(func(now time.Time, m *target.Machine) []target.Action {
-		m.SetAdmin(now, false, "no longer in the folder")
-		return nil
-	})
-	e.client.Close()
-}
-
-// admin returns whether the operators allow new work at a target, and if not, why.
-func admin(c *folder.Contracts, t folder.Target) (in bool, why string) {
-	if t.State == folder.StateLeaving {
-		return false, "target is leaving by the folder"
-	}
-	if c.DataCentres[t.DataCentre].State == folder.StateOut {
-		return false, "data centre " + t.DataCentre + " is out by the folder"
-	}
-	return true, ""
-}
-
-// warmAfterByTarget returns, for each target, the largest WarmAfter of the
-// searches that it holds a shard of.
-func warmAfterByTarget(c *folder.Contracts) map[string]int {
-	out := make(map[string]int)
-	for _, s := range c.Searches {
-		for _, v := range s.Versions {
-			for _, targets := range v.Shards {
-				for _, name := range targets {
-					out[name] = max(out[name], s.WarmAfter)
-				}
-			}
-		}
-	}
-	return out
-}
-
 // SetView takes a read of the VM list that was sent at asOf.
 func (r *Relay) SetView(list platform.VMList, asOf time.Time) {
-	r.leaving.setView(list)
+	targetsChanged := r.leaving.setView(list)
 	r.permits.setView(list, asOf)
 	r.applyLeaving()
+	if targetsChanged {
+		r.applyAdmin()
+	}
 }
 
 // SetListDown tells whether nobody within reach has a fresh copy of the VM list.
