--- a/bench/experiment.go
+++ b/bench/experiment.go
@@ -15,6 +15,7 @@
 	"github.com/tailscale/hujson"
 
 	"github.com/goldcrestmux/goldcrestmux/load"
+	"github.com/goldcrestmux/goldcrestmux/proc"
 	"github.com/goldcrestmux/goldcrestmux/standin"
 )
 
@@ -167,7 +168,7 @@
 	p := x.Load
 	p.Name = x.Name + ", " + v.Name
 	p.Gateways = t.gateways()
-	p.Standins = []string{t.standin.addresses[listenAdmin]}
+	p.Standins = []string{t.standin.Addresses()[proc.ListenAdmin]}
 	p.Streams = append([]load.Stream(nil), p.Streams...)
 	for i := range p.Streams {
 		if v.RateFactor > 0 {
--- a/bench/run.go
+++ b/bench/run.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 
 	"github.com/goldcrestmux/goldcrestmux/load"
+	"github.com/goldcrestmux/goldcrestmux/proc"
 	"github.com/goldcrestmux/goldcrestmux/standin"
 )
 
@@ -74,7 +75,7 @@
 // reports whether they may. Baselines that break limits may never get there.
 func (t *tier) warmUp(ctx context.Context, x *Experiment) (bool, error) {
 	plan := load.Plan{
-		Name: "warm-up", Gateways: t.gateways(), Standins: []string{t.standin.addresses[listenAdmin]},
+		Name: "warm-up", Gateways: t.gateways(), Standins: []string{t.standin.Addresses()[proc.ListenAdmin]},
 		Duration: standin.Duration(warmStep), Seed: x.Load.Seed,
 	}
 	seen := make(map[string]bool)
--- a/bench/tier.go
+++ b/bench/tier.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"path/filepath"
 	"slices"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/goldcrestmux/goldcrestmux/daemon"
 	"github.com/goldcrestmux/goldcrestmux/operator"
 	"github.com/goldcrestmux/goldcrestmux/platform"
+	"github.com/goldcrestmux/goldcrestmux/proc"
 	"github.com/goldcrestmux/goldcrestmux/standin"
 	"github.com/goldcrestmux/goldcrestmux/wire"
 )
@@ -22,8 +24,6 @@
 	listenAPI      = "api"
 	listenLink     = "link"
 	listenOperator = "operator"
-	listenAdmin    = "admin"
-	listenPlatform = "platform"
 )
 
 const (
@@ -46,7 +46,7 @@
 // vm is one VM with its processes.
 type vm struct {
 	entry     platform.VM
-	processes map[wire.Role]*process
+	processes map[wire.Role]*proc.Process
 	addresses map[wire.Role]map[string]string
 }
 
@@ -55,7 +55,7 @@
 type tier struct {
 	bin      string
 	variant  *Variant
-	standin  *process
+	standin  *proc.Process
 	admin    *standin.Admin
 	layout   standin.Layout
 	platform string
@@ -85,16 +85,16 @@
 }
 
 func (t *tier) startStandin(ctx context.Context, args []string, files []File) error {
-	p, err := startProcess(t.bin, "gcmux-standin", append([]string{"-max-run=5m"}, args...)...)
+	p, err := proc.Start("standin", filepath.Join(t.bin, "gcmux-standin"), append([]string{"-max-run=5m"}, args...))
 	if err != nil {
 		return err
 	}
 	t.standin = p
-	address, err := p.address(listenAdmin)
+	address, err := p.Address(proc.ListenAdmin)
 	if err != nil {
 		return err
 	}
-	if t.platform, err = p.address(listenPlatform); err != nil {
+	if t.platform, err = p.Address(proc.ListenPlatform); err != nil {
 		return err
 	}
 	t.admin = standin.NewAdmin(address)
@@ -118,7 +118,7 @@
 			DataCentre: t.layout.DataCentres[i%len(t.layout.DataCentres)],
 			Region:     region, Links: make(map[wire.Role]string),
 		},
-		processes: make(map[wire.Role]*process), addresses: make(map[wire.Role]map[string]string),
+		processes: make(map[wire.Role]*proc.Process), addresses: make(map[wire.Role]map[string]string),
 	}
 	if i < len(t.vms) {
 		t.vms[i] = v
@@ -154,14 +154,14 @@
 		}
 		args = append(args, "-"+l+"-listen="+address)
 	}
-	p, err := startProcess(t.bin, "gcmux-"+string(role), args...)
+	p, err := proc.Start(v.entry.Name+"/"+string(role), filepath.Join(t.bin, "gcmux-"+string(role)), args)
 	if err != nil {
 		return err
 	}
 	v.processes[role] = p
 	v.addresses[role] = make(map[string]string)
 	for _, l := range listeners {
-		if v.addresses[role][l], err = p.address(l); err != nil {
+		if v.addresses[role][l], err = p.Address(l); err != nil {
 			return err
 		}
 	}
@@ -178,6 +178,21 @@
 	return t.admin.SetVMs(ctx, change)
 }
 
+// stopTimeout bounds the time from SIGTERM until a process has ended.
+const stopTimeout = 20 * time.Second
+
+// stop asks a process to stop, and fails if it doesn't exit with 0 in time.
+func stop(p *proc.Process) error {
+	code, err := p.Terminate(stopTimeout)
+	if err != nil {
+		return err
+	}
+	if code != 0 {
+		return errors.Errorf("%s exited with %d", p.Name(), code)
+	}
+	return nil
+}
+
 // replace replaces each VM by a new one on the same addresses, one after the
 // other. The new one has to be ready before the next is stopped.
 func (t *tier) replace(ctx context.Context) error {
@@ -188,7 +203,7 @@
 			return err
 		}
 		for _, role := range []wire.Role{wire.RoleGateway, wire.RoleRelay} {
-			if err := old.processes[role].terminate(); err != nil {
+			if err := stop(old.processes[role]); err != nil {
 				return errors.Annotate(err, old.entry.Name)
 			}
 		}
@@ -299,11 +314,11 @@
 func (t *tier) stop() {
 	for _, v := range t.vms {
 		for _, p := range v.processes {
-			p.kill()
+			p.Kill()
 		}
 	}
 	if t.standin != nil {
-		t.standin.kill()
+		t.standin.Kill()
 	}
 }
 
--- a/scenario/process.go
+++ b/proc/proc.go
@@ -1,9 +1,13 @@
-package scenario
+// Package proc starts the programs of this repository for scenarios and
+// measurements, learns their addresses from their logs, and ends them. The
+// programs themselves start no process.
+package proc
 
 import (
 	"bufio"
 	"encoding/json"
 	"io"
+	"maps"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -15,14 +19,21 @@
 	"github.com/juju/errors"
 )
 
-// Bounds of a process under test.
+// Bounds of a process.
 const (
 	startTimeout = 20 * time.Second // until its listeners are open
-	logTail      = 40               // log lines that a failed script prints
+	logTail      = 40               // log lines that are kept
+	maxLogLine   = 1 << 20          // bytes
 )
 
-// process is a process that a script started. It is safe for concurrent use.
-type process struct {
+// Names under which a stand-in's listeners are found.
+const (
+	ListenAdmin    = "admin"
+	ListenPlatform = "platform"
+)
+
+// Process is a program that was started. It is safe for concurrent use.
+type Process struct {
 	name string
 	cmd  *exec.Cmd
 	// exited is closed when the process has ended.
@@ -34,14 +45,15 @@
 	opened    chan struct{} // closed and replaced at each new listener
 }
 
-// startProcess starts a program. Its log is read from stderr and stdout.
-func startProcess(name, program string, args []string) (*process, error) {
-	p := &process{
+// Start starts a program under a name of the caller's. Its log is read from
+// stderr and stdout. The program ends with this process at the latest.
+func Start(name, program string, args []string) (*Process, error) {
+	p := &Process{
 		name: name, cmd: exec.Command(program, args...),
 		exited: make(chan struct{}), opened: make(chan struct{}),
 		addresses: make(map[string]string),
 	}
-	// The process ends with the test, even when the test can't end it.
+	// It ends even when this process can't end it.
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	read, write, err := os.Pipe()
 	if err != nil {
@@ -58,10 +70,10 @@
 }
 
 // follow reads the log until the process ends.
-func (p *process) follow(log io.ReadCloser) {
+func (p *Process) follow(log io.ReadCloser) {
 	defer log.Close()
 	lines := bufio.NewScanner(log)
-	lines.Buffer(nil, 1<<20)
+	lines.Buffer(nil, maxLogLine)
 	for lines.Scan() {
 		p.add(lines.Text())
 	}
@@ -69,7 +81,7 @@
 	close(p.exited)
 }
 
-// logLine holds the fields of a log line that the harness reads.
+// logLine holds the fields of a log line that tell addresses.
 type logLine struct {
 	Message  string `json:"msg"`
 	On       string `json:"on"`
@@ -78,7 +90,7 @@
 	Platform string `json:"platform"`
 }
 
-func (p *process) add(text string) {
+func (p *Process) add(text string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.tail = append(p.tail, text)
@@ -90,14 +102,14 @@
 		return
 	}
 	p.addresses[line.On] = line.Address
-	p.addresses["admin"] = line.Admin
-	p.addresses["platform"] = line.Platform
+	p.addresses[ListenAdmin] = line.Admin
+	p.addresses[ListenPlatform] = line.Platform
 	close(p.opened)
 	p.opened = make(chan struct{})
 }
 
-// address returns where the process listens, and waits until it does.
-func (p *process) address(listener string) (string, error) {
+// Address returns where the process listens, and waits until it does.
+func (p *Process) Address(listener string) (string, error) {
 	timeout := time.After(startTimeout)
 	for {
 		p.mu.Lock()
@@ -116,18 +128,27 @@
 	}
 }
 
-// lastLines returns the end of the log.
-func (p *process) lastLines() []string {
+// Addresses returns the addresses of all listeners known so far, by listener.
+func (p *Process) Addresses() map[string]string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return maps.Clone(p.addresses)
+}
+
+// Tail returns the end of the log.
+func (p *Process) Tail() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return slices.Clone(p.tail)
 }
 
-func (p *process) signal(s os.Signal) error {
+// Signal sends a signal.
+func (p *Process) Signal(s os.Signal) error {
 	return errors.Annotatef(p.cmd.Process.Signal(s), "signal %s", p.name)
 }
 
-func (p *process) running() bool {
+// Running reports whether the process has not ended.
+func (p *Process) Running() bool {
 	select {
 	case <-p.exited:
 		return false
@@ -136,17 +157,17 @@
 	}
 }
 
-// kill ends the process without notice and waits for its end.
-func (p *process) kill() {
-	if p.running() {
+// Kill ends the process without notice and waits for its end.
+func (p *Process) Kill() {
+	if p.Running() {
 		_ = p.cmd.Process.Kill()
 	}
 	<-p.exited
 }
 
-// terminate asks the process to stop and returns its exit code.
-func (p *process) terminate(within time.Duration) (int, error) {
-	if err := p.signal(syscall.SIGTERM); err != nil {
+// Terminate asks the process to stop and returns its exit code.
+func (p *Process) Terminate(within time.Duration) (int, error) {
+	if err := p.Signal(syscall.SIGTERM); err != nil {
 		return 0, err
 	}
 	select {
@@ -156,3 +177,9 @@
 		return 0, errors.Timeoutf("%s runs %v after the signal", p.name, within)
 	}
 }
+
+// Name returns the name under which the process was started.
+func (p *Process) Name() string { return p.name }
+
+// PID returns the process's number.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
--- a/scenario/commands.go
+++ b/scenario/commands.go
@@ -14,6 +14,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/goldcrestmux/goldcrestmux/load"
+	"github.com/goldcrestmux/goldcrestmux/proc"
 	"github.com/goldcrestmux/goldcrestmux/standin"
 	"github.com/goldcrestmux/goldcrestmux/wire"
 )
@@ -93,7 +94,7 @@
 func (s *script) awaitReady() error {
 	return poll(readyTimeout, func() error {
 		for _, v := range s.tier.vms {
-			if !v.processes[wire.RoleGateway].running() {
+			if !v.processes[wire.RoleGateway].Running() {
 				continue
 			}
 			if err := s.tier.probe(v.addresses[wire.RoleGateway][listenAPI]); err != nil {
@@ -117,19 +118,19 @@
 }
 
 func (s *script) kill(_ *testscript.TestScript, args []string) error {
-	return s.each(args, func(p *process) error {
-		p.kill()
+	return s.each(args, func(p *proc.Process) error {
+		p.Kill()
 		return nil
 	})
 }
 
 func signalCommand(sig os.Signal) func(*script, *testscript.TestScript, []string) error {
 	return func(s *script, _ *testscript.TestScript, args []string) error {
-		return s.each(args, func(p *process) error { return p.signal(sig) })
+		return s.each(args, func(p *proc.Process) error { return p.Signal(sig) })
 	}
 }
 
-func (s *script) each(names []string, do func(*process) error) error {
+func (s *script) each(names []string, do func(*proc.Process) error) error {
 	for _, name := range names {
 		selected, err := s.tier.selected(name)
 		if err != nil {
@@ -154,13 +155,13 @@
 		return err
 	}
 	var results []chan error
-	err = s.each(args[1:], func(p *process) error {
+	err = s.each(args[1:], func(p *proc.Process) error {
 		result := make(chan error, 1)
 		results = append(results, result)
 		go func() {
-			code, err := p.terminate(within)
+			code, err := p.Terminate(within)
 			if err == nil && code != 0 {
-				err = errors.Errorf("%s exited with code %d", p.name, code)
+				err = errors.Errorf("%s exited with code %d", p.Name(), code)
 			}
 			result <- err
 		}()
@@ -180,7 +181,7 @@
 		if err != nil {
 			return err
 		}
-		if v.processes[role].running() {
+		if v.processes[role].Running() {
 			return errors.Errorf("%s runs already", name)
 		}
 		if err := s.tier.startRole(v, role); err != nil {
@@ -304,7 +305,7 @@
 	}
 	plan.Name = ts.Name()
 	plan.Gateways = s.tier.gateways()
-	plan.Standins = []string{s.tier.standin.addresses["admin"]}
+	plan.Standins = []string{s.tier.standin.Addresses()[proc.ListenAdmin]}
 	plan.Seed = s.options.Seed
 	plan.Interval = standin.Duration(reportInterval)
 	s.load.stop()
--- a/scenario/expect.go
+++ b/scenario/expect.go
@@ -151,19 +151,19 @@
 	client := http.Client{Timeout: stateTimeout}
 	var docs []any
 	for _, p := range selected {
-		address, err := p.address(listenOperator)
+		address, err := p.Address(listenOperator)
 		if err != nil {
 			return nil, err
 		}
 		resp, err := client.Get("http://" + address + operator.PathState)
 		if err != nil {
-			return nil, errors.Annotatef(err, "ask %s", p.name)
+			return nil, errors.Annotatef(err, "ask %s", p.Name())
 		}
 		var doc any
 		err = json.NewDecoder(resp.Body).Decode(&doc)
 		_ = resp.Body.Close()
 		if err != nil {
-			return nil, errors.Annotatef(err, "state of %s", p.name)
+			return nil, errors.Annotatef(err, "state of %s", p.Name())
 		}
 		docs = append(docs, doc)
 	}
--- a/scenario/scenario.go
+++ b/scenario/scenario.go
@@ -109,8 +109,8 @@
 		}
 	}
 	for _, p := range s.tier.all {
-		t.Log("log of " + p.name + ":")
-		for _, line := range p.lastLines() {
+		t.Log("log of " + p.Name() + ":")
+		for _, line := range p.Tail() {
 			t.Log("  " + line)
 		}
 	}
--- a/scenario/tier.go
+++ b/scenario/tier.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"maps"
 	"net"
 	"net/http"
 	"path/filepath"
@@ -16,6 +15,7 @@
 	"github.com/juju/errors"
 
 	"github.com/goldcrestmux/goldcrestmux/platform"
+	"github.com/goldcrestmux/goldcrestmux/proc"
 	"github.com/goldcrestmux/goldcrestmux/standin"
 	"github.com/goldcrestmux/goldcrestmux/wire"
 )
@@ -56,7 +56,7 @@
 	ip         net.IP
 	listed     bool
 	leaving    bool
-	processes  map[wire.Role]*process
+	processes  map[wire.Role]*proc.Process
 	// addresses keeps what the listeners got, so that a process that is
 	// started again has its old addresses.
 	addresses map[wire.Role]map[string]string
@@ -66,7 +66,7 @@
 type tier struct {
 	bin      string // directory of the programs
 	subnet   byte   // third number of the VMs' IP numbers
-	standin  *process
+	standin  *proc.Process
 	admin    *standin.Admin
 	platform string
 	// list serves the list of VMs; it is the stand-in unless startList was called.
@@ -77,7 +77,7 @@
 	settings map[wire.Role][]string // beyond the short times
 	lag      standin.Duration
 	cables   bool
-	all      []*process // also those that have ended
+	all      []*proc.Process // also those that have ended
 }
 
 func (t *tier) startStandin(seed uint64, args []string) error {
@@ -87,12 +87,12 @@
 		return err
 	}
 	t.standin = p
-	address, err := p.address("admin")
+	address, err := p.Address(proc.ListenAdmin)
 	if err != nil {
 		return err
 	}
 	t.admin = standin.NewAdmin(address)
-	if t.platform, err = p.address("platform"); err != nil {
+	if t.platform, err = p.Address(proc.ListenPlatform); err != nil {
 		return err
 	}
 	t.list, t.listURL = t.admin, "http://"+t.platform
@@ -107,18 +107,18 @@
 	if err != nil {
 		return err
 	}
-	admin, err := p.address("admin")
+	admin, err := p.Address(proc.ListenAdmin)
 	if err != nil {
 		return err
 	}
 	t.list = standin.NewAdmin(admin)
-	address, err := p.address("platform")
+	address, err := p.Address(proc.ListenPlatform)
 	t.listURL = "http://" + address
 	return err
 }
 
-func (t *tier) start(name, program string, args []string) (*process, error) {
-	p, err := startProcess(name, filepath.Join(t.bin, program), args)
+func (t *tier) start(name, program string, args []string) (*proc.Process, error) {
+	p, err := proc.Start(name, filepath.Join(t.bin, program), args)
 	if err == nil {
 		t.all = append(t.all, p)
 	}
@@ -133,7 +133,7 @@
 			dataCentre: t.layout.DataCentres[i%len(t.layout.DataCentres)],
 			ip:         net.IPv4(127, 77, t.subnet, byte(i+1)),
 			listed:     true,
-			processes:  make(map[wire.Role]*process),
+			processes:  make(map[wire.Role]*proc.Process),
 			addresses:  make(map[wire.Role]map[string]string),
 		}
 		t.vms = append(t.vms, v)
@@ -180,17 +180,15 @@
 
 func (v *vm) learnAddresses() error {
 	for role, p := range v.processes {
-		if _, err := p.address(listenLink); err != nil {
+		if _, err := p.Address(listenLink); err != nil {
 			return err
 		}
 		if role == wire.RoleGateway {
-			if _, err := p.address(listenAPI); err != nil {
+			if _, err := p.Address(listenAPI); err != nil {
 				return err
 			}
 		}
-		p.mu.Lock()
-		v.addresses[role] = maps.Clone(p.addresses)
-		p.mu.Unlock()
+		v.addresses[role] = p.Addresses()
 	}
 	return nil
 }
@@ -236,23 +234,23 @@
 
 // selected returns the running processes that a name selects: "all", a role
 // with an "s" such as "relays", or one process, also "standin" and "vmlist".
-func (t *tier) selected(name string) ([]*process, error) {
+func (t *tier) selected(name string) ([]*proc.Process, error) {
 	if strings.Contains(name, "/") {
 		v, role, err := t.find(name)
 		if err != nil {
 			return nil, err
 		}
-		return []*process{v.processes[role]}, nil
+		return []*proc.Process{v.processes[role]}, nil
 	}
-	var out []*process
+	var out []*proc.Process
 	for _, p := range t.all {
-		if p.name == name {
+		if p.Name() == name {
 			out = append(out, p)
 		}
 	}
 	for _, v := range t.vms {
 		for _, role := range []wire.Role{wire.RoleGateway, wire.RoleRelay} {
-			if p := v.processes[role]; p.running() && (name == "all" || name == string(role)+"s") {
+			if p := v.processes[role]; p.Running() && (name == "all" || name == string(role)+"s") {
 				out = append(out, p)
 			}
 		}
@@ -322,6 +320,6 @@
 // stop ends all processes.
 func (t *tier) stop() {
 	for _, p := range t.all {
-		p.kill()
+		p.Kill()
 	}
 }
--- a/slopes/tier.go
+++ b/slopes/tier.go
@@ -6,12 +6,14 @@
 	"fmt"
 	"io"
 	"net/http"
+	"path/filepath"
 	"time"
 
 	"github.com/juju/errors"
 
 	"github.com/goldcrestmux/goldcrestmux/load"
 	"github.com/goldcrestmux/goldcrestmux/platform"
+	"github.com/goldcrestmux/goldcrestmux/proc"
 	"github.com/goldcrestmux/goldcrestmux/standin"
 	"github.com/goldcrestmux/goldcrestmux/wire"
 )
@@ -38,17 +40,17 @@
 // tier is a stand-in with the processes of a few VMs.
 type tier struct {
 	bin       string
-	standin   *process
+	standin   *proc.Process
 	admin     string
 	platform  string
-	processes map[wire.Role][]*process
+	processes map[wire.Role][]*proc.Process
 	operators map[wire.Role][]string
 	apis      []string
 }
 
 // startTier starts all processes and waits until the gateways are ready.
 func startTier(ctx context.Context, bin string) (*tier, error) {
-	t := &tier{bin: bin, processes: map[wire.Role][]*process{}, operators: map[wire.Role][]string{}}
+	t := &tier{bin: bin, processes: map[wire.Role][]*proc.Process{}, operators: map[wire.Role][]string{}}
 	if err := t.start(ctx); err != nil {
 		t.stop()
 		return nil, err
@@ -58,15 +60,17 @@
 
 func (t *tier) start(ctx context.Context) error {
 	var err error
-	t.standin, err = startProcess(t.bin, "gcmux-standin", "-setup=competitions", "-warm", "-max-run=5m", "-service=1ms")
+	t.standin, err = proc.Start("standin", filepath.Join(t.bin, "gcmux-standin"),
+		[]string{"-setup=competitions", "-warm", "-max-run=5m", "-service=1ms"})
 	if err != nil {
 		return err
 	}
-	l, err := t.standin.next()
-	if err != nil {
+	if t.admin, err = t.standin.Address(proc.ListenAdmin); err != nil {
+		return err
+	}
+	if t.platform, err = t.standin.Address(proc.ListenPlatform); err != nil {
 		return err
 	}
-	t.admin, t.platform = l.Admin, l.Platform
 	admin := standin.NewAdmin(t.admin)
 	layout, err := admin.Layout(ctx)
 	if err != nil {
@@ -98,32 +102,32 @@
 		"-vm=" + vm.Name, "-data-centre=" + vm.DataCentre, "-region=" + vm.Region, "-log-format=json",
 		"-folder-url=" + url, "-vm-list-url=" + url, "-link-listen=127.0.0.1:0", "-operator-listen=127.0.0.1:0",
 	}
-	listeners := 2
 	if role == wire.RoleGateway {
 		args = append(args, "-api-listen=127.0.0.1:0")
-		listeners = 3
 	} else {
 		args = append(args, "-start-delay=1s")
 	}
-	p, err := startProcess(t.bin, "gcmux-"+string(role), args...)
+	p, err := proc.Start(vm.Name+"/"+string(role), filepath.Join(t.bin, "gcmux-"+string(role)), args)
 	if err != nil {
 		return err
 	}
 	t.processes[role] = append(t.processes[role], p)
-	for range listeners {
-		l, err := p.next()
-		if err != nil {
-			return err
-		}
-		switch l.On {
-		case "link":
-			vm.Links[role] = l.Address
-		case "operator":
-			t.operators[role] = append(t.operators[role], l.Address)
-		case "api":
-			t.apis = append(t.apis, l.Address)
-		}
+	if vm.Links[role], err = p.Address("link"); err != nil {
+		return err
+	}
+	address, err := p.Address("operator")
+	if err != nil {
+		return err
+	}
+	t.operators[role] = append(t.operators[role], address)
+	if role != wire.RoleGateway {
+		return nil
+	}
+	address, err = p.Address("api")
+	if err != nil {
+		return err
 	}
+	t.apis = append(t.apis, address)
 	return nil
 }
 
@@ -153,11 +157,11 @@
 func (t *tier) stop() {
 	for _, list := range t.processes {
 		for _, p := range list {
-			p.stop()
+			p.Kill()
 		}
 	}
 	if t.standin != nil {
-		t.standin.stop()
+		t.standin.Kill()
 	}
 }
 
@@ -195,7 +199,7 @@
 func (t *tier) read(role wire.Role) (reading, error) {
 	var sum reading
 	for i, p := range t.processes[role] {
-		used, err := processTime(p.cmd.Process.Pid)
+		used, err := processTime(p.PID())
 		if err != nil {
 			return sum, err
 		}
