--- a/gateway/action.go
+++ b/gateway/action.go
@@ -20,7 +20,7 @@
 	if err != nil {
 		return nil, err
 	}
-	answer, err := g.runAction(r, req.search, &b, req.deadline)
+	answer, err := g.runAction(r.Context(), req, &b)
 	g.close(req, err)
 	return answer, err
 }
@@ -41,28 +41,29 @@
 
 // runAction runs an admitted action at the one shard that holds its key. Once
 // begun it goes on if the caller goes away: its outcome would not change.
-func (g *Gateway) runAction(r *http.Request, search folder.Search, body *ActionRequest, deadline time.Time) (*ActionAnswer, *Error) {
-	payload, err := json.Marshal(body.Action)
+func (g *Gateway) runAction(ctx context.Context, req *request, b *ActionRequest) (*ActionAnswer, *Error) {
+	payload, err := json.Marshal(b.Action)
 	if err != nil {
 		return nil, &Error{Code: code.Internal, Message: err.Error(), Run: code.NotRun}
 	}
-	pinned := g.routes.choose(time.Now(), search.Name)
+	pinned := g.routes.choose(time.Now(), req.search.Name)
 	if pinned == nil {
 		return nil, noVersion()
 	}
-	shard := pinned.shardOf(body.Action.Key)
-	out := g.execute(context.WithoutCancel(r.Context()), &task{
-		search:   search,
+	shard := pinned.shardOf(b.Action.Key)
+	out := g.execute(context.WithoutCancel(ctx), &task{
+		search:   req.search,
 		version:  pinned.version,
 		shards:   []query.Shard{shard},
 		ledger:   coverage.New([]string{shard.Name}),
 		payload:  payload,
-		wait:     deadline,
-		deadline: deadline,
+		wait:     req.deadline,
+		deadline: req.deadline,
 		action:   true,
+		priority: req.caller.Priority,
 	})
 	if out.ledger.Complete() {
-		return &ActionAnswer{ID: body.ID, Search: search.Name, Shard: shard.Name}, nil
+		return &ActionAnswer{ID: b.ID, Search: req.search.Name, Shard: shard.Name}, nil
 	}
 	reason := code.Timeout
 	if missing := out.ledger.Report().Missing; len(missing) > 0 {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -28,6 +28,7 @@
 // request is one that was admitted.
 type request struct {
 	id       uint64
+	caller   folder.Caller
 	search   folder.Search
 	deadline time.Time // when the answer has to be written
 	admitted time.Time
@@ -65,7 +66,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &request{id: id, search: search, deadline: deadline, admitted: time.Now()}, nil
+	return &request{id: id, caller: caller, search: search, deadline: deadline, admitted: time.Now()}, nil
 }
 
 // close tells admission how an admitted request ended.
--- a/gateway/search.go
+++ b/gateway/search.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -23,7 +24,7 @@
 	if err != nil {
 		return nil, err
 	}
-	answer, err := g.runSearch(r, req.search, &b, req.deadline)
+	answer, err := g.runSearch(r.Context(), req, &b)
 	g.close(req, err)
 	return answer, err
 }
@@ -44,30 +45,33 @@
 
 // runSearch runs an admitted search, anew on another version if the pinned one
 // vanishes.
-func (g *Gateway) runSearch(r *http.Request, search folder.Search, body *SearchRequest, deadline time.Time) (*SearchAnswer, *Error) {
-	payload, err := json.Marshal(body.Query)
+func (g *Gateway) runSearch(ctx context.Context, req *request, b *SearchRequest) (*SearchAnswer, *Error) {
+	payload, err := json.Marshal(b.Query)
 	if err != nil {
 		return nil, &Error{Code: code.Internal, Message: err.Error(), Run: code.NotRun}
 	}
 	now := time.Now()
-	pinned := g.routes.choose(now, search.Name)
+	pinned := g.routes.choose(now, req.search.Name)
 	if pinned == nil {
 		return nil, noVersion()
 	}
-	t := &task{search: search, payload: payload, deadline: deadline, wait: earlier(now.Add(search.Wait), deadline)}
+	t := &task{
+		search: req.search, payload: payload, deadline: req.deadline,
+		wait: earlier(now.Add(req.search.Wait), req.deadline), priority: req.caller.Priority,
+	}
 	run := code.NotRun
 	for restarts := 0; ; restarts++ {
 		t.version = pinned.version
 		t.shards = pinned.shards
 		t.ledger = coverage.NewLedger(pinned.names)
-		out := g.execute(r.Context(), t)
+		out := g.execute(ctx, t)
 		run = worse(run, out.run)
 		if out.status == query.Finished {
-			return g.answer(search, body, t.version, out, run)
+			return g.answer(req.search, b, t.version, out, run)
 		}
-		pinned = g.routes.restart(time.Now(), search.Name, t.version)
+		pinned = g.routes.restart(time.Now(), req.search.Name, t.version)
 		if pinned == nil || restarts == maxRestarts {
-			return g.answer(search, body, t.version, out, run)
+			return g.answer(req.search, b, t.version, out, run)
 		}
 		metrics.restarts.Add(1)
 	}
