Run the scenarios against programs of an older commit by a flag

-args -bin DIR takes built programs, so that a scenario can be shown to fail on the commit before the mechanism. The IP numbers of the VMs start at the process ID, so that two runs of the tests side by side don't share them.

--- a/scenario/scenario.go
+++ b/scenario/scenario.go
@@ -40,6 +40,7 @@
 import (
 	"context"
 	"encoding/json"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -59,8 +60,15 @@
 	Seed uint64
 }
 
-// subnets numbers the scripts, so that no two use the same IP numbers.
-var subnets atomic.Uint32
+// subnets numbers the scripts, so that no two use the same IP numbers. It starts
+// at the process ID, for tests that run side by side.
+var subnets = startSubnets()
+
+func startSubnets() *atomic.Uint32 {
+	var n atomic.Uint32
+	n.Store(uint32(os.Getpid()))
+	return &n
+}
 
 type scriptKey struct{}
 
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -14,22 +14,27 @@
 
 var (
 	seed = flag.Uint64("seed", 1, "seed of the scenarios")
-	bin  string
+	bin  = flag.String("bin", "", "directory of built programs, such as those of an older commit; they are built if it is empty")
 )
 
 func TestMain(m *testing.M) {
+	flag.Parse()
+	if *bin != "" {
+		os.Exit(m.Run())
+	}
 	os.Exit(buildAndRun(m))
 }
 
 // buildAndRun builds the programs once for all scripts.
 func buildAndRun(m *testing.M) int {
-	var err error
-	if bin, err = os.MkdirTemp("", "gcmux-scenario-*"); err != nil {
+	dir, err := os.MkdirTemp("", "gcmux-scenario-*")
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
-	defer os.RemoveAll(bin)
-	build := exec.Command("go", "build", "-o", bin+"/", "github.com/goldcrestmux/goldcrestmux/cmd/...")
+	defer os.RemoveAll(dir)
+	*bin = dir
+	build := exec.Command("go", "build", "-o", dir+"/", "github.com/goldcrestmux/goldcrestmux/cmd/...")
 	build.Stderr = os.Stderr
 	if err := build.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, "build the programs:", err)
@@ -39,5 +44,5 @@
 }
 
 func TestScenarios(t *testing.T) {
-	testscript.Run(t, scenario.Params("testdata", scenario.Options{Bin: bin, Seed: *seed}))
+	testscript.Run(t, scenario.Params("testdata", scenario.Options{Bin: *bin, Seed: *seed}))
 }
