--- a/Makefile
+++ b/Makefile
@@ -28,9 +28,9 @@
 slopes: build
 	go run ./slopes -bin $(BIN)
 
-# Repeats the scenarios ROUNDS times, with the seeds from SEED on.
+# Repeats the scenarios and the long ones ROUNDS times, with the seeds from SEED on.
 soak:
 	for seed in $$(seq $(SEED) $$(($(SEED) + $(ROUNDS) - 1))); do \
 		echo "seed $$seed"; \
-		go test -count=1 -timeout=20m -run '^TestScenarios$$' $(SKIP) ./scenario -args -seed $$seed || exit 1; \
+		go test -count=1 -timeout=20m -run '^Test(Scenarios|Soak)$$' $(SKIP) ./scenario -args -soak -seed $$seed || exit 1; \
 	done
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -14,6 +14,7 @@
 
 var (
 	seed = flag.Uint64("seed", 1, "seed of the scenarios")
+	soak = flag.Bool("soak", false, "run the long scenarios too")
 	bin  = flag.String("bin", "", "directory of built programs, such as those of an older commit; they are built if it is empty")
 )
 
@@ -46,3 +47,10 @@
 func TestScenarios(t *testing.T) {
 	testscript.Run(t, scenario.Params("testdata", scenario.Options{Bin: *bin, Seed: *seed}))
 }
+
+func TestSoak(t *testing.T) {
+	if !*soak {
+		t.Skip("the long scenarios run with -soak")
+	}
+	testscript.Run(t, scenario.Params("testdata/soak", scenario.Options{Bin: *bin, Seed: *seed}))
+}
