--- a/query/attempt.go
+++ b/query/attempt.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/goldcrestmux/goldcrestmux/attempt"
 	"github.com/goldcrestmux/goldcrestmux/code"
 	"github.com/goldcrestmux/goldcrestmux/replica"
 	"github.com/goldcrestmux/goldcrestmux/wire"
@@ -27,7 +28,9 @@
 		m.opts.Budget.First(now, route.Target)
 	}
 	s.hedgeFrom = now
-	m.send(now, i, route, false)
+	if c := m.send(now, i, route, false); c != code.OK {
+		m.miss(i, c)
+	}
 }
 
 // awaitRoute looks again later. Replicas that failed before may be tried again
@@ -54,6 +57,14 @@
 	m.send(now, i, route, true)
 }
 
+// hedgeElsewhere sends a hedge that a relay refused by another route, if there
+// is one: each relay has a budget of its own for a target.
+func (m *Machine) hedgeElsewhere(now time.Time, a *sub) {
+	s := &m.shards[a.shard]
+	s.avoid = append(s.avoid, blamed(a.Route, code.OverBudget))
+	m.hedge(now, a.shard)
+}
+
 // withRunning returns avoid and the targets at which attempts for a shard run.
 func (m *Machine) withRunning(i int, avoid []replica.Avoid) []replica.Avoid {
 	out := slices.Clone(avoid)
@@ -65,12 +76,17 @@
 	return out
 }
 
-func (m *Machine) send(now time.Time, i int, route replica.Choice, hedge bool) {
+// send enters an attempt and has it sent, or returns why it must not be.
+func (m *Machine) send(now time.Time, i int, route replica.Choice, hedge bool) code.Code {
+	id := uint32(len(m.attempts))
+	if c := m.track(now, id); c != code.OK {
+		return c
+	}
 	s := &m.shards[i]
 	s.running++
-	a := attempt{
+	a := sub{
 		Attempt: Attempt{
-			ID:    uint32(len(m.attempts)),
+			ID:    id,
 			Shard: m.opts.Shards[i].Name,
 			Route: route,
 			Hedge: hedge || s.extra,
@@ -83,10 +99,20 @@
 	m.attempts = append(m.attempts, a)
 	m.opts.Router.Sent(now, route)
 	m.actions.Send = append(m.actions.Send, a.Attempt)
+	return code.OK
+}
+
+// track enters an attempt that is about to be sent. It returns why it must not
+// be: the deadline has passed, or an earlier attempt of an action may have run.
+func (m *Machine) track(now time.Time, id uint32) code.Code {
+	if !m.tracker.Add(uint64(id)) {
+		return code.OutcomeUnknown
+	}
+	return m.tracker.Send(now, uint64(id))
 }
 
 // running returns the attempt with the given number if it has not ended.
-func (m *Machine) running(id uint32) *attempt {
+func (m *Machine) running(id uint32) *sub {
 	if int(id) >= len(m.attempts) || m.attempts[id].done {
 		return nil
 	}
@@ -94,7 +120,7 @@
 }
 
 // echoes reports whether a reply answers what the attempt asked.
-func (m *Machine) echoes(a *attempt, r *wire.Reply) bool {
+func (m *Machine) echoes(a *sub, r *wire.Reply) bool {
 	return r.Shard == a.Shard && r.Target == a.Route.Target && r.Version == m.opts.Version
 }
 
@@ -119,7 +145,7 @@
 }
 
 // conclude ends an attempt and decides what follows for its shard.
-func (m *Machine) conclude(now time.Time, a *attempt, r *wire.Reply) {
+func (m *Machine) conclude(now time.Time, a *sub, r *wire.Reply) {
 	m.close(now, a, r)
 	s := &m.shards[a.shard]
 	if s.settled || m.status != Running {
@@ -129,6 +155,10 @@
 		m.answer(now, a.shard, r)
 		return
 	}
+	if r.Code == code.OverBudget && s.running > 0 {
+		m.hedgeElsewhere(now, a)
+		return
+	}
 	s.reason = r.Code
 	if s.running > 0 {
 		return
@@ -136,9 +166,9 @@
 	m.retry(now, a, r)
 }
 
-func (m *Machine) close(now time.Time, a *attempt, r *wire.Reply) {
+func (m *Machine) close(now time.Time, a *sub, r *wire.Reply) {
 	a.done = true
-	a.run = r.Run
+	m.tracker.Set(uint64(a.ID), attempt.StateOf(r.Run))
 	m.shards[a.shard].running--
 	o := Outcome{
 		Code:       r.Code,
@@ -165,7 +195,7 @@
 }
 
 // cancel withdraws an attempt that still runs.
-func (m *Machine) cancel(now time.Time, a *attempt) {
+func (m *Machine) cancel(now time.Time, a *sub) {
 	if a.done {
 		return
 	}
@@ -174,7 +204,7 @@
 }
 
 // retry decides whether and when a shard whose last attempt failed is tried again.
-func (m *Machine) retry(now time.Time, a *attempt, r *wire.Reply) {
+func (m *Machine) retry(now time.Time, a *sub, r *wire.Reply) {
 	s := &m.shards[a.shard]
 	s.avoid = append(s.avoid, blamed(a.Route, r.Code))
 	if r.Code == code.VersionGone || r.Code == code.VersionNotLoaded {
@@ -184,7 +214,7 @@
 		m.giveUpVersion(now, a.shard, r.Code)
 		return
 	}
-	if m.opts.Action && r.Run != code.NotRun {
+	if !m.tracker.MayRetry(!m.opts.Action) {
 		m.miss(a.shard, r.Code)
 		m.settleFinished(now)
 		return
@@ -241,7 +271,7 @@
 // if the relay refused, and else the target.
 func blamed(r replica.Choice, c code.Code) replica.Avoid {
 	switch c {
-	case code.NotHeld, code.Stopping, code.NotReady, code.Overloaded, code.TargetCold:
+	case code.NotHeld, code.Stopping, code.NotReady, code.Overloaded, code.OverBudget, code.TargetCold:
 		return replica.Avoid{Relay: r.Relay, Target: r.Target}
 	default:
 		return replica.Avoid{Target: r.Target}
