--- a/scenario/commands.go
+++ b/scenario/commands.go
@@ -200,6 +200,10 @@
 	if args[0] == "lag" {
 		return s.tier.lag.UnmarshalText([]byte(args[1]))
 	}
+	if args[0] == "target" {
+		s.tier.targetsLeaving = append(s.tier.targetsLeaving, args[1:]...)
+		return s.tier.publish()
+	}
 	for _, name := range args[1:] {
 		v, err := s.tier.vm(name)
 		if err != nil {
--- a/scenario/scenario.go
+++ b/scenario/scenario.go
@@ -14,6 +14,7 @@
 //	term WITHIN PROCESS...         SIGTERM to all; each must exit with 0 in time
 //	start PROCESS...               start again, on the same addresses
 //	vms leaving|drop|add VM...     change the platform's list of VMs
+//	vms target TARGET...           list the targets' VMs as leaving
 //	vms lag DURATION               later changes of the list are seen after it
 //	cables MODE FROM TO|VM         mode up, cut or silent
 //	folder put NAME FILE|remove NAME
--- a/scenario/tier.go
+++ b/scenario/tier.go
@@ -77,7 +77,9 @@
 	settings map[wire.Role][]string // beyond the short times
 	lag      standin.Duration
 	cables   bool
-	all      []*process // also those that have ended
+	// targetsLeaving are targets whose VMs the list names as leaving.
+	targetsLeaving []string
+	all            []*process // also those that have ended
 }
 
 func (t *tier) startStandin(seed uint64, args []string) error {
@@ -210,6 +212,11 @@
 			Name: v.name, DataCentre: v.dataCentre, Region: region, Leaving: v.leaving, Links: links,
 		})
 	}
+	for _, name := range t.targetsLeaving {
+		change.VMs = append(change.VMs, platform.VM{
+			Name: name, DataCentre: t.layout.DataCentres[0], Region: region, Leaving: true,
+		})
+	}
 	return t.list.SetVMs(context.Background(), change)
 }
 
