Let a late answer of the VM list not end the outage

Cause, by the code and the new test: calls that have hung for up to 2 s are answered at the thaw. Such a view is older than its limit, and still ended the state in which permits may be used at warm targets, so that a relay suspended them until its next read. Ruled out by the code: waiting for copies of peers, which are asked for in the same tick that ends the outage. Before: the new test says mode suspended, want warm-only. After: it passes.

--- a/permit/table.go
+++ b/permit/table.go
@@ -114,7 +114,7 @@
 	}
 	t.haveView = true
 	t.stale = false
-	t.listDown = false
+	t.listDown = t.listDown && now.Sub(v.AsOf) > t.opts.ViewMaxAge
 	t.view.AsOf = v.AsOf
 	if !changed {
 		return append(out, t.Tick(now)...)
@@ -249,7 +249,8 @@
 
 // ListDown tells, with down true, that the VM list can't be read here and that
 // no reachable peer has a fresh view either. Permits then stay usable at warm
-// targets instead of being suspended. The next read of the list ends it.
+// targets instead of being suspended. The next fresh read of the list ends it, but
+// not an answer that was long on its way, as when a hung list wakes up.
 func (t *Table) ListDown(_ time.Time, down bool) {
 	t.listDown = down
 	if down {
--- /dev/null
+++ b/permit/table_test.go
@@ -0,0 +1,31 @@
+package permit
+
+import (
+	"testing"
+	"time"
+)
+
+func TestLateReadOfTheListDoesNotSuspendDuringAnOutage(t *testing.T) {
+	start := time.Unix(1000, 0)
+	table, err := New(start, Options{Self: "vm0/relay"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	view := View{Sequence: 1, Relays: relays(2, 2), AsOf: start}
+	table.SetView(start, view)
+	now := start.Add(10 * DefaultViewMaxAge)
+	table.ListDown(now, true)
+	for _, tt := range []struct {
+		age  time.Duration
+		want Mode
+	}{
+		{DefaultViewMaxAge + 1, ModeWarmOnly},
+		{DefaultViewMaxAge, ModeFull},
+	} {
+		view.AsOf = now.Add(-tt.age)
+		table.SetView(now, view)
+		if got := table.Mode(now); got != tt.want {
+			t.Errorf("a read of age %v: mode %v, want %v", tt.age, got, tt.want)
+		}
+	}
+}
