--- a/corpus/corpus.go
+++ b/corpus/corpus.go
@@ -4,6 +4,7 @@
 package corpus
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -77,9 +78,7 @@
 	if o.Kind == "" {
 		o.Kind = Competition
 	}
-	if o.Records == 0 {
-		o.Records = DefaultRecords
-	}
+	o.Records = cmp.Or(o.Records, DefaultRecords)
 	return &Corpus{
 		options:  o,
 		versions: make(map[string][]Entry),
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -7,6 +7,7 @@
 package gateway
 
 import (
+	"cmp"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -60,9 +61,7 @@
 
 // New returns a gateway that refuses every request until it has contracts.
 func New(opts Options) *Gateway {
-	if opts.MaxBody == 0 {
-		opts.MaxBody = DefaultMaxBody
-	}
+	opts.MaxBody = cmp.Or(opts.MaxBody, DefaultMaxBody)
 	g := &Gateway{
 		opts:  opts,
 		links: opts.Links,
--- a/link/liveness.go
+++ b/link/liveness.go
@@ -1,6 +1,9 @@
 package link
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Defaults of LivenessOptions.
 const (
@@ -25,18 +28,10 @@
 }
 
 func (o LivenessOptions) withDefaults() LivenessOptions {
-	if o.IdlePing == 0 {
-		o.IdlePing = DefaultIdlePing
-	}
-	if o.IdleTimeout == 0 {
-		o.IdleTimeout = DefaultIdleTimeout
-	}
-	if o.BusyPing == 0 {
-		o.BusyPing = DefaultBusyPing
-	}
-	if o.BusyTimeout == 0 {
-		o.BusyTimeout = DefaultBusyTimeout
-	}
+	o.IdlePing = cmp.Or(o.IdlePing, DefaultIdlePing)
+	o.IdleTimeout = cmp.Or(o.IdleTimeout, DefaultIdleTimeout)
+	o.BusyPing = cmp.Or(o.BusyPing, DefaultBusyPing)
+	o.BusyTimeout = cmp.Or(o.BusyTimeout, DefaultBusyTimeout)
 	return o
 }
 
--- a/link/pool.go
+++ b/link/pool.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"math/rand/v2"
@@ -78,9 +79,7 @@
 
 // NewPool returns a running pool without peers.
 func NewPool(opts Options) *Pool {
-	if opts.Credit == 0 {
-		opts.Credit = DefaultCredit
-	}
+	opts.Credit = cmp.Or(opts.Credit, DefaultCredit)
 	p := &Pool{
 		opts:  opts,
 		dials: make(chan struct{}, maxDials),
--- a/load/plan.go
+++ b/load/plan.go
@@ -8,6 +8,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"time"
 
@@ -105,17 +106,17 @@
 
 // complete fills in defaults and checks the plan's bounds.
 func (p *Plan) complete() error {
-	setDefault(&p.Duration, standin.Duration(DefaultDuration))
-	setDefault(&p.Interval, standin.Duration(DefaultInterval))
-	setDefault(&p.ReadyPeriod, standin.Duration(DefaultReadyPeriod))
+	p.Duration = cmp.Or(p.Duration, standin.Duration(DefaultDuration))
+	p.Interval = cmp.Or(p.Interval, standin.Duration(DefaultInterval))
+	p.ReadyPeriod = cmp.Or(p.ReadyPeriod, standin.Duration(DefaultReadyPeriod))
 	requests := 0.0
 	for i := range p.Streams {
 		s := &p.Streams[i]
-		setDefault(&s.Rate, DefaultRate)
-		setDefault(&s.Deadline, standin.Duration(DefaultDeadline))
-		setDefault(&s.InFlight, DefaultInFlight)
-		setDefault(&s.Caller, s.Search)
-		setDefault(&s.Token, standin.Token(s.Caller))
+		s.Rate = cmp.Or(s.Rate, DefaultRate)
+		s.Deadline = cmp.Or(s.Deadline, standin.Duration(DefaultDeadline))
+		s.InFlight = cmp.Or(s.InFlight, DefaultInFlight)
+		s.Caller = cmp.Or(s.Caller, s.Search)
+		s.Token = cmp.Or(s.Token, standin.Token(s.Caller))
 		if s.To == 0 || s.To > p.Duration {
 			s.To = p.Duration
 		}
@@ -131,10 +132,3 @@
 	}
 	return nil
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/member/config.go
+++ b/member/config.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/goldcrestmux/goldcrestmux/wire"
@@ -66,24 +67,18 @@
 // minUpdates is the least number of updates in one heartbeat.
 const minUpdates = 3
 
-func orDefault[T int | time.Duration](value *T, def T) {
-	if *value == 0 {
-		*value = def
-	}
-}
-
 func (o Options) withDefaults() Options {
-	orDefault(&o.Peers, DefaultPeers)
-	orDefault(&o.FarPeers, DefaultFarPeers)
-	orDefault(&o.Interval, DefaultInterval)
-	orDefault(&o.SuspectAfter, DefaultSuspectAfter)
-	orDefault(&o.MinWindow, DefaultMinWindow)
-	orDefault(&o.MaxWindow, DefaultMaxWindow)
-	orDefault(&o.Confirmations, DefaultConfirmations)
-	orDefault(&o.GoneAfter, DefaultGoneAfter)
-	orDefault(&o.RegionSilence, DefaultRegionSilence)
-	orDefault(&o.Quiet, DefaultQuiet)
-	orDefault(&o.Updates, DefaultUpdates)
-	orDefault(&o.Spread, DefaultSpread)
+	o.Peers = cmp.Or(o.Peers, DefaultPeers)
+	o.FarPeers = cmp.Or(o.FarPeers, DefaultFarPeers)
+	o.Interval = cmp.Or(o.Interval, DefaultInterval)
+	o.SuspectAfter = cmp.Or(o.SuspectAfter, DefaultSuspectAfter)
+	o.MinWindow = cmp.Or(o.MinWindow, DefaultMinWindow)
+	o.MaxWindow = cmp.Or(o.MaxWindow, DefaultMaxWindow)
+	o.Confirmations = cmp.Or(o.Confirmations, DefaultConfirmations)
+	o.GoneAfter = cmp.Or(o.GoneAfter, DefaultGoneAfter)
+	o.RegionSilence = cmp.Or(o.RegionSilence, DefaultRegionSilence)
+	o.Quiet = cmp.Or(o.Quiet, DefaultQuiet)
+	o.Updates = cmp.Or(o.Updates, DefaultUpdates)
+	o.Spread = cmp.Or(o.Spread, DefaultSpread)
 	return o
 }
--- a/permit/permit.go
+++ b/permit/permit.go
@@ -12,6 +12,7 @@
 package permit
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/juju/errors"
@@ -95,12 +96,12 @@
 const ErrOptions = errors.ConstError("permit options break the fencing conditions")
 
 func (o Options) withDefaults() Options {
-	o.FencingDelay = orDefault(o.FencingDelay, DefaultFencingDelay)
-	o.ViewMaxAge = orDefault(o.ViewMaxAge, DefaultViewMaxAge)
-	o.ListLag = orDefault(o.ListLag, DefaultListLag)
-	o.HandoverWait = orDefault(o.HandoverWait, DefaultHandoverWait)
-	o.QuietPeriod = orDefault(o.QuietPeriod, DefaultQuietPeriod)
-	o.StartDelay = orDefault(o.StartDelay, o.FencingDelay)
+	o.FencingDelay = cmp.Or(o.FencingDelay, DefaultFencingDelay)
+	o.ViewMaxAge = cmp.Or(o.ViewMaxAge, DefaultViewMaxAge)
+	o.ListLag = cmp.Or(o.ListLag, DefaultListLag)
+	o.HandoverWait = cmp.Or(o.HandoverWait, DefaultHandoverWait)
+	o.QuietPeriod = cmp.Or(o.QuietPeriod, DefaultQuietPeriod)
+	o.StartDelay = cmp.Or(o.StartDelay, o.FencingDelay)
 	return o
 }
 
@@ -119,13 +120,6 @@
 	return nil
 }
 
-func orDefault(d, def time.Duration) time.Duration {
-	if d == 0 {
-		return def
-	}
-	return d
-}
-
 // Action is something that the caller of a Table has to do: AskRelease,
 // SendAnswer, Acquired or Draining.
 type Action interface{ action() }
--- a/query/attempt.go
+++ b/query/attempt.go
@@ -62,7 +62,7 @@
 // run has paid for it.
 func (m *Machine) hedgeElsewhere(now time.Time, a *sub) {
 	s := &m.shards[a.shard]
-	s.avoid = append(s.avoid, blamed(a.Route, code.OverBudget))
+	s.avoid = append(s.avoid, avoidAfter(a.Route, code.OverBudget))
 	avoid := m.withRunning(a.shard, s.avoid)
 	route, c := m.opts.Router.Pick(now, m.opts.Shards[a.shard].Replicas, replica.Extra, avoid)
 	if c == code.OK {
@@ -211,7 +211,7 @@
 // retry decides whether and when a shard whose last attempt failed is tried again.
 func (m *Machine) retry(now time.Time, a *sub, r *wire.Reply) {
 	s := &m.shards[a.shard]
-	s.avoid = append(s.avoid, blamed(a.Route, r.Code))
+	s.avoid = append(s.avoid, avoidAfter(a.Route, r.Code))
 	if r.Code == code.VersionGone || r.Code == code.VersionNotLoaded {
 		m.noteLacking(a.shard, a.Route.Target)
 	}
@@ -272,9 +272,9 @@
 	return r.Code == code.Shed
 }
 
-// blamed returns what a retry avoids after a failure: the way through the relay
+// avoidAfter returns what a retry avoids after a failure: the way through the relay
 // if the relay refused, and else the target.
-func blamed(r replica.Choice, c code.Code) replica.Avoid {
+func avoidAfter(r replica.Choice, c code.Code) replica.Avoid {
 	switch c {
 	case code.NotHeld, code.Stopping, code.NotReady, code.Overloaded, code.OverBudget, code.TargetCold:
 		return replica.Avoid{Relay: r.Relay, Target: r.Target}
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -31,7 +31,7 @@
 	extras   *budget.Window
 	told     wire.Holding // what gateways were told last
 	gone     bool         // no longer in the contracts
-	pulse    pulse
+	conns    connHealth
 }
 
 func (r *Relay) newEntry(c folder.Target, contract target.Contract) *entry {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -7,6 +7,7 @@
 package relay
 
 import (
+	"cmp"
 	"log/slog"
 	"sync"
 	"time"
@@ -68,12 +69,8 @@
 // New returns a relay that serves no target until it has contracts, a VM list
 // and permits. It fails if the options of the permits are inconsistent.
 func New(opts Options) (*Relay, error) {
-	if opts.Workers == 0 {
-		opts.Workers = DefaultWorkers
-	}
-	if opts.QueuePerTarget == 0 {
-		opts.QueuePerTarget = DefaultQueuePerTarget
-	}
+	opts.Workers = cmp.Or(opts.Workers, DefaultWorkers)
+	opts.QueuePerTarget = cmp.Or(opts.QueuePerTarget, DefaultQueuePerTarget)
 	opts.Permit.Self = opts.Self.Name()
 	table, err := permit.New(time.Now(), opts.Permit)
 	if err != nil {
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -27,15 +27,15 @@
 // taken to be silent.
 const errStalled = errors.ConstError("no answer although the target answers on a new connection")
 
-// pulse tells whether a target's connections still carry answers. It is pure;
-// the caller serialises.
-type pulse struct {
+// connHealth tracks whether a target's connections still carry answers. It is
+// pure; the caller serialises.
+type connHealth struct {
 	mean    time.Duration // of the service time
 	retired time.Time     // when the connections were given up last
 }
 
-// served notes the service time of an answer.
-func (p *pulse) served(took time.Duration) {
+// observe notes the service time of an answer.
+func (p *connHealth) observe(took time.Duration) {
 	if p.mean == 0 {
 		p.mean = took
 	}
@@ -44,19 +44,19 @@
 
 // stallAfter returns the time without an answer after which a request counts
 // as stalled.
-func (p *pulse) stallAfter() time.Duration {
+func (p *connHealth) stallAfter() time.Duration {
 	return min(max(stallFactor*p.mean, minStall), maxStall)
 }
 
 // mayRetire reports whether the connections may be given up now.
-func (p *pulse) mayRetire(now time.Time) bool { return now.Sub(p.retired) >= retireInterval }
+func (p *connHealth) mayRetire(now time.Time) bool { return now.Sub(p.retired) >= retireInterval }
 
 // retire notes that the connections were given up.
-func (p *pulse) retire(now time.Time) { p.retired = now }
+func (p *connHealth) retire(now time.Time) { p.retired = now }
 
-// condemned reports whether a request that was sent at a time is on a
+// isRetired reports whether a request that was sent at a time is on a
 // connection that was given up since.
-func (p *pulse) condemned(sent time.Time) bool { return sent.Before(p.retired) }
+func (p *connHealth) isRetired(sent time.Time) bool { return sent.Before(p.retired) }
 
 // search sends an idempotent request. If it stalls while the target answers on
 // a new connection, it is withdrawn there and sent once more, on a new one.
@@ -64,7 +64,7 @@
 	ctx, withdraw := context.WithCancelCause(j.ctx)
 	defer withdraw(nil)
 	e.mu.Lock()
-	after := e.pulse.stallAfter()
+	after := e.conns.stallAfter()
 	e.mu.Unlock()
 	sent := time.Now()
 	timer := time.AfterFunc(after, func() { r.stalled(e, sent, withdraw) })
@@ -81,10 +81,10 @@
 // stalled looks into a request that got no answer for long.
 func (r *Relay) stalled(e *entry, sent time.Time, withdraw context.CancelCauseFunc) {
 	e.mu.Lock()
-	condemned := e.pulse.condemned(sent)
-	mayRetire := e.pulse.mayRetire(time.Now())
+	retired := e.conns.isRetired(sent)
+	mayRetire := e.conns.mayRetire(time.Now())
 	e.mu.Unlock()
-	if condemned || mayRetire && r.check(e) {
+	if retired || mayRetire && r.check(e) {
 		withdraw(errStalled)
 	}
 }
@@ -99,7 +99,7 @@
 	answered := err == nil
 	if answered {
 		e.mu.Lock()
-		e.pulse.retire(time.Now())
+		e.conns.retire(time.Now())
 		e.mu.Unlock()
 		e.client.Retire()
 	}
--- a/relay/stall_test.go
+++ b/relay/stall_test.go
@@ -5,20 +5,20 @@
 	"time"
 )
 
-func TestPulse(t *testing.T) {
+func TestConnHealth(t *testing.T) {
 	now := time.Unix(1000, 0)
-	var p pulse
+	var p connHealth
 	if got := p.stallAfter(); got != minStall {
 		t.Errorf("stalled after %v without any answer, want %v", got, minStall)
 	}
 	for range 100 {
-		p.served(20 * time.Millisecond)
+		p.observe(20 * time.Millisecond)
 	}
 	if got := p.stallAfter(); got < 190*time.Millisecond || got > 210*time.Millisecond {
 		t.Errorf("stalled after %v with a mean of 20ms, want ten times that", got)
 	}
 	for range 200 {
-		p.served(time.Second)
+		p.observe(time.Second)
 	}
 	if got := p.stallAfter(); got != maxStall {
 		t.Errorf("stalled after %v, want at most %v", got, maxStall)
@@ -30,7 +30,7 @@
 	if p.mayRetire(now.Add(retireInterval - 1)) {
 		t.Error("connections were given up twice within the interval")
 	}
-	if !p.condemned(now.Add(-time.Millisecond)) || p.condemned(now.Add(time.Millisecond)) {
+	if !p.isRetired(now.Add(-time.Millisecond)) || p.isRetired(now.Add(time.Millisecond)) {
 		t.Error("a request is on a given-up connection if and only if it was sent before")
 	}
 }
--- a/relay/work.go
+++ b/relay/work.go
@@ -109,7 +109,7 @@
 	e.mu.Lock()
 	delete(e.running, j.id)
 	if result.Code == code.OK {
-		e.pulse.served(result.Service)
+		e.conns.observe(result.Service)
 	}
 	depth = len(e.queue) + len(e.running)
 	e.mu.Unlock()
--- a/revision/config.go
+++ b/revision/config.go
@@ -1,6 +1,7 @@
 package revision
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -75,28 +76,22 @@
 	WatchRetryMax time.Duration
 }
 
-func orDefault[T int | time.Duration](value *T, def T) {
-	if *value == 0 {
-		*value = def
-	}
-}
-
 func (o Options) withDefaults() Options {
-	orDefault(&o.StartupPeers, DefaultStartupPeers)
-	orDefault(&o.StartupWait, DefaultStartupWait)
-	orDefault(&o.AskTimeout, DefaultAskTimeout)
-	orDefault(&o.ReadTimeout, DefaultReadTimeout)
-	orDefault(&o.RetryMin, DefaultRetryMin)
-	orDefault(&o.RetryMax, DefaultRetryMax)
-	orDefault(&o.ReadParallel, DefaultReadParallel)
-	orDefault(&o.ReadBurst, DefaultReadBurst)
-	orDefault(&o.ReadBudget, DefaultReadBudget)
-	orDefault(&o.Watchers, DefaultWatchers)
-	orDefault(&o.WatchWait, DefaultWatchWait)
-	orDefault(&o.WatchJitter, DefaultWatchJitter)
-	orDefault(&o.PollInterval, DefaultPollInterval)
-	orDefault(&o.WatchRetryMin, DefaultWatchRetryMin)
-	orDefault(&o.WatchRetryMax, DefaultWatchRetryMax)
+	o.StartupPeers = cmp.Or(o.StartupPeers, DefaultStartupPeers)
+	o.StartupWait = cmp.Or(o.StartupWait, DefaultStartupWait)
+	o.AskTimeout = cmp.Or(o.AskTimeout, DefaultAskTimeout)
+	o.ReadTimeout = cmp.Or(o.ReadTimeout, DefaultReadTimeout)
+	o.RetryMin = cmp.Or(o.RetryMin, DefaultRetryMin)
+	o.RetryMax = cmp.Or(o.RetryMax, DefaultRetryMax)
+	o.ReadParallel = cmp.Or(o.ReadParallel, DefaultReadParallel)
+	o.ReadBurst = cmp.Or(o.ReadBurst, DefaultReadBurst)
+	o.ReadBudget = cmp.Or(o.ReadBudget, DefaultReadBudget)
+	o.Watchers = cmp.Or(o.Watchers, DefaultWatchers)
+	o.WatchWait = cmp.Or(o.WatchWait, DefaultWatchWait)
+	o.WatchJitter = cmp.Or(o.WatchJitter, DefaultWatchJitter)
+	o.PollInterval = cmp.Or(o.PollInterval, DefaultPollInterval)
+	o.WatchRetryMin = cmp.Or(o.WatchRetryMin, DefaultWatchRetryMin)
+	o.WatchRetryMax = cmp.Or(o.WatchRetryMax, DefaultWatchRetryMax)
 	return o
 }
 
--- a/snapshot/chooser.go
+++ b/snapshot/chooser.go
@@ -51,21 +51,15 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.EvidenceTTL, DefaultEvidenceTTL)
-	setDefault(&o.GoneTTL, DefaultGoneTTL)
-	setDefault(&o.ProbeGap, DefaultProbeGap)
-	setDefault(&o.MaxProbeGap, DefaultMaxProbeGap)
-	setDefault(&o.ProbeEvery, DefaultProbeEvery)
-	setDefault(&o.Hold, DefaultHold)
+	o.EvidenceTTL = cmp.Or(o.EvidenceTTL, DefaultEvidenceTTL)
+	o.GoneTTL = cmp.Or(o.GoneTTL, DefaultGoneTTL)
+	o.ProbeGap = cmp.Or(o.ProbeGap, DefaultProbeGap)
+	o.MaxProbeGap = cmp.Or(o.MaxProbeGap, DefaultMaxProbeGap)
+	o.ProbeEvery = cmp.Or(o.ProbeEvery, DefaultProbeEvery)
+	o.Hold = cmp.Or(o.Hold, DefaultHold)
 	return o
 }
 
-func setDefault[T int | time.Duration](field *T, value T) {
-	if *field == 0 {
-		*field = value
-	}
-}
-
 // Chooser chooses versions of one search. It is not locked; the caller serialises.
 type Chooser struct {
 	opts    Options
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -5,6 +5,7 @@
 package standin
 
 import (
+	"cmp"
 	"net"
 	"net/http"
 	"slices"
@@ -51,23 +52,16 @@
 }
 
 func (o *Options) setDefaults() {
-	setDefault(&o.Records, corpus.DefaultRecords)
-	setDefault(&o.Service.Median, Duration(DefaultService))
-	setDefault(&o.WarmAfter, DefaultWarmAfter)
-	setDefault(&o.Distance, DefaultDistance)
-	setDefault(&o.AdminAddress, loopback)
+	o.Records = cmp.Or(o.Records, corpus.DefaultRecords)
+	o.Service.Median = cmp.Or(o.Service.Median, Duration(DefaultService))
+	o.WarmAfter = cmp.Or(o.WarmAfter, DefaultWarmAfter)
+	o.Distance = cmp.Or(o.Distance, DefaultDistance)
+	o.AdminAddress = cmp.Or(o.AdminAddress, loopback)
 	if len(o.Setups) == 0 {
 		o.Setups = []Setup{SetupSmall}
 	}
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Standin is a running stand-in. It is safe for concurrent use.
 type Standin struct {
 	options  Options
--- a/target/target.go
+++ b/target/target.go
@@ -11,6 +11,7 @@
 package target
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/goldcrestmux/goldcrestmux/wire"
@@ -69,21 +70,11 @@
 }
 
 func (o Options) withDefaults() Options {
-	if o.TryMin == 0 {
-		o.TryMin = DefaultTryMin
-	}
-	if o.TryMax == 0 {
-		o.TryMax = DefaultTryMax
-	}
-	if o.AskInterval == 0 {
-		o.AskInterval = DefaultAskInterval
-	}
-	if o.JumpFactor == 0 {
-		o.JumpFactor = DefaultJumpFactor
-	}
-	if o.JumpCount == 0 {
-		o.JumpCount = DefaultJumpCount
-	}
+	o.TryMin = cmp.Or(o.TryMin, DefaultTryMin)
+	o.TryMax = cmp.Or(o.TryMax, DefaultTryMax)
+	o.AskInterval = cmp.Or(o.AskInterval, DefaultAskInterval)
+	o.JumpFactor = cmp.Or(o.JumpFactor, DefaultJumpFactor)
+	o.JumpCount = cmp.Or(o.JumpCount, DefaultJumpCount)
 	return o
 }
 
--- a/view/view.go
+++ b/view/view.go
@@ -10,6 +10,7 @@
 package view
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/goldcrestmux/goldcrestmux/platform"
@@ -37,12 +38,8 @@
 const offerLife = 6
 
 func (o Options) withDefaults() Options {
-	if o.MaxAge == 0 {
-		o.MaxAge = DefaultMaxAge
-	}
-	if o.AskTimeout == 0 {
-		o.AskTimeout = DefaultAskTimeout
-	}
+	o.MaxAge = cmp.Or(o.MaxAge, DefaultMaxAge)
+	o.AskTimeout = cmp.Or(o.AskTimeout, DefaultAskTimeout)
 	return o
 }
 
