Let no request at a target outlive the quiet period

Cause, by reading: the proof that permits don't overlap takes work to end within the quiet period after it was sent, but a search's deadline could be longer, and nothing cut it.

--- a/relay/stall_test.go
+++ b/relay/stall_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/goldcrestmux/goldcrestmux/permit"
 )
 
 func TestConnHealth(t *testing.T) {
@@ -34,3 +36,14 @@
 		t.Error("a request is on a given-up connection if and only if it was sent before")
 	}
 }
+
+func TestNoRequestOutlivesTheQuietPeriod(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := &Relay{opts: Options{Permit: permit.Options{QuietPeriod: time.Second}}}
+	if got := r.targetDeadline(now, now.Add(time.Minute)); !got.Equal(now.Add(time.Second)) {
+		t.Errorf("deadline %v at the target, want the quiet period", got.Sub(now))
+	}
+	if got := r.targetDeadline(now, now.Add(time.Millisecond)); !got.Equal(now.Add(time.Millisecond)) {
+		t.Errorf("deadline %v at the target, want the query's", got.Sub(now))
+	}
+}
--- a/relay/work.go
+++ b/relay/work.go
@@ -1,12 +1,14 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"sync"
 	"time"
 
 	"github.com/goldcrestmux/goldcrestmux/code"
+	"github.com/goldcrestmux/goldcrestmux/permit"
 	"github.com/goldcrestmux/goldcrestmux/platform"
 	"github.com/goldcrestmux/goldcrestmux/target"
 	"github.com/goldcrestmux/goldcrestmux/wire"
@@ -94,11 +96,23 @@
 		Payload: j.batch.Payload,
 	}
 	metrics.sent.Add(1)
+	deadline := r.targetDeadline(time.Now(), j.deadline)
 	if j.batch.Action {
-		r.finish(w, e.client.Do(j.ctx, platform.PathAction, request, j.deadline))
+		r.finish(w, e.client.Do(j.ctx, platform.PathAction, request, deadline))
 		return
 	}
-	r.finish(w, r.search(e, j, request))
+	r.finish(w, r.search(e, j, request, deadline))
+}
+
+// targetDeadline returns until when a request may run at a target: the query's
+// deadline, but no longer than the quiet period, on which the hand-over of
+// permits from a relay that stopped without notice relies.
+func (r *Relay) targetDeadline(now, deadline time.Time) time.Time {
+	latest := now.Add(cmp.Or(r.opts.Permit.QuietPeriod, permit.DefaultQuietPeriod))
+	if latest.Before(deadline) {
+		return latest
+	}
+	return deadline
 }
 
 // finish tells the target's machine how a job ended, then the gateway.
