--- a/corpus/corpus.go
+++ b/corpus/corpus.go
@@ -4,6 +4,7 @@
 package corpus
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -13,6 +14,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/goldcrestmux/goldcrestmux/folder"
 	"github.com/goldcrestmux/goldcrestmux/platform"
 	"github.com/goldcrestmux/goldcrestmux/wire"
 )
@@ -76,9 +78,7 @@
 	if o.Kind == "" {
 		o.Kind = Competition
 	}
-	if o.Records == 0 {
-		o.Records = DefaultRecords
-	}
+	o.Records = cmp.Or(o.Records, DefaultRecords)
 	return &Corpus{
 		options:  o,
 		versions: make(map[string][]Entry),
@@ -95,7 +95,7 @@
 // ShardOf returns the name of the shard that holds the key, in a version that
 // has the given shards in ascending order.
 func ShardOf(key string, sorted []string) string {
-	return sorted[xxhash.Sum64String(key)%uint64(len(sorted))]
+	return folder.ShardOf(key, sorted)
 }
 
 // Shard returns the entries of one shard of a version, in the order of
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -7,6 +7,7 @@
 package gateway
 
 import (
+	"cmp"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -60,9 +61,7 @@
 
 // New returns a gateway that refuses every request until it has contracts.
 func New(opts Options) *Gateway {
-	if opts.MaxBody == 0 {
-		opts.MaxBody = DefaultMaxBody
-	}
+	opts.MaxBody = cmp.Or(opts.MaxBody, DefaultMaxBody)
 	g := &Gateway{
 		opts:  opts,
 		links: opts.Links,
@@ -129,6 +128,11 @@
 	}
 }
 
+// Quiet tells that a relay may be silent: new work goes elsewhere if it can.
+func (g *Gateway) Quiet(l *link.Link, quiet bool) {
+	g.routes.setQuiet(l.Peer().Name(), quiet)
+}
+
 // Down tells every query that a link is gone.
 func (g *Gateway) Down(l *link.Link) {
 	name := l.Peer().Name()
--- a/link/liveness.go
+++ b/link/liveness.go
@@ -1,6 +1,9 @@
 package link
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Defaults of LivenessOptions.
 const (
@@ -25,18 +28,10 @@
 }
 
 func (o LivenessOptions) withDefaults() LivenessOptions {
-	if o.IdlePing == 0 {
-		o.IdlePing = DefaultIdlePing
-	}
-	if o.IdleTimeout == 0 {
-		o.IdleTimeout = DefaultIdleTimeout
-	}
-	if o.BusyPing == 0 {
-		o.BusyPing = DefaultBusyPing
-	}
-	if o.BusyTimeout == 0 {
-		o.BusyTimeout = DefaultBusyTimeout
-	}
+	o.IdlePing = cmp.Or(o.IdlePing, DefaultIdlePing)
+	o.IdleTimeout = cmp.Or(o.IdleTimeout, DefaultIdleTimeout)
+	o.BusyPing = cmp.Or(o.BusyPing, DefaultBusyPing)
+	o.BusyTimeout = cmp.Or(o.BusyTimeout, DefaultBusyTimeout)
 	return o
 }
 
@@ -100,6 +95,17 @@
 	return VerdictPing
 }
 
+// Quiet reports whether a busy link has left its ping without an answer for a
+// while: it may be silent, and new work is better sent elsewhere.
+func (l *Liveness) Quiet(now time.Time) bool {
+	ping, _, silence := l.bounds(now)
+	return l.busy && silence >= ping+ping/quietPart
+}
+
+// quietPart is the part of the ping's delay that its answer may take before the
+// link counts as quiet.
+const quietPart = 3
+
 func (l *Liveness) bounds(now time.Time) (ping, timeout, silence time.Duration) {
 	silence = now.Sub(l.heard)
 	if !l.busy {
--- a/link/pool.go
+++ b/link/pool.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"math/rand/v2"
@@ -22,6 +23,8 @@
 	checkInterval = 50 * time.Millisecond
 	// handshakeTimeout bounds dialling and the exchange of Hello frames.
 	handshakeTimeout = 2 * time.Second
+	// sweepInterval is the time between two searches for unwanted links.
+	sweepInterval = time.Second
 	// onDemandIdle is how long a link without a standing wish is kept unused.
 	onDemandIdle = 60 * time.Second
 	// maxDials bounds the number of dials in progress.
@@ -76,9 +79,7 @@
 
 // NewPool returns a running pool without peers.
 func NewPool(opts Options) *Pool {
-	if opts.Credit == 0 {
-		opts.Credit = DefaultCredit
-	}
+	opts.Credit = cmp.Or(opts.Credit, DefaultCredit)
 	p := &Pool{
 		opts:  opts,
 		dials: make(chan struct{}, maxDials),
@@ -106,6 +107,16 @@
 		s.addr = addr
 		s.known = true
 	}
+	p.forget()
+}
+
+// forget drops the state of peers that are neither known nor linked. Pool.mu is held.
+func (p *Pool) forget() {
+	for name, s := range p.peers {
+		if !s.known && !s.dialing && s.link == nil {
+			delete(p.peers, name)
+		}
+	}
 }
 
 // peer returns the state for name, made if absent. Pool.mu is held.
@@ -176,21 +187,28 @@
 func (p *Pool) loop() error {
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
+	var swept time.Time
 	for {
 		select {
 		case <-p.tomb.Dying():
 			return nil
 		case <-ticker.C:
 			now := time.Now()
-			p.checkLinks(now)
+			for _, l := range p.Links() {
+				l.check(now)
+			}
+			if now.Sub(swept) >= sweepInterval {
+				swept = now
+				p.closeUnwanted(now)
+			}
 			p.dialMissing(now)
 		}
 	}
 }
 
-func (p *Pool) checkLinks(now time.Time) {
+// closeUnwanted closes on-demand links that have been unused for long.
+func (p *Pool) closeUnwanted(now time.Time) {
 	for _, l := range p.Links() {
-		l.check(now)
 		if p.unwanted(l, now) {
 			l.Close(ErrClosed)
 		}
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -31,6 +31,7 @@
 	extras   *budget.Window
 	told     wire.Holding // what gateways were told last
 	gone     bool         // no longer in the contracts
+	conns    connHealth
 }
 
 func (r *Relay) newEntry(c folder.Target, contract target.Contract) *entry {
@@ -44,7 +45,7 @@
 			Relay:       r.opts.Self.Name(),
 			Connections: max(1, c.Connections/max(1, c.Slots)),
 		}),
-		machine: target.New(target.Options{Name: c.Name, Contract: contract}),
+		machine: target.New(target.Options{Self: r.opts.Self.Name(), Name: c.Name, Contract: contract}),
 		running: make(map[jobID]*job),
 		extras:  budget.NewWindow(budget.MaxShare, 0),
 		told:    wire.Holding{Target: c.Name},
--- a/relay/work.go
+++ b/relay/work.go
@@ -1,12 +1,14 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"sync"
 	"time"
 
 	"github.com/goldcrestmux/goldcrestmux/code"
+	"github.com/goldcrestmux/goldcrestmux/permit"
 	"github.com/goldcrestmux/goldcrestmux/platform"
 	"github.com/goldcrestmux/goldcrestmux/target"
 	"github.com/goldcrestmux/goldcrestmux/wire"
@@ -86,10 +88,6 @@
 		r.finish(w, platform.Result{Code: code.NotHeld, Run: code.NotRun})
 		return
 	}
-	path := platform.PathSearch
-	if j.batch.Action {
-		path = platform.PathAction
-	}
 	request := &platform.TargetRequest{
 		ID:      fmt.Sprintf("%d-%s-%d", j.id.link.Peer().Incarnation, j.id.link.Peer().VM, j.sub.ID),
 		Search:  j.batch.Search,
@@ -98,7 +96,23 @@
 		Payload: j.batch.Payload,
 	}
 	metrics.sent.Add(1)
-	r.finish(w, e.client.Do(j.ctx, path, request, j.deadline))
+	deadline := r.targetDeadline(time.Now(), j.deadline)
+	if j.batch.Action {
+		r.finish(w, e.client.Do(j.ctx, platform.PathAction, request, deadline))
+		return
+	}
+	r.finish(w, r.search(e, j, request, deadline))
+}
+
+// targetDeadline returns until when a request may run at a target: the query's
+// deadline, but no longer than the quiet period, on which the hand-over of
+// permits from a relay that stopped without notice relies.
+func (r *Relay) targetDeadline(now, deadline time.Time) time.Time {
+	latest := now.Add(cmp.Or(r.opts.Permit.QuietPeriod, permit.DefaultQuietPeriod))
+	if latest.Before(deadline) {
+		return latest
+	}
+	return deadline
 }
 
 // finish tells the target's machine how a job ended, then the gateway.
@@ -108,6 +122,9 @@
 	var depth int
 	e.mu.Lock()
 	delete(e.running, j.id)
+	if result.Code == code.OK {
+		e.conns.observe(result.Service)
+	}
 	depth = len(e.queue) + len(e.running)
 	e.mu.Unlock()
 	reply := newReply(result, depth)
@@ -200,22 +217,3 @@
 		}
 	}
 }
-
-// probe asks a target for its health on a new connection.
-func (r *Relay) probe(e *entry) {
-	r.tomb.Go(func() error {
-		ctx, cancel := context.WithTimeout(r.tomb.Context(context.Background()), probeTimeout)
-		defer cancel()
-		health, err := e.client.Probe(ctx)
-		if err == nil {
-			e.client.Retire() // the target answers, so a connection was at fault
-		}
-		e.change(func(now time.Time, m *target.Machine) []target.Action {
-			if err != nil || health.Draining {
-				return m.Probe(now, false, "", false)
-			}
-			return m.Probe(now, true, health.Boot, health.Claim.Warm)
-		})
-		return nil
-	})
-}
--- a/scenario/scenario.go
+++ b/scenario/scenario.go
@@ -14,6 +14,7 @@
 //	term WITHIN PROCESS...         SIGTERM to all; each must exit with 0 in time
 //	start PROCESS...               start again, on the same addresses
 //	vms leaving|drop|add VM...     change the platform's list of VMs
+//	vms target TARGET...           list the targets' VMs as leaving
 //	vms lag DURATION               later changes of the list are seen after it
 //	cables MODE FROM TO|VM         mode up, cut or silent
 //	folder put NAME FILE|remove NAME
@@ -40,6 +41,7 @@
 import (
 	"context"
 	"encoding/json"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -59,8 +61,15 @@
 	Seed uint64
 }
 
-// subnets numbers the scripts, so that no two use the same IP numbers.
-var subnets atomic.Uint32
+// subnets numbers the scripts, so that no two use the same IP numbers. It starts
+// at the process ID, for tests that run side by side.
+var subnets = startSubnets()
+
+func startSubnets() *atomic.Uint32 {
+	var n atomic.Uint32
+	n.Store(uint32(os.Getpid()))
+	return &n
+}
 
 type scriptKey struct{}
 
@@ -109,8 +118,8 @@
 		}
 	}
 	for _, p := range s.tier.all {
-		t.Log("log of " + p.name + ":")
-		for _, line := range p.lastLines() {
+		t.Log("log of " + p.Name() + ":")
+		for _, line := range p.Tail() {
 			t.Log("  " + line)
 		}
 	}
