Revert "Try a failed target with one attempt at a time"

What would help is that the relay, which sees all of a target's answers, takes a target out that answers nonsense several times in a row.

--- a/replica/outcome.go
+++ b/replica/outcome.go
@@ -89,30 +89,6 @@
 
 func (d *demotion) active(now time.Time) bool { return now.Before(d.until) }
 
-// demoted tells whether a route is left out while there are others: for the
-// pause after a failure, and then until one attempt at a time has shown that
-// the target answers again. Otherwise all work would come back to a failing
-// target at once when its pause ends.
-func (r *route) demoted(now time.Time) bool {
-	return r.demotion.holds(now, r.outstanding) || r.target.demotion.holds(now, r.target.outstanding())
-}
-
-// holds tells whether the demotion counts with the given number of attempts in
-// progress.
-func (d *demotion) holds(now time.Time, outstanding int) bool {
-	return d.active(now) || d.failures > 0 && outstanding > 0
-}
-
-// outstanding returns the number of this gateway's requests in progress at the
-// target on all routes.
-func (tg *target) outstanding() int {
-	n := 0
-	for _, r := range tg.routes {
-		n += r.outstanding
-	}
-	return n
-}
-
 // extend demotes for the pause, doubled for each demotion before that no answer
 // has followed, up to longest. Further failures of attempts that were under way
 // don't count.
--- a/replica/pick.go
+++ b/replica/pick.go
@@ -95,7 +95,7 @@
 				full = true
 				continue
 			}
-			if r.demoted(now) {
+			if r.demotion.active(now) || tg.demotion.active(now) {
 				demoted.add(r)
 				continue
 			}
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -265,38 +265,3 @@
 		table.Pick(epoch, rng, shards[i%len(shards)], First, nil)
 	}
 }
-
-// When the pause of a failing target ends, one attempt shows whether it answers
-// again; only then the rest of the work comes back.
-func TestOneAttemptTriesAFailedTarget(t *testing.T) {
-	rng := rand.New(rand.NewPCG(1, 1))
-	tb := New(Options{})
-	for _, name := range []string{"a", "b"} {
-		tb.SetTarget(name, "dc", true)
-		tb.SetHolding("r", wire.Holding{Target: name, State: wire.TargetWarm, Limit: 100})
-	}
-	now := time.Unix(1000, 0)
-	tb.Sent("r", "a")
-	tb.Done(now, "r", "a", Outcome{Code: code.BadAnswer})
-	now = now.Add(DefaultFailurePause)
-	picks := func() (a int) {
-		for range 100 {
-			choice, _ := tb.Pick(now, rng, []string{"a", "b"}, First, nil)
-			if choice.Target == "a" {
-				a++
-			}
-		}
-		return a
-	}
-	if picks() == 0 {
-		t.Fatal("the target isn't tried again after its pause")
-	}
-	tb.Sent("r", "a")
-	if n := picks(); n != 0 {
-		t.Fatalf("%d more attempts while one tries the target", n)
-	}
-	tb.Done(now, "r", "a", Outcome{Code: code.OK, Service: time.Millisecond})
-	if picks() == 0 {
-		t.Fatal("the target answered and isn't used")
-	}
-}
--- a/replica/state.go
+++ b/replica/state.go
@@ -33,7 +33,7 @@
 				Outstanding: r.outstanding,
 				Load:        t.load(now, r),
 				Service:     time.Duration(t.serviceTime(now, tg)),
-				Demoted:     r.demoted(now),
+				Demoted:     r.demotion.active(now) || tg.demotion.active(now),
 			})
 		}
 	}
