Let a process that was paused not take the VM list for down

Now the copy's tracker notices the pause, and for one maximal age after it says nothing of the kind. Ruled out: overdue requests (deadlines are checked before each write) and the permits' own view age (it suspends). Before: the new test says down at the end of a pause.

--- a/node/node.go
+++ b/node/node.go
@@ -176,6 +176,7 @@
 	n.opts.Logger.Warn("the process was paused")
 	metrics.gaps.Add(1)
 	n.members.gap(now)
+	n.views.gap(now)
 	n.folders.gap()
 	if n.opts.Events.Gap != nil {
 		n.opts.Events.Gap()
--- a/node/views.go
+++ b/node/views.go
@@ -82,6 +82,12 @@
 	}
 }
 
+func (v *views) gap(now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.tracker.Gap(now)
+}
+
 func (v *views) tick(now time.Time) {
 	v.event(func(t *view.Tracker) view.Result { return t.Tick(now) })
 	v.mu.Lock()
--- a/view/view.go
+++ b/view/view.go
@@ -65,6 +65,9 @@
 	offers map[string]offer
 	asked  ask
 	seq    uint64
+	ticked time.Time // when Tick was called last
+	// resumed is when this process ran again after a pause.
+	resumed time.Time
 }
 
 type offer struct {
@@ -158,6 +161,10 @@
 
 // Tick asks the peer with the freshest offer if the copy gets old.
 func (t *Tracker) Tick(now time.Time) Result {
+	if !t.ticked.IsZero() && now.Sub(t.ticked) > t.opts.MaxAge/2 {
+		t.resumed = now
+	}
+	t.ticked = now
 	t.expire(now)
 	if t.known && now.Sub(t.asOf) < t.opts.MaxAge/2 {
 		return Result{}
@@ -209,12 +216,21 @@
 	return t.known && now.Sub(t.asOf) < t.opts.MaxAge
 }
 
+// Gap tells that this process was paused, also where Tick could not see it
+// because the monotonic clock stood still.
+func (t *Tracker) Gap(now time.Time) { t.resumed = now }
+
 // Down reports whether nobody within reach has a fresh copy: the list can't be
-// read here, and no peer offers a fresh one. It is false before the first list.
+// read here, and no peer offers a fresh one. It is false before the first list,
+// and for MaxAge after a pause of this process: until then its silence about the
+// list is its own.
 func (t *Tracker) Down(now time.Time) bool {
 	if !t.known || t.Fresh(now) {
 		return false
 	}
+	if !t.resumed.IsZero() && now.Sub(t.resumed) < t.opts.MaxAge {
+		return false
+	}
 	for _, o := range t.offers {
 		if o.ageAt(now) < t.opts.MaxAge {
 			return false
--- a/view/view_test.go
+++ b/view/view_test.go
@@ -126,3 +126,24 @@
 		t.Fatal("not down at once when nobody's copy is fresh any more")
 	}
 }
+
+func TestPausedProcessDoesNotTakeTheListForDown(t *testing.T) {
+	v := New(Options{})
+	v.Read(list(1), at(0))
+	v.Offered(at(100), "peer", wire.ViewOffer{Sequence: 1, AgeMillis: 50})
+	v.Tick(at(100))
+	v.Tick(at(60_000))
+	if v.Down(at(60_000)) {
+		t.Fatal("down at the end of a pause of this process")
+	}
+	for ms := 60_100; ms <= 63_000; ms += 100 {
+		v.Tick(at(ms))
+	}
+	if !v.Down(at(63_000)) {
+		t.Fatal("not down although nothing was heard for a whole age after the pause")
+	}
+	v.Gap(at(63_050))
+	if v.Down(at(63_100)) {
+		t.Fatal("down right after a pause that the clock did not show")
+	}
+}
