--- a/link/link_test.go
+++ b/link/link_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/goldcrestmux/goldcrestmux/code"
 	"github.com/goldcrestmux/goldcrestmux/wire"
 )
 
@@ -138,3 +139,21 @@
 		t.Fatalf("verdict %v after an own pause, want a ping", v)
 	}
 }
+
+func TestPeerOfAnotherProtocolVersionIsRefused(t *testing.T) {
+	p, _, _ := startPool(t, "vm2", wire.RoleRelay, 0)
+	for _, tc := range []struct {
+		low, high uint16
+		refused   bool
+	}{
+		{wire.MinVersion, wire.MaxVersion, false},
+		{wire.MinVersion, wire.MaxVersion + 5, false},
+		{wire.MaxVersion + 1, wire.MaxVersion + 5, true},
+		{0, wire.MinVersion - 1, true},
+	} {
+		refusal := p.refuse(&wire.Hello{Min: tc.low, Max: tc.high, Peer: "vm2/relay"})
+		if (refusal != nil) != tc.refused || refusal != nil && refusal.Code != code.ProtocolMismatch {
+			t.Errorf("versions %d to %d: refusal %+v", tc.low, tc.high, refusal)
+		}
+	}
+}
