--- a/node/state.go
+++ b/node/state.go
@@ -77,6 +77,10 @@
 	out := make([]operator.Member, len(known))
 	for i, m := range known {
 		out[i] = describe(now, m)
+		if m.Name == n.opts.Self.Name() {
+			out[i].AgeMillis = 0
+			out[i].Source = "self"
+		}
 	}
 	return out
 }
--- a/relay/work.go
+++ b/relay/work.go
@@ -119,6 +119,9 @@
 func (r *Relay) finish(w readyJob, result platform.Result) {
 	e, j := w.entry, w.job
 	metrics.outcomes.Add(string(result.Code), 1)
+	if result.Code == code.BadAnswer {
+		r.opts.Logger.Warn("target gave a bad answer", "target", e.name, "error", result.Err)
+	}
 	var depth int
 	e.mu.Lock()
 	delete(e.running, j.id)
