--- a/admission/admission.go
+++ b/admission/admission.go
@@ -9,6 +9,7 @@
 package admission
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -72,27 +73,20 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.Mode, ModeAdaptive)
-	setDefault(&o.StartLimit, DefaultStartLimit)
-	setDefault(&o.MinLimit, DefaultMinLimit)
-	setDefault(&o.MaxLimit, DefaultMaxLimit)
-	setDefault(&o.MaxQueue, DefaultMaxQueue)
-	setDefault(&o.Tolerance, DefaultTolerance)
-	setDefault(&o.MaxFailures, DefaultMaxFailures)
-	setDefault(&o.Window, DefaultWindow)
-	setDefault(&o.LowShare, DefaultLowShare)
-	setDefault(&o.MinRetryAfter, DefaultMinRetryAfter)
-	setDefault(&o.MaxRetryAfter, DefaultMaxRetryAfter)
+	o.Mode = cmp.Or(o.Mode, ModeAdaptive)
+	o.StartLimit = cmp.Or(o.StartLimit, DefaultStartLimit)
+	o.MinLimit = cmp.Or(o.MinLimit, DefaultMinLimit)
+	o.MaxLimit = cmp.Or(o.MaxLimit, DefaultMaxLimit)
+	o.MaxQueue = cmp.Or(o.MaxQueue, DefaultMaxQueue)
+	o.Tolerance = cmp.Or(o.Tolerance, DefaultTolerance)
+	o.MaxFailures = cmp.Or(o.MaxFailures, DefaultMaxFailures)
+	o.Window = cmp.Or(o.Window, DefaultWindow)
+	o.LowShare = cmp.Or(o.LowShare, DefaultLowShare)
+	o.MinRetryAfter = cmp.Or(o.MinRetryAfter, DefaultMinRetryAfter)
+	o.MaxRetryAfter = cmp.Or(o.MaxRetryAfter, DefaultMaxRetryAfter)
 	return o
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Request asks for admission.
 type Request struct {
 	// ID is unique among the requests that wait or run.
--- a/hedge/hedge.go
+++ b/hedge/hedge.go
@@ -7,7 +7,10 @@
 // pure: time is passed in.
 package hedge
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Mode selects how the delay is found.
 type Mode string
@@ -54,25 +57,18 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.Mode, ModeAdaptive)
-	setDefault(&o.FixedDelay, DefaultStartDelay)
-	setDefault(&o.Quantile, DefaultQuantile)
-	setDefault(&o.MinDelay, DefaultMinDelay)
-	setDefault(&o.MaxDelay, DefaultMaxDelay)
-	setDefault(&o.StartDelay, DefaultStartDelay)
-	setDefault(&o.MedianRatio, DefaultMedianRatio)
-	setDefault(&o.MinSamples, DefaultMinSamples)
-	setDefault(&o.Rotation, DefaultRotation)
+	o.Mode = cmp.Or(o.Mode, ModeAdaptive)
+	o.FixedDelay = cmp.Or(o.FixedDelay, DefaultStartDelay)
+	o.Quantile = cmp.Or(o.Quantile, DefaultQuantile)
+	o.MinDelay = cmp.Or(o.MinDelay, DefaultMinDelay)
+	o.MaxDelay = cmp.Or(o.MaxDelay, DefaultMaxDelay)
+	o.StartDelay = cmp.Or(o.StartDelay, DefaultStartDelay)
+	o.MedianRatio = cmp.Or(o.MedianRatio, DefaultMedianRatio)
+	o.MinSamples = cmp.Or(o.MinSamples, DefaultMinSamples)
+	o.Rotation = cmp.Or(o.Rotation, DefaultRotation)
 	return o
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Estimator holds the latencies of one search's sub-requests. It is not
 // locked; the caller serialises.
 type Estimator struct {
--- a/link/frame.go
+++ b/link/frame.go
@@ -1,6 +1,10 @@
 package link
 
-import "github.com/goldcrestmux/goldcrestmux/wire"
+import (
+	"cmp"
+
+	"github.com/goldcrestmux/goldcrestmux/wire"
+)
 
 // countSubs returns the number of sub-requests in a frame.
 func countSubs(f *wire.Frame) int {
@@ -69,34 +73,14 @@
 }
 
 func overwriteSingles(out, f *wire.Frame) {
-	if f.Hello != nil {
-		out.Hello = f.Hello
-	}
-	if f.Ping != nil {
-		out.Ping = f.Ping
-	}
-	if f.Pong != nil {
-		out.Pong = f.Pong
-	}
-	if f.Offer != nil {
-		out.Offer = f.Offer
-	}
-	if f.FolderAsk != nil {
-		out.FolderAsk = f.FolderAsk
-	}
-	if f.FolderAnswer != nil {
-		out.FolderAnswer = f.FolderAnswer
-	}
-	if f.Refusal != nil {
-		out.Refusal = f.Refusal
-	}
-	if f.ViewOffer != nil {
-		out.ViewOffer = f.ViewOffer
-	}
-	if f.ViewAsk != nil {
-		out.ViewAsk = f.ViewAsk
-	}
-	if f.ViewAnswer != nil {
-		out.ViewAnswer = f.ViewAnswer
-	}
+	out.Hello = cmp.Or(f.Hello, out.Hello)
+	out.Ping = cmp.Or(f.Ping, out.Ping)
+	out.Pong = cmp.Or(f.Pong, out.Pong)
+	out.Offer = cmp.Or(f.Offer, out.Offer)
+	out.FolderAsk = cmp.Or(f.FolderAsk, out.FolderAsk)
+	out.FolderAnswer = cmp.Or(f.FolderAnswer, out.FolderAnswer)
+	out.Refusal = cmp.Or(f.Refusal, out.Refusal)
+	out.ViewOffer = cmp.Or(f.ViewOffer, out.ViewOffer)
+	out.ViewAsk = cmp.Or(f.ViewAsk, out.ViewAsk)
+	out.ViewAnswer = cmp.Or(f.ViewAnswer, out.ViewAnswer)
 }
--- a/replica/table.go
+++ b/replica/table.go
@@ -7,6 +7,7 @@
 package replica
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -61,22 +62,15 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.ShedPause, DefaultShedPause)
-	setDefault(&o.FailurePause, DefaultFailurePause)
-	setDefault(&o.MaxPause, DefaultMaxPause)
-	setDefault(&o.QueueMemory, DefaultQueueMemory)
-	setDefault(&o.ServiceDecay, DefaultServiceDecay)
-	setDefault(&o.Tolerance, DefaultTolerance)
+	o.ShedPause = cmp.Or(o.ShedPause, DefaultShedPause)
+	o.FailurePause = cmp.Or(o.FailurePause, DefaultFailurePause)
+	o.MaxPause = cmp.Or(o.MaxPause, DefaultMaxPause)
+	o.QueueMemory = cmp.Or(o.QueueMemory, DefaultQueueMemory)
+	o.ServiceDecay = cmp.Or(o.ServiceDecay, DefaultServiceDecay)
+	o.Tolerance = cmp.Or(o.Tolerance, DefaultTolerance)
 	return o
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Table holds the routes to all targets. It is not locked; the caller serialises.
 type Table struct {
 	opts    Options
