--- a/corpus/corpus.go
+++ b/corpus/corpus.go
@@ -15,7 +15,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/goldcrestmux/goldcrestmux/folder"
-	"github.com/goldcrestmux/goldcrestmux/platform"
+	"github.com/goldcrestmux/goldcrestmux/targetapi"
 	"github.com/goldcrestmux/goldcrestmux/wire"
 )
 
@@ -108,7 +108,7 @@
 
 // Search returns the number of entries that match the query, and the first of
 // them up to the query's limit. The entries must be in the order of answers.
-func Search(entries []Entry, q platform.Query) (matched int, top []wire.Record) {
+func Search(entries []Entry, q targetapi.Query) (matched int, top []wire.Record) {
 	for i := range entries {
 		e := &entries[i]
 		if !e.matches(q) {
@@ -123,13 +123,13 @@
 }
 
 // Expected returns the whole right answer to a query over all shards of a version.
-func (c *Corpus) Expected(version string, shardNames []string, q platform.Query) Answer {
+func (c *Corpus) Expected(version string, shardNames []string, q targetapi.Query) Answer {
 	return c.ExpectedWithout(version, shardNames, nil, q)
 }
 
 // ExpectedWithout returns the right answer to a query over all shards of a
 // version but the missing ones.
-func (c *Corpus) ExpectedWithout(version string, shardNames, missing []string, q platform.Query) Answer {
+func (c *Corpus) ExpectedWithout(version string, shardNames, missing []string, q targetapi.Query) Answer {
 	key := fmt.Sprintf("%s|%d|%s|%s|%s|%d", version, len(shardNames), strings.Join(missing, ","), q.Text, q.Category, q.Limit)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -143,7 +143,7 @@
 	return answer
 }
 
-func (c *Corpus) search(version string, shardNames, missing []string, q platform.Query) Answer {
+func (c *Corpus) search(version string, shardNames, missing []string, q targetapi.Query) Answer {
 	entries := c.entries(version)
 	if len(missing) > 0 {
 		sorted := slices.Sorted(slices.Values(shardNames))
@@ -208,7 +208,7 @@
 	return e
 }
 
-func (e *Entry) matches(q platform.Query) bool {
+func (e *Entry) matches(q targetapi.Query) bool {
 	if q.Category != "" && q.Category != e.Category {
 		return false
 	}
--- a/corpus/corpus_test.go
+++ b/corpus/corpus_test.go
@@ -7,7 +7,7 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/goldcrestmux/goldcrestmux/platform"
+	"github.com/goldcrestmux/goldcrestmux/targetapi"
 	"github.com/goldcrestmux/goldcrestmux/wire"
 )
 
@@ -17,7 +17,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		kind := rapid.SampledFrom([]Kind{Competition, Substance}).Draw(t, "kind")
 		o := Options{Seed: rapid.Uint64().Draw(t, "seed"), Search: "x", Kind: kind, Records: 200}
-		q := platform.Query{Limit: rapid.IntRange(0, 250).Draw(t, "limit")}
+		q := targetapi.Query{Limit: rapid.IntRange(0, 250).Draw(t, "limit")}
 		if rapid.Bool().Draw(t, "filter") {
 			q.Text = rapid.SampledFrom(Words(kind)).Draw(t, "word")
 		}
--- a/platform/config.go
+++ b/directory/config.go
@@ -1,4 +1,4 @@
-package platform
+package directory
 
 import (
 	"cmp"
--- /dev/null
+++ b/directory/protocol.go
@@ -0,0 +1,54 @@
+// Package directory holds the protocols of the configuration service and of the
+// list of VMs, and the clients that speak them. Both are HTTP with JSON bodies.
+package directory
+
+import "github.com/goldcrestmux/goldcrestmux/wire"
+
+// Paths of the configuration service and of the VM list.
+const (
+	// PathManifest answers a Manifest. With ?after=REVISION&wait=DURATION it is
+	// a watch: it answers when the revision is above REVISION, or 204 after DURATION.
+	PathManifest = "/v1/folder"
+	// PathFile + NAME answers the file's content, with its hash in HeaderSHA256.
+	PathFile = "/v1/folder/"
+	// PathVMs answers a VMList. ?from=DATACENTRE names the reader's data centre.
+	// With &known=SEQUENCE it answers 204 if the list is still at that sequence.
+	PathVMs = "/v1/vms"
+)
+
+// HeaderSHA256 carries the SHA-256 of a file's content in hex.
+const HeaderSHA256 = "Content-Sha256"
+
+// HeaderDataCentre names the data centre of a client, on each request to a
+// service of the platform or to a target.
+const HeaderDataCentre = "Client-Data-Centre"
+
+// Manifest lists the files of one revision of the folder.
+type Manifest struct {
+	Revision uint64         `json:"revision"`
+	Files    []ManifestFile `json:"files"`
+}
+
+// ManifestFile is one file of a Manifest.
+type ManifestFile struct {
+	Name   string `json:"name"`
+	SHA256 string `json:"sha256"`
+}
+
+// VMList is the platform's lagging list of VMs.
+type VMList struct {
+	// Sequence grows with each change of the list.
+	Sequence uint64 `json:"sequence"`
+	VMs      []VM   `json:"vms"`
+}
+
+// VM is one entry of a VMList.
+type VM struct {
+	Name       string `json:"name"`
+	DataCentre string `json:"data_centre"`
+	Region     string `json:"region"`
+	// Leaving is true from the moment that the platform decides to stop the VM.
+	Leaving bool `json:"leaving,omitempty"`
+	// Links maps a role ("gateway", "relay") to the host and port of its link listener.
+	Links map[wire.Role]string `json:"links"`
+}
--- a/gateway/api.go
+++ b/gateway/api.go
@@ -10,7 +10,7 @@
 
 	"github.com/goldcrestmux/goldcrestmux/code"
 	"github.com/goldcrestmux/goldcrestmux/coverage"
-	"github.com/goldcrestmux/goldcrestmux/platform"
+	"github.com/goldcrestmux/goldcrestmux/targetapi"
 	"github.com/goldcrestmux/goldcrestmux/wire"
 	"github.com/juju/errors"
 	"goji.io"
@@ -26,8 +26,8 @@
 // SearchRequest is the body of POST /v1/search/{search}.
 type SearchRequest struct {
 	// ID is the caller's own name for the request; the answer repeats it.
-	ID    string         `json:"id,omitempty"`
-	Query platform.Query `json:"query"`
+	ID    string          `json:"id,omitempty"`
+	Query targetapi.Query `json:"query"`
 	// DeadlineMillis is how long the caller waits, in milliseconds; 0 means the
 	// search's own deadline, which also is the longest.
 	DeadlineMillis int64 `json:"deadline_ms,omitempty"`
@@ -63,9 +63,9 @@
 // ActionRequest is the body of POST /v1/action/{search}: work that is not
 // idempotent and runs at most once.
 type ActionRequest struct {
-	ID             string          `json:"id,omitempty"`
-	Action         platform.Action `json:"action"`
-	DeadlineMillis int64           `json:"deadline_ms,omitempty"`
+	ID             string           `json:"id,omitempty"`
+	Action         targetapi.Action `json:"action"`
+	DeadlineMillis int64            `json:"deadline_ms,omitempty"`
 }
 
 // ActionAnswer is the body of a 200 answer to an action.
--- a/load/api.go
+++ b/load/api.go
@@ -13,7 +13,7 @@
 	"github.com/juju/errors"
 
 	"github.com/goldcrestmux/goldcrestmux/code"
-	"github.com/goldcrestmux/goldcrestmux/platform"
+	"github.com/goldcrestmux/goldcrestmux/targetapi"
 	"github.com/goldcrestmux/goldcrestmux/wire"
 )
 
@@ -34,15 +34,15 @@
 const clientPrefix = "client_"
 
 type searchBody struct {
-	Query          platform.Query `json:"query"`
-	DeadlineMillis int64          `json:"deadline_ms"`
-	ID             string         `json:"id"`
+	Query          targetapi.Query `json:"query"`
+	DeadlineMillis int64           `json:"deadline_ms"`
+	ID             string          `json:"id"`
 }
 
 type actionBody struct {
-	ID             string          `json:"id"`
-	Action         platform.Action `json:"action"`
-	DeadlineMillis int64           `json:"deadline_ms"`
+	ID             string           `json:"id"`
+	Action         targetapi.Action `json:"action"`
+	DeadlineMillis int64            `json:"deadline_ms"`
 }
 
 // SearchAnswer is a gateway's answer to a search.
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -14,8 +14,8 @@
 
 	"github.com/goldcrestmux/goldcrestmux/code"
 	"github.com/goldcrestmux/goldcrestmux/corpus"
-	"github.com/goldcrestmux/goldcrestmux/platform"
 	"github.com/goldcrestmux/goldcrestmux/standin"
+	"github.com/goldcrestmux/goldcrestmux/targetapi"
 	"github.com/goldcrestmux/goldcrestmux/wire"
 )
 
@@ -53,7 +53,7 @@
 		t.Fatal(err)
 	}
 	c := newChecker([]standin.Layout{layout})
-	r := Request{ID: "r1", Stream: &Stream{Search: search}, Query: platform.Query{Limit: 10}}
+	r := Request{ID: "r1", Stream: &Stream{Search: search}, Query: targetapi.Query{Limit: 10}}
 	tests := []struct {
 		name    string
 		missing string
@@ -156,10 +156,10 @@
 	i := slices.IndexFunc(g.layout.Searches[0].Versions[0].Shards, func(s standin.ShardLayout) bool { return s.Name == shard })
 	name := g.layout.Searches[0].Versions[0].Shards[i].Targets[0]
 	j := slices.IndexFunc(g.layout.Targets, func(t standin.TargetLayout) bool { return t.Name == name })
-	client := platform.NewTargetClient(platform.TargetOptions{Address: g.layout.Targets[j].Address})
+	client := targetapi.NewTargetClient(targetapi.TargetOptions{Address: g.layout.Targets[j].Address})
 	defer client.Close()
 	payload, _ := json.Marshal(body.Action)
-	result := client.Do(r.Context(), platform.PathAction, &platform.TargetRequest{
+	result := client.Do(r.Context(), targetapi.PathAction, &targetapi.TargetRequest{
 		ID: body.Action.ID, Search: search, Version: "v1", Shard: shard, Payload: payload,
 	}, time.Now().Add(time.Minute))
 	if result.Code != code.OK {
--- a/load/schedule.go
+++ b/load/schedule.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/goldcrestmux/goldcrestmux/corpus"
-	"github.com/goldcrestmux/goldcrestmux/platform"
+	"github.com/goldcrestmux/goldcrestmux/targetapi"
 )
 
 // Shares of the queries that ask for a word and for a category.
@@ -26,8 +26,8 @@
 	At       time.Duration
 	Stream   *Stream
 	IsAction bool
-	Query    platform.Query
-	Action   platform.Action
+	Query    targetapi.Query
+	Action   targetapi.Action
 }
 
 // schedule makes the requests of one stream in the order of their times. It
@@ -60,15 +60,15 @@
 	r := Request{ID: fmt.Sprintf("%s-%s-%d", s.run, s.stream.Caller, s.made), At: s.at, Stream: s.stream}
 	if s.rng.Float64() < s.stream.Actions {
 		r.IsAction = true
-		r.Action = platform.Action{ID: r.ID, Key: corpus.Key(s.kind, s.rng.IntN(s.records)), Score: float64(s.rng.IntN(100))}
+		r.Action = targetapi.Action{ID: r.ID, Key: corpus.Key(s.kind, s.rng.IntN(s.records)), Score: float64(s.rng.IntN(100))}
 		return r, true
 	}
 	r.Query = s.query()
 	return r, true
 }
 
-func (s *schedule) query() platform.Query {
-	q := platform.Query{Limit: pick(s.rng, limits)}
+func (s *schedule) query() targetapi.Query {
+	q := targetapi.Query{Limit: pick(s.rng, limits)}
 	if s.rng.Float64() < wordShare {
 		q.Text = pick(s.rng, corpus.Words(s.kind))
 	}
--- a/node/folders.go
+++ b/node/folders.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/goldcrestmux/goldcrestmux/directory"
 	"github.com/goldcrestmux/goldcrestmux/folder"
-	"github.com/goldcrestmux/goldcrestmux/platform"
 	"github.com/goldcrestmux/goldcrestmux/revision"
 	"github.com/goldcrestmux/goldcrestmux/wire"
 	"github.com/juju/errors"
@@ -245,7 +245,7 @@
 	return nil
 }
 
-func (f *folders) service() *platform.Config {
+func (f *folders) service() *directory.Config {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.node.opts.Folders[f.active]
@@ -268,7 +268,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	metrics.serviceCalls.Add(1)
-	data, err := f.service().File(ctx, platform.ManifestFile{Name: a.Name, SHA256: a.SHA256})
+	data, err := f.service().File(ctx, directory.ManifestFile{Name: a.Name, SHA256: a.SHA256})
 	if err != nil {
 		metrics.serviceErrors.Add(1)
 		f.node.opts.Logger.Warn("folder file can't be read", "file", a.Name, "error", err)
--- a/node/node.go
+++ b/node/node.go
@@ -11,10 +11,10 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/goldcrestmux/goldcrestmux/directory"
 	"github.com/goldcrestmux/goldcrestmux/folder"
 	"github.com/goldcrestmux/goldcrestmux/link"
 	"github.com/goldcrestmux/goldcrestmux/member"
-	"github.com/goldcrestmux/goldcrestmux/platform"
 	"github.com/goldcrestmux/goldcrestmux/revision"
 	"github.com/goldcrestmux/goldcrestmux/view"
 	"github.com/goldcrestmux/goldcrestmux/wire"
@@ -46,7 +46,7 @@
 	// Contracts tells that a revision of the folder came into force.
 	Contracts func(*folder.Contracts)
 	// View tells of a copy of the VM list and when the platform was asked for it.
-	View func(list platform.VMList, asOf time.Time)
+	View func(list directory.VMList, asOf time.Time)
 	// ListDown tells whether nobody within reach has a fresh copy of the list.
 	ListDown func(down bool)
 	// Gap tells that the process was paused.
@@ -62,9 +62,9 @@
 	Logger *slog.Logger
 	Links  Links
 	// Folders are clients of the configuration service, tried in order.
-	Folders []*platform.Config
+	Folders []*directory.Config
 	// VMs is the client of the platform's VM list.
-	VMs *platform.VMs
+	VMs *directory.VMs
 	// VMPoll is the interval between two reads of the VM list.
 	VMPoll time.Duration
 	// VMMaxAge is the age from which on a copy of the list is not fresh.
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -9,8 +9,8 @@
 	"github.com/goldcrestmux/goldcrestmux/code"
 	"github.com/goldcrestmux/goldcrestmux/folder"
 	"github.com/goldcrestmux/goldcrestmux/link"
-	"github.com/goldcrestmux/goldcrestmux/platform"
 	"github.com/goldcrestmux/goldcrestmux/target"
+	"github.com/goldcrestmux/goldcrestmux/targetapi"
 	"github.com/goldcrestmux/goldcrestmux/wire"
 )
 
@@ -18,7 +18,7 @@
 type entry struct {
 	relay  *Relay
 	name   string
-	client *platform.TargetClient
+	client *targetapi.TargetClient
 	// due is the machine's next tick in nanoseconds since Relay.started, or 0
 	// for none. It is written under mu and read without.
 	due atomic.Int64
@@ -39,7 +39,7 @@
 		relay:    r,
 		name:     c.Name,
 		contract: c,
-		client: platform.NewTargetClient(platform.TargetOptions{
+		client: targetapi.NewTargetClient(targetapi.TargetOptions{
 			Address:     c.Address,
 			DataCentre:  r.opts.Self.DataCentre,
 			Relay:       r.opts.Self.Name(),
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/goldcrestmux/goldcrestmux/platform"
 	"github.com/goldcrestmux/goldcrestmux/target"
+	"github.com/goldcrestmux/goldcrestmux/targetapi"
 	"github.com/juju/errors"
 )
 
@@ -60,7 +60,7 @@
 
 // search sends an idempotent request. If it stalls while the target answers on
 // a new connection, it is withdrawn there and sent once more, on a new one.
-func (r *Relay) search(e *entry, j *job, request *platform.TargetRequest, deadline time.Time) platform.Result {
+func (r *Relay) search(e *entry, j *job, request *targetapi.TargetRequest, deadline time.Time) targetapi.Result {
 	ctx, withdraw := context.WithCancelCause(j.ctx)
 	defer withdraw(nil)
 	e.mu.Lock()
@@ -68,7 +68,7 @@
 	e.mu.Unlock()
 	sent := time.Now()
 	timer := time.AfterFunc(after, func() { r.stalled(e, sent, withdraw) })
-	result := e.client.Do(ctx, platform.PathSearch, request, deadline)
+	result := e.client.Do(ctx, targetapi.PathSearch, request, deadline)
 	timer.Stop()
 	if context.Cause(ctx) != errStalled || result.Answer != nil || j.ctx.Err() != nil {
 		return result
@@ -78,7 +78,7 @@
 	}
 	metrics.resent.Add(1)
 	request.ID += "-again"
-	return e.client.Do(j.ctx, platform.PathSearch, request, deadline)
+	return e.client.Do(j.ctx, targetapi.PathSearch, request, deadline)
 }
 
 // stalled looks into a request that got no answer for long.
--- a/relay/work.go
+++ b/relay/work.go
@@ -9,8 +9,8 @@
 
 	"github.com/goldcrestmux/goldcrestmux/code"
 	"github.com/goldcrestmux/goldcrestmux/permit"
-	"github.com/goldcrestmux/goldcrestmux/platform"
 	"github.com/goldcrestmux/goldcrestmux/target"
+	"github.com/goldcrestmux/goldcrestmux/targetapi"
 	"github.com/goldcrestmux/goldcrestmux/wire"
 	"github.com/juju/errors"
 )
@@ -85,10 +85,10 @@
 func (r *Relay) run(w readyJob) {
 	e, j := w.entry, w.job
 	if !r.permits.mayStart(e) {
-		r.finish(w, platform.Result{Code: code.NotHeld, Run: code.NotRun})
+		r.finish(w, targetapi.Result{Code: code.NotHeld, Run: code.NotRun})
 		return
 	}
-	request := &platform.TargetRequest{
+	request := &targetapi.TargetRequest{
 		ID:      fmt.Sprintf("%d-%s-%d", j.id.link.Peer().Incarnation, j.id.link.Peer().VM, j.sub.ID),
 		Search:  j.batch.Search,
 		Version: j.batch.Version,
@@ -98,7 +98,7 @@
 	metrics.sent.Add(1)
 	deadline := r.targetDeadline(time.Now(), j.deadline)
 	if j.batch.Action {
-		r.finish(w, e.client.Do(j.ctx, platform.PathAction, request, deadline))
+		r.finish(w, e.client.Do(j.ctx, targetapi.PathAction, request, deadline))
 		return
 	}
 	r.finish(w, r.search(e, j, request, deadline))
@@ -116,7 +116,7 @@
 }
 
 // finish tells the target's machine how a job ended, then the gateway.
-func (r *Relay) finish(w readyJob, result platform.Result) {
+func (r *Relay) finish(w readyJob, result targetapi.Result) {
 	e, j := w.entry, w.job
 	metrics.outcomes.Add(string(result.Code), 1)
 	if result.Code == code.BadAnswer {
@@ -137,7 +137,7 @@
 	j.reply(reply)
 }
 
-func newReply(result platform.Result, depth int) wire.Reply {
+func newReply(result targetapi.Result, depth int) wire.Reply {
 	reply := wire.Reply{
 		Code:          result.Code,
 		Run:           result.Run,
@@ -159,7 +159,7 @@
 }
 
 // outcome turns a result into what the target's machine learns from.
-func outcome(ticket target.Ticket, result platform.Result) target.Outcome {
+func outcome(ticket target.Ticket, result targetapi.Result) target.Outcome {
 	return target.Outcome{
 		Kind:     kind(result),
 		Ticket:   ticket,
@@ -169,7 +169,7 @@
 	}
 }
 
-func kind(result platform.Result) target.Kind {
+func kind(result targetapi.Result) target.Kind {
 	switch result.Code {
 	case code.OK, code.BadAnswer:
 		return target.OK
@@ -193,7 +193,7 @@
 // canceledKind tells a cancellation that the target confirmed, or that left
 // before the request did, from one that got no answer: then the connection may
 // be silent, as after a timeout.
-func canceledKind(result platform.Result) target.Kind {
+func canceledKind(result targetapi.Result) target.Kind {
 	if result.Sent && result.Refusal == nil {
 		return target.Timeout
 	}
--- a/revision/accept.go
+++ b/revision/accept.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/goldcrestmux/goldcrestmux/directory"
 	"github.com/goldcrestmux/goldcrestmux/folder"
-	"github.com/goldcrestmux/goldcrestmux/platform"
 )
 
 // advance accepts what is complete and fetches what is missing.
@@ -50,8 +50,8 @@
 	})
 }
 
-func (s *State) missing(c *candidate) []platform.ManifestFile {
-	var missing []platform.ManifestFile
+func (s *State) missing(c *candidate) []directory.ManifestFile {
+	var missing []directory.ManifestFile
 	for _, f := range c.files {
 		if _, ok := s.contents[f.SHA256]; !ok {
 			missing = append(missing, f)
--- a/revision/action.go
+++ b/revision/action.go
@@ -7,8 +7,8 @@
 	"slices"
 	"strconv"
 
+	"github.com/goldcrestmux/goldcrestmux/directory"
 	"github.com/goldcrestmux/goldcrestmux/folder"
-	"github.com/goldcrestmux/goldcrestmux/platform"
 	"github.com/goldcrestmux/goldcrestmux/wire"
 )
 
@@ -84,16 +84,16 @@
 // candidate is a revision that may come into force.
 type candidate struct {
 	key
-	files  []platform.ManifestFile // sorted by name
+	files  []directory.ManifestFile // sorted by name
 	source Source
 	// service is true if the configuration service itself named the content.
 	service bool
 }
 
 // newCandidate returns nil if the manifest is malformed.
-func newCandidate(m *platform.Manifest, source Source) *candidate {
+func newCandidate(m *directory.Manifest, source Source) *candidate {
 	files := slices.Clone(m.Files)
-	slices.SortFunc(files, func(a, b platform.ManifestFile) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(files, func(a, b directory.ManifestFile) int { return cmp.Compare(a.Name, b.Name) })
 	if m.Revision == 0 {
 		return nil
 	}
@@ -112,7 +112,7 @@
 }
 
 // digest returns the SHA-256, in hex, over the revision and the sorted files.
-func digest(revision uint64, files []platform.ManifestFile) string {
+func digest(revision uint64, files []directory.ManifestFile) string {
 	h := sha256.New()
 	h.Write(strconv.AppendUint(nil, revision, 10))
 	for _, f := range files {
--- a/revision/state.go
+++ b/revision/state.go
@@ -12,7 +12,7 @@
 	"slices"
 	"time"
 
-	"github.com/goldcrestmux/goldcrestmux/platform"
+	"github.com/goldcrestmux/goldcrestmux/directory"
 	"github.com/goldcrestmux/goldcrestmux/wire"
 )
 
@@ -90,7 +90,7 @@
 }
 
 // Manifest takes a manifest that a source named.
-func (s *State) Manifest(now time.Time, source Source, m platform.Manifest) []Action {
+func (s *State) Manifest(now time.Time, source Source, m directory.Manifest) []Action {
 	c := newCandidate(&m, source)
 	if c == nil {
 		s.counts.Malformed++
@@ -134,9 +134,9 @@
 	if answer.Revision == 0 {
 		return s.advance(now)
 	}
-	m := platform.Manifest{Revision: answer.Revision}
+	m := directory.Manifest{Revision: answer.Revision}
 	for _, f := range answer.Files {
-		m.Files = append(m.Files, platform.ManifestFile{Name: f.Name, SHA256: f.SHA256})
+		m.Files = append(m.Files, directory.ManifestFile{Name: f.Name, SHA256: f.SHA256})
 	}
 	c := newCandidate(&m, Source{Peer: peer})
 	if c == nil {
--- a/revision/state_test.go
+++ b/revision/state_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/juju/errors"
 
+	"github.com/goldcrestmux/goldcrestmux/directory"
 	"github.com/goldcrestmux/goldcrestmux/folder"
-	"github.com/goldcrestmux/goldcrestmux/platform"
 	"github.com/goldcrestmux/goldcrestmux/wire"
 )
 
@@ -35,10 +35,10 @@
 
 type content map[string]string
 
-func manifest(revision uint64, c content) platform.Manifest {
-	m := platform.Manifest{Revision: revision}
+func manifest(revision uint64, c content) directory.Manifest {
+	m := directory.Manifest{Revision: revision}
 	for name, data := range c {
-		m.Files = append(m.Files, platform.ManifestFile{Name: name, SHA256: hashOf([]byte(data))})
+		m.Files = append(m.Files, directory.ManifestFile{Name: name, SHA256: hashOf([]byte(data))})
 	}
 	return m
 }
--- a/slopes/memory.go
+++ b/slopes/memory.go
@@ -14,10 +14,10 @@
 	"github.com/goldcrestmux/goldcrestmux/gateway"
 	"github.com/goldcrestmux/goldcrestmux/link"
 	"github.com/goldcrestmux/goldcrestmux/member"
-	"github.com/goldcrestmux/goldcrestmux/platform"
 	"github.com/goldcrestmux/goldcrestmux/query"
 	"github.com/goldcrestmux/goldcrestmux/relay"
 	"github.com/goldcrestmux/goldcrestmux/replica"
+	"github.com/goldcrestmux/goldcrestmux/targetapi"
 	"github.com/goldcrestmux/goldcrestmux/wire"
 )
 
@@ -216,15 +216,15 @@
 			accepted <- conn
 		}
 	}()
-	client := platform.NewTargetClient(platform.TargetOptions{
-		Address: listener.Addr().String(), Connections: n + 2, Pacer: platform.PacerOptions{Dials: n, Spacing: time.Nanosecond},
+	client := targetapi.NewTargetClient(targetapi.TargetOptions{
+		Address: listener.Addr().String(), Connections: n + 2, Pacer: targetapi.PacerOptions{Dials: n, Spacing: time.Nanosecond},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{}, n)
 	for i := range n {
 		go func() {
-			request := &platform.TargetRequest{ID: fmt.Sprint(i), Search: "all", Version: "v1", Shard: "s000", Payload: wire.RawJSON(`{}`)}
-			client.Do(ctx, platform.PathSearch, request, time.Now().Add(time.Minute))
+			request := &targetapi.TargetRequest{ID: fmt.Sprint(i), Search: "all", Version: "v1", Shard: "s000", Payload: wire.RawJSON(`{}`)}
+			client.Do(ctx, targetapi.PathSearch, request, time.Now().Add(time.Minute))
 			done <- struct{}{}
 		}()
 	}
--- a/standin/answer.go
+++ b/standin/answer.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/goldcrestmux/goldcrestmux/corpus"
-	"github.com/goldcrestmux/goldcrestmux/platform"
+	"github.com/goldcrestmux/goldcrestmux/targetapi"
 )
 
 // garbage is the body of a faulty answer.
@@ -43,8 +43,8 @@
 	}
 }
 
-func (j *job) result() platform.TargetAnswer {
-	answer := platform.TargetAnswer{
+func (j *job) result() targetapi.TargetAnswer {
+	answer := targetapi.TargetAnswer{
 		ID: j.request.ID, Search: j.request.Search,
 		Version: j.request.Version, Shard: j.request.Shard,
 	}
@@ -59,7 +59,7 @@
 }
 
 // cross returns the answer to another request, or one with a foreign id.
-func cross(answer platform.TargetAnswer, previous *platform.TargetAnswer) platform.TargetAnswer {
+func cross(answer targetapi.TargetAnswer, previous *targetapi.TargetAnswer) targetapi.TargetAnswer {
 	if previous != nil && previous.ID != answer.ID {
 		return *previous
 	}
--- a/standin/serve.go
+++ b/standin/serve.go
@@ -9,13 +9,15 @@
 	"strconv"
 	"time"
 
+	"github.com/goldcrestmux/goldcrestmux/directory"
+
 	"github.com/juju/errors"
 	"goji.io"
 	"goji.io/pat"
 
 	"github.com/goldcrestmux/goldcrestmux/code"
 	"github.com/goldcrestmux/goldcrestmux/corpus"
-	"github.com/goldcrestmux/goldcrestmux/platform"
+	"github.com/goldcrestmux/goldcrestmux/targetapi"
 )
 
 const (
@@ -29,10 +31,10 @@
 type job struct {
 	t        *Target
 	received time.Time
-	request  platform.TargetRequest
-	action   platform.Action
+	request  targetapi.TargetRequest
+	action   targetapi.Action
 	isAction bool
-	query    platform.Query
+	query    targetapi.Query
 	from     string // data centre of the relay
 	relay    string
 	ctx      context.Context
@@ -43,15 +45,15 @@
 
 func (t *Target) handler() http.Handler {
 	mux := goji.NewMux()
-	mux.HandleFunc(pat.Post(platform.PathSearch), func(w http.ResponseWriter, r *http.Request) { t.serve(w, r, false) })
-	mux.HandleFunc(pat.Post(platform.PathAction), func(w http.ResponseWriter, r *http.Request) { t.serve(w, r, true) })
-	mux.HandleFunc(pat.Post(platform.PathCancel), t.serveCancel)
-	mux.HandleFunc(pat.Get(platform.PathHealth), t.serveHealth)
+	mux.HandleFunc(pat.Post(targetapi.PathSearch), func(w http.ResponseWriter, r *http.Request) { t.serve(w, r, false) })
+	mux.HandleFunc(pat.Post(targetapi.PathAction), func(w http.ResponseWriter, r *http.Request) { t.serve(w, r, true) })
+	mux.HandleFunc(pat.Post(targetapi.PathCancel), t.serveCancel)
+	mux.HandleFunc(pat.Get(targetapi.PathHealth), t.serveHealth)
 	return mux
 }
 
 func (t *Target) serveHealth(w http.ResponseWriter, r *http.Request) {
-	from := r.Header.Get(platform.HeaderDataCentre)
+	from := r.Header.Get(directory.HeaderDataCentre)
 	t.swallowIfCutOff(from, r)
 	time.Sleep(2 * t.distance(from, t.layout.DataCentre))
 	t.setHeaders(w, r)
@@ -59,11 +61,11 @@
 }
 
 func (t *Target) serveCancel(w http.ResponseWriter, r *http.Request) {
-	from := r.Header.Get(platform.HeaderDataCentre)
+	from := r.Header.Get(directory.HeaderDataCentre)
 	t.swallowIfCutOff(from, r)
-	var cancel platform.TargetCancel
+	var cancel targetapi.TargetCancel
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(&cancel); err != nil {
-		t.refuse(w, r, &platform.TargetRefusal{Code: string(code.BadRequest), NotRun: true}, http.StatusBadRequest)
+		t.refuse(w, r, &targetapi.TargetRefusal{Code: string(code.BadRequest), NotRun: true}, http.StatusBadRequest)
 		return
 	}
 	time.Sleep(t.distance(from, t.layout.DataCentre))
@@ -81,7 +83,7 @@
 func (t *Target) serve(w http.ResponseWriter, r *http.Request, isAction bool) {
 	j := &job{
 		t: t, received: time.Now(), isAction: isAction, index: -1,
-		from: r.Header.Get(platform.HeaderDataCentre), relay: r.Header.Get(platform.HeaderRelay),
+		from: r.Header.Get(directory.HeaderDataCentre), relay: r.Header.Get(targetapi.HeaderRelay),
 	}
 	t.swallowIfCutOff(j.from, r)
 	if err := j.parse(w, r); err != nil {
@@ -127,7 +129,7 @@
 // begin registers the request for cancellation and starts its deadline.
 func (j *job) begin(r *http.Request) func() {
 	left := defaultDeadline
-	if micros, err := strconv.ParseInt(r.Header.Get(platform.HeaderDeadline), 10, 64); err == nil {
+	if micros, err := strconv.ParseInt(r.Header.Get(targetapi.HeaderDeadline), 10, 64); err == nil {
 		left = time.Duration(micros) * time.Microsecond
 	}
 	t := j.t
@@ -168,7 +170,7 @@
 
 // admit starts the execution, or tells why the target refuses it. A cold
 // target that can't bear the work falls over.
-func (j *job) admit() (*platform.TargetRefusal, int) {
+func (j *job) admit() (*targetapi.TargetRefusal, int) {
 	t := j.t
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -270,12 +272,12 @@
 	return code.Timeout
 }
 
-func (j *job) refusal(c code.Code, notRun bool) *platform.TargetRefusal {
-	return &platform.TargetRefusal{ID: j.request.ID, Code: string(c), NotRun: notRun}
+func (j *job) refusal(c code.Code, notRun bool) *targetapi.TargetRefusal {
+	return &targetapi.TargetRefusal{ID: j.request.ID, Code: string(c), NotRun: notRun}
 }
 
 // refuse answers a request that doesn't run to its end.
-func (t *Target) refuse(w http.ResponseWriter, r *http.Request, refusal *platform.TargetRefusal, status int) {
+func (t *Target) refuse(w http.ResponseWriter, r *http.Request, refusal *targetapi.TargetRefusal, status int) {
 	t.mu.Lock()
 	t.stats.Refused++
 	t.mu.Unlock()
@@ -291,12 +293,12 @@
 	conn, _ := r.Context().Value(connKey{}).(*targetConn)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	w.Header().Set(platform.HeaderBoot, t.bootID)
+	w.Header().Set(targetapi.HeaderBoot, t.bootID)
 	if t.told.IsZero() && (conn == nil || !conn.silent.Load()) {
 		t.told = time.Now()
 	}
 	if t.draining {
-		w.Header().Set(platform.HeaderDraining, "true")
+		w.Header().Set(targetapi.HeaderDraining, "true")
 	}
 }
 
--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -10,8 +10,9 @@
 
 	"github.com/goldcrestmux/goldcrestmux/code"
 	"github.com/goldcrestmux/goldcrestmux/corpus"
-	"github.com/goldcrestmux/goldcrestmux/platform"
+	"github.com/goldcrestmux/goldcrestmux/directory"
 	"github.com/goldcrestmux/goldcrestmux/standin"
+	"github.com/goldcrestmux/goldcrestmux/targetapi"
 	"github.com/goldcrestmux/goldcrestmux/wire"
 )
 
@@ -26,7 +27,7 @@
 	name    string // of the target
 	shard   string
 	address string
-	client  *platform.TargetClient
+	client  *targetapi.TargetClient
 	sent    int
 }
 
@@ -43,23 +44,23 @@
 	for _, target := range s.Layout().Targets {
 		if target.Name == b.name {
 			b.address = target.Address
-			b.client = platform.NewTargetClient(platform.TargetOptions{Address: target.Address, DataCentre: target.DataCentre, Connections: 20})
+			b.client = targetapi.NewTargetClient(targetapi.TargetOptions{Address: target.Address, DataCentre: target.DataCentre, Connections: 20})
 		}
 	}
 	return b
 }
 
-func (b *bench) request(version string) *platform.TargetRequest {
+func (b *bench) request(version string) *targetapi.TargetRequest {
 	b.sent++
-	return &platform.TargetRequest{
+	return &targetapi.TargetRequest{
 		ID: fmt.Sprintf("r%d", b.sent), Search: "small", Version: version, Shard: b.shard,
 		Payload: wire.RawJSON(`{"limit":5}`),
 	}
 }
 
-func (b *bench) do(want code.Code) platform.Result {
+func (b *bench) do(want code.Code) targetapi.Result {
 	b.Helper()
-	result := b.client.Do(b.ctx, platform.PathSearch, b.request("v1"), time.Now().Add(ample))
+	result := b.client.Do(b.ctx, targetapi.PathSearch, b.request("v1"), time.Now().Add(ample))
 	if result.Code != want {
 		b.Fatalf("got %s, want %s: %v", result.Code, want, result.Err)
 	}
@@ -84,18 +85,18 @@
 }
 
 // holdOne starts a request that runs until the returned function stops it.
-func (b *bench) holdOne() (release func() platform.Result) {
+func (b *bench) holdOne() (release func() targetapi.Result) {
 	ctx, cancel := context.WithCancel(b.ctx)
-	done := make(chan platform.Result, 1)
+	done := make(chan targetapi.Result, 1)
 	started := b.detail().Stats.Started
 	req := b.request("v1")
-	go func() { done <- b.client.Do(ctx, platform.PathSearch, req, time.Now().Add(ample)) }()
+	go func() { done <- b.client.Do(ctx, targetapi.PathSearch, req, time.Now().Add(ample)) }()
 	for b.detail().Stats.Started == started {
 		if b.ctx.Err() != nil {
 			b.Fatal("the request didn't start")
 		}
 	}
-	return func() platform.Result {
+	return func() targetapi.Result {
 		cancel()
 		return <-done
 	}
@@ -109,7 +110,7 @@
 	layout := b.s.Layout()
 	version := layout.Searches[0].Versions[0]
 	c := corpus.New(corpus.Options{Seed: 3, Search: "small", Kind: layout.Searches[0].Kind, Records: layout.Records})
-	matched, top := corpus.Search(c.Shard("v1", version.ShardNames(), b.shard), platform.Query{Limit: 5})
+	matched, top := corpus.Search(c.Shard("v1", version.ShardNames(), b.shard), targetapi.Query{Limit: 5})
 	if int(result.Answer.Matched) != matched || !reflect.DeepEqual(result.Answer.Records, top) {
 		t.Fatalf("got %+v, want %d: %+v", result.Answer, matched, top)
 	}
@@ -189,7 +190,7 @@
 	b.change(standin.TargetChange{Return: true})
 	b.do(code.OK)
 	b.change(standin.TargetChange{Silence: 1})
-	if result := b.client.Do(b.ctx, platform.PathSearch, b.request("v1"), time.Now().Add(500*time.Millisecond)); result.Code != code.Timeout {
+	if result := b.client.Do(b.ctx, targetapi.PathSearch, b.request("v1"), time.Now().Add(500*time.Millisecond)); result.Code != code.Timeout {
 		t.Fatalf("a silent connection gave %s", result.Code)
 	}
 	b.do(code.OK)
@@ -213,9 +214,9 @@
 		t.Fatalf("health %+v after %+v, %v", now, old, err)
 	}
 
-	vms := platform.NewVMs(platform.ClientOptions{Address: b.s.PlatformAddress()})
+	vms := directory.NewVMs(directory.ClientOptions{Address: b.s.PlatformAddress()})
 	for _, lag := range []standin.Duration{0, hour} {
-		if err := b.admin.SetVMs(b.ctx, standin.VMsChange{Lag: &lag, VMs: []platform.VM{{Name: "vm-" + lag.Std().String()}}}); err != nil {
+		if err := b.admin.SetVMs(b.ctx, standin.VMsChange{Lag: &lag, VMs: []directory.VM{{Name: "vm-" + lag.Std().String()}}}); err != nil {
 			t.Fatal(err)
 		}
 		list, err := vms.List(b.ctx)
@@ -232,11 +233,11 @@
 	}
 	defer s.Close()
 	layout := s.Layout()
-	client := platform.NewTargetClient(platform.TargetOptions{Address: layout.Targets[0].Address})
-	req := platform.TargetRequest{ID: "r", Search: "small", Version: "v1", Shard: layout.Searches[0].Versions[0].Shards[0].Name, Payload: wire.RawJSON(`{"limit":10}`)}
+	client := targetapi.NewTargetClient(targetapi.TargetOptions{Address: layout.Targets[0].Address})
+	req := targetapi.TargetRequest{ID: "r", Search: "small", Version: "v1", Shard: layout.Searches[0].Versions[0].Shards[0].Name, Payload: wire.RawJSON(`{"limit":10}`)}
 	b.ReportAllocs()
 	for b.Loop() {
-		if result := client.Do(b.Context(), platform.PathSearch, &req, time.Now().Add(ample)); result.Code != code.OK {
+		if result := client.Do(b.Context(), targetapi.PathSearch, &req, time.Now().Add(ample)); result.Code != code.OK {
 			b.Fatal(result.Err)
 		}
 	}
@@ -244,8 +245,8 @@
 
 func TestDeadlineStopsWork(t *testing.T) {
 	b := newBench(t, standin.Options{Warm: true, Service: slow})
-	patient := platform.NewTargetClient(platform.TargetOptions{Address: b.address, Grace: ample})
-	result := patient.Do(b.ctx, platform.PathSearch, b.request("v1"), time.Now().Add(500*time.Millisecond))
+	patient := targetapi.NewTargetClient(targetapi.TargetOptions{Address: b.address, Grace: ample})
+	result := patient.Do(b.ctx, targetapi.PathSearch, b.request("v1"), time.Now().Add(500*time.Millisecond))
 	if result.Code != code.Timeout || result.Refusal == nil || result.Run != code.RunUnknown {
 		t.Fatalf("got %s, refusal %v: %v", result.Code, result.Refusal, result.Err)
 	}
@@ -303,7 +304,7 @@
 	for range 2 {
 		req := b.request("v1")
 		req.Payload = wire.RawJSON(`{"id":"a1","key":"C-000001","score":4}`)
-		if result := b.client.Do(b.ctx, platform.PathAction, req, time.Now().Add(ample)); result.Code != code.OK {
+		if result := b.client.Do(b.ctx, targetapi.PathAction, req, time.Now().Add(ample)); result.Code != code.OK {
 			t.Fatalf("got %s: %v", result.Code, result.Err)
 		}
 	}
--- a/standin/target.go
+++ b/standin/target.go
@@ -16,7 +16,7 @@
 	"github.com/juju/errors"
 
 	"github.com/goldcrestmux/goldcrestmux/corpus"
-	"github.com/goldcrestmux/goldcrestmux/platform"
+	"github.com/goldcrestmux/goldcrestmux/targetapi"
 )
 
 // Defaults of a target.
@@ -62,7 +62,7 @@
 	versions map[string]map[string][]corpus.Entry // version, shard
 	inflight map[string]context.CancelCauseFunc   // by request id
 	conns    map[*targetConn]struct{}
-	last     *platform.TargetAnswer // for crossed answers
+	last     *targetapi.TargetAnswer // for crossed answers
 	stats    TargetStats
 
 	boots       int
@@ -76,7 +76,7 @@
 	draining    bool
 	refuseAfter time.Time
 
-	health   platform.TargetHealth // as the endpoint last told it
+	health   targetapi.TargetHealth // as the endpoint last told it
 	healthAt time.Time
 
 	listener net.Listener
@@ -306,13 +306,13 @@
 }
 
 // tellHealth returns what the health endpoint claims.
-func (t *Target) tellHealth() platform.TargetHealth {
+func (t *Target) tellHealth() targetapi.TargetHealth {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.healthAt.IsZero() || time.Since(t.healthAt) >= t.settings.healthLag.Std() {
 		t.bears()
 		t.healthAt = time.Now()
-		t.health = platform.TargetHealth{
+		t.health = targetapi.TargetHealth{
 			Boot: t.bootID, Warm: t.warm, Draining: t.draining,
 			Running: t.stats.Running, Slots: t.layout.Slots,
 		}
--- a/platform/bench_test.go
+++ b/targetapi/bench_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package targetapi_test
 
 import (
 	"bufio"
@@ -11,7 +11,7 @@
 	"time"
 
 	"github.com/goldcrestmux/goldcrestmux/code"
-	"github.com/goldcrestmux/goldcrestmux/platform"
+	"github.com/goldcrestmux/goldcrestmux/targetapi"
 )
 
 // answerOf returns an answer to request with the given number of records.
@@ -31,7 +31,7 @@
 	}
 	b.Cleanup(func() { _ = listener.Close() })
 	answer := fmt.Appendf(nil, "HTTP/1.1 200 OK\r\n%s: b1\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s",
-		platform.HeaderBoot, len(body), body)
+		targetapi.HeaderBoot, len(body), body)
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -64,13 +64,13 @@
 func BenchmarkDo(b *testing.B) {
 	for _, records := range []int{0, 20} {
 		b.Run(fmt.Sprint(records, "records"), func(b *testing.B) {
-			client := platform.NewTargetClient(platform.TargetOptions{Address: serveFixed(b, answerOf(records)), DataCentre: "dc1", Relay: "vm1/relay"})
+			client := targetapi.NewTargetClient(targetapi.TargetOptions{Address: serveFixed(b, answerOf(records)), DataCentre: "dc1", Relay: "vm1/relay"})
 			defer client.Close()
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
 			b.ReportAllocs()
 			for b.Loop() {
-				result := client.Do(ctx, platform.PathSearch, &request, time.Now().Add(time.Second))
+				result := client.Do(ctx, targetapi.PathSearch, &request, time.Now().Add(time.Second))
 				if result.Code != code.OK {
 					b.Fatal(result.Err)
 				}
--- a/platform/conn.go
+++ b/targetapi/conn.go
@@ -1,4 +1,4 @@
-package platform
+package targetapi
 
 import (
 	"context"
--- a/platform/target.go
+++ b/targetapi/target.go
@@ -1,4 +1,4 @@
-package platform
+package targetapi
 
 import (
 	"bytes"
@@ -18,6 +18,7 @@
 	"github.com/juju/errors"
 
 	"github.com/goldcrestmux/goldcrestmux/code"
+	"github.com/goldcrestmux/goldcrestmux/directory"
 )
 
 // Defaults of a TargetClient.
@@ -255,7 +256,7 @@
 }
 
 func (c *TargetClient) setHeaders(req *http.Request) {
-	req.Header[HeaderDataCentre] = c.dataCentre
+	req.Header[directory.HeaderDataCentre] = c.dataCentre
 	req.Header[HeaderRelay] = c.relay
 }
 
--- a/platform/target_test.go
+++ b/targetapi/target_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package targetapi_test
 
 import (
 	"context"
@@ -12,27 +12,27 @@
 	"pgregory.net/rapid"
 
 	"github.com/goldcrestmux/goldcrestmux/code"
-	"github.com/goldcrestmux/goldcrestmux/platform"
+	"github.com/goldcrestmux/goldcrestmux/targetapi"
 	"github.com/goldcrestmux/goldcrestmux/wire"
 )
 
-var request = platform.TargetRequest{ID: "r1", Search: "judges", Version: "v1", Shard: "s00", Payload: wire.RawJSON(`{}`)}
+var request = targetapi.TargetRequest{ID: "r1", Search: "judges", Version: "v1", Shard: "s00", Payload: wire.RawJSON(`{}`)}
 
 const goodAnswer = `{"id":"r1","search":"judges","version":"v1","shard":"s00","matched":2,"count":1,"records":[{"key":"k","score":1,"fields":{}}]}`
 
 // reply answers every request with the same status and body.
 func reply(status int, body string) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set(platform.HeaderBoot, "b1")
+		w.Header().Set(targetapi.HeaderBoot, "b1")
 		w.WriteHeader(status)
 		_, _ = w.Write([]byte(body))
 	}
 }
 
-func newClient(t *testing.T, o platform.TargetOptions, handler http.HandlerFunc) *platform.TargetClient {
+func newClient(t *testing.T, o targetapi.TargetOptions, handler http.HandlerFunc) *targetapi.TargetClient {
 	server := httptest.NewServer(handler)
 	o.Address = server.Listener.Addr().String()
-	client := platform.NewTargetClient(o)
+	client := targetapi.NewTargetClient(o)
 	t.Cleanup(func() {
 		client.Close()
 		server.CloseClientConnections()
@@ -74,12 +74,12 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			client := newClient(t, platform.TargetOptions{}, test.handler)
+			client := newClient(t, targetapi.TargetOptions{}, test.handler)
 			left := test.left
 			if left == 0 {
 				left = time.Minute
 			}
-			result := client.Do(context.Background(), platform.PathAction, &request, time.Now().Add(left))
+			result := client.Do(context.Background(), targetapi.PathAction, &request, time.Now().Add(left))
 			if result.Code != test.code || result.Run != test.run || result.Sent != test.sent {
 				t.Fatalf("got %s, run %d, sent %v: %v", result.Code, result.Run, result.Sent, result.Err)
 			}
@@ -94,8 +94,8 @@
 	server := httptest.NewServer(reply(200, goodAnswer))
 	address := server.Listener.Addr().String()
 	server.Close()
-	client := platform.NewTargetClient(platform.TargetOptions{Address: address})
-	result := client.Do(context.Background(), platform.PathAction, &request, time.Now().Add(time.Minute))
+	client := targetapi.NewTargetClient(targetapi.TargetOptions{Address: address})
+	result := client.Do(context.Background(), targetapi.PathAction, &request, time.Now().Add(time.Minute))
 	if result.Code != code.Unreachable || result.Run != code.NotRun || result.Sent {
 		t.Fatalf("got %+v", result)
 	}
@@ -118,13 +118,13 @@
 		t.Run(test.name, func(t *testing.T) {
 			conns := make(map[string]int)
 			requests := 0
-			client := newClient(t, platform.TargetOptions{MaxAge: test.maxAge}, func(w http.ResponseWriter, r *http.Request) {
+			client := newClient(t, targetapi.TargetOptions{MaxAge: test.maxAge}, func(w http.ResponseWriter, r *http.Request) {
 				conns[r.RemoteAddr]++
 				requests++
 				reply(200, test.body)(w, r)
 			})
 			for range 3 {
-				client.Do(context.Background(), platform.PathAction, &request, time.Now().Add(time.Minute))
+				client.Do(context.Background(), targetapi.PathAction, &request, time.Now().Add(time.Minute))
 			}
 			if len(conns) != test.conns || requests != 3 {
 				t.Fatalf("%d requests over %d connections, want 3 over %d", requests, len(conns), test.conns)
@@ -139,9 +139,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	canceled := make(chan string, 1)
 	var gotCancel atomic.Bool
-	client := newClient(t, platform.TargetOptions{Grace: time.Minute}, func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == platform.PathCancel {
-			var c platform.TargetCancel
+	client := newClient(t, targetapi.TargetOptions{Grace: time.Minute}, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == targetapi.PathCancel {
+			var c targetapi.TargetCancel
 			_ = json.NewDecoder(r.Body).Decode(&c)
 			gotCancel.Store(true)
 			canceled <- c.ID
@@ -151,7 +151,7 @@
 		id := <-canceled
 		reply(499, `{"id":"`+id+`","code":"canceled","not_run":true}`)(w, r)
 	})
-	result := client.Do(ctx, platform.PathSearch, &request, time.Now().Add(time.Minute))
+	result := client.Do(ctx, targetapi.PathSearch, &request, time.Now().Add(time.Minute))
 	if result.Code != code.Canceled || result.Run != code.NotRun || !gotCancel.Load() {
 		t.Fatalf("got %s, run %d: %v", result.Code, result.Run, result.Err)
 	}
@@ -159,11 +159,11 @@
 
 func TestPacerBoundsDials(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		o := platform.PacerOptions{
+		o := targetapi.PacerOptions{
 			Dials:   rapid.IntRange(1, 4).Draw(t, "dials"),
 			Spacing: time.Duration(rapid.IntRange(1, 5).Draw(t, "spacing")),
 		}
-		p := platform.NewPacer(o)
+		p := targetapi.NewPacer(o)
 		now, last := time.Unix(0, 0), time.Unix(-1, 0)
 		inProgress := 0
 		for range 50 {
