--- /dev/null
+++ b/balance/record.go
@@ -0,0 +1,111 @@
+// Package balance chooses the target that a request is sent to, by what the
+// work itself shows of each target: how slow it is beside others, whether an
+// attempt is overdue, and how many of its attempts fail.
+//
+// The package is pure: time is passed in. It isn't safe for concurrent use.
+package balance
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Weights of what is seen.
+const (
+	// slownessGain is the weight of the newest attempt in the running mean.
+	slownessGain = 0.25
+	// forgetAfter is the time in which a mean that no attempt renews fades to
+	// 1/e, so that a target that was slow is tried again.
+	forgetAfter = 4 * time.Second
+	// failureGain is the weight of the newest outcome in the share of failures.
+	failureGain = 0.2
+	// maxSlowness bounds what one attempt adds to the mean.
+	maxSlowness = 20
+)
+
+// Record is what the attempts at one target have shown. The zero value knows nothing.
+type Record struct {
+	// slowness is the mean ratio of an attempt's time to the time expected of
+	// its kind, less 1.
+	slowness float64
+	failing  float64 // share of attempts that failed
+	seen     time.Time
+	// sent holds when each attempt in progress was sent, oldest first.
+	sent []time.Time
+	// avoidUntil is set after failures to connect.
+	avoidUntil time.Time
+	refusals   int // in a row
+}
+
+// Sent records that an attempt begins.
+func (r *Record) Sent(now time.Time) { r.sent = append(r.sent, now) }
+
+// Outstanding returns the number of attempts in progress.
+func (r *Record) Outstanding() int { return len(r.sent) }
+
+// Answered records the answer to an attempt that was sent at the given time,
+// and the time that was expected of its kind.
+func (r *Record) Answered(now, sent time.Time, expected time.Duration) {
+	r.end(sent)
+	r.fade(now)
+	ratio := 1.0
+	if expected > 0 {
+		ratio = min(float64(now.Sub(sent))/float64(expected), maxSlowness)
+	}
+	r.slowness += slownessGain * (ratio - 1 - r.slowness)
+	r.failing -= failureGain * r.failing
+	r.refusals = 0
+}
+
+// Failed records that an attempt ended without a usable answer.
+func (r *Record) Failed(now, sent time.Time) {
+	r.end(sent)
+	r.fade(now)
+	r.failing += failureGain * (1 - r.failing)
+}
+
+// Bounds of the time for which a target that can't be reached is avoided.
+const (
+	minAvoid = 100 * time.Millisecond
+	maxAvoid = 2 * time.Second
+)
+
+// Unreachable records that no connection could be had.
+func (r *Record) Unreachable(now, sent time.Time) {
+	r.Failed(now, sent)
+	r.avoidUntil = now.Add(min(minAvoid<<min(r.refusals, 8), maxAvoid))
+	r.refusals++
+}
+
+// Canceled records that an attempt ended for a reason that says nothing of the target.
+func (r *Record) Canceled(sent time.Time) { r.end(sent) }
+
+func (r *Record) end(sent time.Time) {
+	if i := slices.Index(r.sent, sent); i >= 0 {
+		r.sent = slices.Delete(r.sent, i, i+1)
+	}
+}
+
+// fade lets what was seen lose weight.
+func (r *Record) fade(now time.Time) {
+	if r.seen.IsZero() {
+		r.seen = now
+		return
+	}
+	if age := now.Sub(r.seen); age > 0 {
+		keep := math.Exp(-float64(age) / float64(forgetAfter))
+		r.slowness *= keep
+		r.failing *= keep
+		r.seen = now
+	}
+}
+
+// overdue returns for how long the oldest attempt has been in progress beyond
+// the limit.
+func (r *Record) overdue(now time.Time, limit time.Duration) time.Duration {
+	if len(r.sent) == 0 {
+		return 0
+	}
+	return max(now.Sub(r.sent[0])-limit, 0)
+}
--- a/budget/window.go
+++ b/budget/window.go
@@ -23,8 +23,10 @@
 // Window counts the attempts of one search or one target. It is not locked;
 // the caller serialises. The zero value grants nothing; use NewWindow.
 type Window struct {
-	share   float64
-	floor   uint32
+	share float64
+	floor uint32
+	// added is true if floor comes on top of the share.
+	added   bool
 	head    int64 // number of the newest bucket since the Unix epoch
 	buckets [bucketCount]bucket
 	firsts  uint32
@@ -45,6 +47,17 @@
 	return w
 }
 
+// NewAllowance returns an empty window that grants ratio of the first attempts
+// and slack extras more. Both are bounds that the targets' side publishes, so
+// neither is cut.
+func NewAllowance(ratio float64, slack uint32) *Window {
+	return &Window{share: ratio, floor: slack, added: true}
+}
+
+// SetFloor changes the number of extras that is granted whatever the number of
+// first attempts.
+func (w *Window) SetFloor(floor uint32) { w.floor = floor }
+
 // SetShare changes the share, cut to the range from 0 to MaxShare.
 func (w *Window) SetShare(share float64) { w.share = min(max(share, 0), MaxShare) }
 
@@ -62,8 +75,11 @@
 	// its first attempts no longer do.
 	oldest := w.buckets[(w.head+1)%bucketCount]
 	firsts := w.firsts - oldest.firsts
-	allowed := max(uint32(w.share*float64(firsts)), w.floor)
-	return w.extras < allowed
+	allowed := uint32(w.share * float64(firsts))
+	if w.added {
+		return w.extras < allowed+w.floor
+	}
+	return w.extras < max(allowed, w.floor)
 }
 
 // TryExtra counts an extra attempt and returns true, or returns false if the
--- /dev/null
+++ b/catalog/routes.go
@@ -0,0 +1,68 @@
+package catalog
+
+import (
+	"net"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// routes finds the route of a request: by host, then by prefix.
+type routes map[string]map[string]*Route
+
+func newRoutes(c *Config) routes {
+	table := routes{}
+	for _, r := range c.Routes {
+		byPrefix := table[r.Host]
+		if byPrefix == nil {
+			byPrefix = map[string]*Route{}
+			table[r.Host] = byPrefix
+		}
+		byPrefix[r.Prefix] = r
+	}
+	return table
+}
+
+// match returns the route with the longest prefix that begins the path, or nil.
+func (t routes) match(host, path string) *Route {
+	byPrefix := t[normalHost(host)]
+	if byPrefix == nil {
+		return nil
+	}
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if r := byPrefix[path[:end+1]]; r != nil {
+			return r
+		}
+	}
+	return nil
+}
+
+// normalHost returns a host name in lower case without port and final dot.
+func normalHost(host string) string {
+	if strings.IndexByte(host, ':') >= 0 {
+		if name, _, err := net.SplitHostPort(host); err == nil {
+			host = name
+		}
+	}
+	return strings.ToLower(strings.TrimSuffix(host, "."))
+}
+
+// Pick returns the service that serves the request with the given id, in
+// proportion to the weights of the route's parts.
+func (r *Route) Pick(id string) string {
+	if len(r.Parts) == 0 {
+		return ""
+	}
+	var sum float64
+	for _, p := range r.Parts {
+		sum += p.Weight
+	}
+	at := float64(xxhash.Sum64String(id)>>11) / (1 << 53) * sum
+	for _, p := range r.Parts {
+		if at < p.Weight {
+			return p.Service
+		}
+		at -= p.Weight
+	}
+	return r.Parts[len(r.Parts)-1].Service
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,280 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/goldcrestmux/goldcrestmux/catalog"
+	"github.com/goldcrestmux/goldcrestmux/follow"
+	"github.com/goldcrestmux/goldcrestmux/forward"
+	"github.com/goldcrestmux/goldcrestmux/hedge"
+	"github.com/goldcrestmux/goldcrestmux/ingress"
+	"github.com/goldcrestmux/goldcrestmux/peers"
+	"github.com/goldcrestmux/goldcrestmux/upstream"
+	"github.com/juju/errors"
+	"gopkg.in/tomb.v2"
+)
+
+// Adapter is what the process needs to speak with the world outside.
+type Adapter struct {
+	// Load reads the settings, at the start and when they change.
+	Load    func() (Settings, error)
+	Source  func(s *Settings, dial Dialer) follow.Source
+	Codec   upstream.Codec
+	Dialect ingress.Dialect
+}
+
+// Dialer opens a connection.
+type Dialer func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Entry is the process.
+type Entry struct {
+	adapter  Adapter
+	settings Settings
+	log      *slog.Logger
+	tomb     tomb.Tomb
+	started  time.Time
+
+	view     atomic.Pointer[catalog.View]
+	stopping atomic.Bool
+	pool     *upstream.Pool
+	engine   *forward.Engine
+	follower *follow.Follower
+	peers    *peers.Node
+	handler  *ingress.Handler
+	callers  *ingress.Server
+	ready    *http.Server
+	metrics  *metrics
+}
+
+// Timings of a process.
+const (
+	// watchWait bounds one watch of the store: an answer that is lost delays
+	// what it told by so much, and each call has its price.
+	watchWait = 4 * time.Second
+	// watchGather is the pause between watches while changes come in.
+	watchGather = 150 * time.Millisecond
+	// storeMinBackoff and storeMaxBackoff bound the wait after a failed call: the
+	// store's return must be noticed within the time that changes may take.
+	storeMinBackoff = 100 * time.Millisecond
+	storeMaxBackoff = 1200 * time.Millisecond
+	// lapseHold is how long the entry of a target may be missing after the
+	// store was away.
+	lapseHold = 2 * time.Second
+	// housekeeping is the interval at which idle and silent connections are closed.
+	housekeeping = 100 * time.Millisecond
+	// dialTimeout is well above a connection's cost of milliseconds.
+	dialTimeout = 600 * time.Millisecond
+	// defaultWait is how long a caller is taken to wait that doesn't say.
+	defaultWait = 5 * time.Second
+	// staleAfter is the age of the picture beyond the longest watch.
+	staleAfter = watchWait + 2*time.Second
+	// gossipInterval and gossipFanout make three messages a second.
+	gossipInterval = time.Second
+	gossipFanout   = 2
+	gossipEntries  = 12
+	gossipForget   = 60 * time.Second
+	gossipSettle   = 2500 * time.Millisecond
+	// unknownPeers is assumed until others are heard of.
+	unknownPeers = 16
+)
+
+// Hedging of attempts on the way to targets.
+var hedging = hedge.Options{
+	Quantile:    0.93, // the published budget allows one in five
+	MinDelay:    3 * time.Millisecond,
+	StartDelay:  30 * time.Millisecond,
+	MedianRatio: 3,
+	MinSamples:  60,
+}
+
+// Run runs the process until a signal stops it, and returns its exit code.
+func Run(adapter Adapter, log *slog.Logger) int {
+	debug.SetGCPercent(gcPercent)
+	s, err := adapter.Load()
+	if err != nil {
+		log.Error("can't start", "error", err)
+		return 1
+	}
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(s.MemoryBytes * 6 / 10)
+	}
+	log = log.With("process", s.Name)
+	e := newEntry(adapter, s, log)
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE)
+	if err := e.start(); err != nil {
+		log.Error("can't start", "error", err)
+		return 1
+	}
+	return e.supervise(signals)
+}
+
+// gcPercent trades memory for processor time.
+const gcPercent = 100
+
+func newEntry(adapter Adapter, s Settings, log *slog.Logger) *Entry {
+	e := &Entry{adapter: adapter, settings: s, log: log, started: time.Now(), metrics: newMetrics()}
+	e.pool = upstream.New(upstream.Options{
+		Codec: adapter.Codec, DataCentre: s.DataCentre, Dial: e.dial, DialTimeout: dialTimeout,
+		DrainUse: s.DrainUse / 3, Event: e.connectionEvent,
+	})
+	e.engine = forward.New(forward.Options{Pool: e.pool, Budget: s.Retry, Logger: log, Hedge: hedging})
+	e.handler = ingress.New(ingress.Options{
+		Dialect: adapter.Dialect, Engine: e.engine, View: e.view.Load,
+		StaleAfter: staleAfter, DefaultWait: defaultWait, Observe: e.metrics.observe,
+	})
+	e.callers = ingress.NewServer(e.handler)
+	seed := uint64(time.Now().UnixNano())
+	e.follower = follow.New(follow.Options{
+		Source: adapter.Source(&s, e.dial),
+		State: follow.NewState(follow.StateOptions{
+			Wait: watchWait, Gather: watchGather, MinBackoff: storeMinBackoff, MaxBackoff: storeMaxBackoff,
+			Rand: rand.New(rand.NewPCG(seed, 1)),
+		}),
+		Catalog: catalog.NewState(catalog.StateOptions{LapseHold: lapseHold}),
+		Logger:  log, Publish: e.publish, TickInterval: 250 * time.Millisecond,
+	})
+	return e
+}
+
+func (e *Entry) connectionEvent(ev upstream.Event) {
+	e.metrics.connection(ev.What)
+	e.log.Info(ev.What, "target", ev.Target, "service", ev.Service, "id", ev.Request, "error", ev.Err)
+}
+
+// publish puts a new picture in force.
+func (e *Entry) publish(v *catalog.View) {
+	before := e.view.Load()
+	e.view.Store(v)
+	e.pool.Update(v)
+	if !before.Known() && v.Known() {
+		e.log.Info("ready", "version", v.Version, "routes", v.Routes(), "services", v.Services(), "after", time.Since(e.started))
+	}
+}
+
+func (e *Entry) start() error {
+	s := &e.settings
+	callers, err := listen("callers", s.CallerListen)
+	if err != nil {
+		return err
+	}
+	ready, err := listen("the ready page", s.ReadyListen)
+	if err != nil {
+		return err
+	}
+	if err := e.startPeers(); err != nil {
+		return err
+	}
+	e.ready = &http.Server{Handler: e.readyPage(), ReadHeaderTimeout: defaultWait}
+	e.tomb.Go(func() error { return served(e.callers.Serve(callers), "callers") })
+	e.tomb.Go(func() error { return served(e.ready.Serve(ready), "the ready page") })
+	e.startMetrics()
+	e.follower.Start()
+	e.tomb.Go(e.keepHouse)
+	e.log.Info("started", "data_centre", s.DataCentre, "callers", s.CallerListen, "ready", s.ReadyListen,
+		"peers", s.PeerListen, "seeds", s.Seeds, "store", s.StoreAddress)
+	return nil
+}
+
+func listen(what, address string) (net.Listener, error) {
+	l, err := net.Listen("tcp4", address)
+	return l, errors.Annotatef(err, "listen for %s on %s", what, address)
+}
+
+// served turns the end of a server into an error unless it was asked for.
+func served(err error, what string) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Annotatef(err, "serve %s", what)
+}
+
+func (e *Entry) startPeers() error {
+	s := &e.settings
+	if s.PeerListen == "" {
+		return nil
+	}
+	now := time.Now()
+	state := peers.New(now, peers.Options{
+		Self:  peers.Member{Name: s.Name, Address: s.PeerListen, Started: now.UnixNano()},
+		Seeds: s.Seeds, Interval: gossipInterval, Fanout: gossipFanout, Entries: gossipEntries,
+		Forget: gossipForget, Unknown: unknownPeers, Settle: gossipSettle,
+		Rand: rand.New(rand.NewPCG(uint64(now.UnixNano()), 2)),
+	})
+	node, err := peers.Listen(s.PeerListen, state, gossipInterval/4, e.log, func(n int) {
+		e.pool.SetMembers(n)
+		e.engine.SetMembers(n)
+	})
+	if err != nil {
+		return err
+	}
+	e.peers = node
+	node.Start()
+	return nil
+}
+
+func (e *Entry) readyPage() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if e.stopping.Load() || !e.view.Load().Known() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+}
+
+// keepHouse closes idle and silent connections, and notices pauses.
+func (e *Entry) keepHouse() error {
+	ticker := time.NewTicker(housekeeping)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-e.tomb.Dying():
+			return nil
+		case <-ticker.C:
+		}
+		now := time.Now()
+		e.pool.Tick(now)
+		if v := e.view.Load(); v.Known() && v.Limits.IdleTimeout > 0 {
+			e.callers.CloseIdle(now.Add(-v.Limits.IdleTimeout))
+		}
+	}
+}
+
+// keepAlive finds connections that went silent within seconds.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
+
+func (e *Entry) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	d := net.Dialer{KeepAliveConfig: keepAlive}
+	return d.DialContext(ctx, network, address)
+}
+
+// dump is the process's state for operators.
+func (e *Entry) dump() any {
+	v := e.view.Load()
+	out := map[string]any{
+		"process": e.settings.Name, "uptime_s": int(time.Since(e.started).Seconds()),
+		"stopping": e.stopping.Load(), "ready": v.Known() && !e.stopping.Load(),
+		"upstream": e.pool.Stats(), "active_requests": e.handler.Active(), "caller_connections": e.callers.Open(),
+		"store_calls": e.follower.Calls(),
+	}
+	if v.Known() {
+		out["version"] = v.Version
+		out["picture_age_ms"] = time.Since(v.AsOf).Milliseconds()
+	}
+	if e.peers != nil {
+		out["peers"] = e.peers.Members()
+	}
+	return out
+}
--- /dev/null
+++ b/follow/state.go
@@ -0,0 +1,117 @@
+package follow
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+func itoa(n int) string { return strconv.Itoa(n) }
+
+// Op is what to do next.
+type Op int
+
+// Operations.
+const (
+	OpList  Op = iota + 1 // read all items
+	OpWatch               // wait for changes
+)
+
+// Step is the next operation, to be begun after a delay.
+type Step struct {
+	Op    Op
+	Delay time.Duration
+	// Stale allows a listing from a replica.
+	Stale bool
+	// After is the revision from which a watch goes on.
+	After uint64
+	// Wait bounds how long the store may hold a watch.
+	Wait time.Duration
+}
+
+// StateOptions configures a State.
+type StateOptions struct {
+	// Wait bounds one watch. A lost answer is noticed after it.
+	Wait time.Duration
+	// Gather is the pause between two watches after changes, so that changes in
+	// quick succession cost one call.
+	Gather time.Duration
+	// MinBackoff and MaxBackoff bound the delay after failures.
+	MinBackoff time.Duration
+	MaxBackoff time.Duration
+	Rand       *rand.Rand
+}
+
+// State decides how a store is followed. It isn't safe for concurrent use.
+type State struct {
+	opts     StateOptions
+	listed   bool
+	stale    bool
+	revision uint64
+	failures int
+}
+
+// NewState returns a State that begins with a listing.
+func NewState(opts StateOptions) *State { return &State{opts: opts, stale: true} }
+
+// Begin returns the first step. A listing from a replica is enough: the watch
+// that follows brings what the replica lacked.
+func (s *State) Begin() Step { return Step{Op: OpList, Stale: true} }
+
+// Listed takes a complete listing.
+func (s *State) Listed(revision uint64) Step {
+	s.listed, s.revision, s.failures = true, revision, 0
+	return s.watch(0)
+}
+
+// Watched takes the answer of a watch.
+func (s *State) Watched(revision uint64, changes int) Step {
+	s.failures = 0
+	s.stale = true
+	s.revision = max(s.revision, revision)
+	if changes == 0 {
+		return s.watch(0)
+	}
+	return s.watch(s.opts.Gather)
+}
+
+func (s *State) watch(delay time.Duration) Step {
+	return Step{Op: OpWatch, Delay: delay, After: s.revision, Wait: s.opts.Wait}
+}
+
+// Failed takes the failure of the last step.
+func (s *State) Failed(err error) Step {
+	if errors.Is(err, ErrHistoryLost) {
+		// A replica may be behind the loss as well: the second listing in a
+		// row is a full one.
+		step := Step{Op: OpList, Stale: false}
+		s.listed = false
+		s.failures++
+		if s.failures > 1 {
+			step.Delay = s.backoff()
+		}
+		return step
+	}
+	s.failures++
+	step := Step{Op: OpList, Stale: s.stale, Delay: s.backoff()}
+	if s.listed {
+		step = s.watch(step.Delay)
+	}
+	var busy *BusyError
+	if errors.As(err, &busy) {
+		step.Delay = max(step.Delay, busy.RetryAfter)
+	}
+	return step
+}
+
+// backoff grows with each failure, with half of it left to chance.
+func (s *State) backoff() time.Duration {
+	d := s.opts.MinBackoff << min(s.failures-1, 10)
+	d = min(d, s.opts.MaxBackoff)
+	return d/2 + time.Duration(s.opts.Rand.Int64N(int64(d/2)+1))
+}
+
+// Down reports whether the last step failed.
+func (s *State) Down() bool { return s.failures > 0 }
--- /dev/null
+++ b/forward/answer.go
@@ -0,0 +1,99 @@
+package forward
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/goldcrestmux/goldcrestmux/plan"
+	"github.com/goldcrestmux/goldcrestmux/upstream"
+)
+
+// CallerLeft is the reason of an answer that nobody waits for.
+const CallerLeft = "the caller left"
+
+// Statuses of answers of the system's own.
+const (
+	// statusGone is logged for a caller that left; it is never sent.
+	statusGone = 499
+)
+
+// answer makes the final answer.
+func (r *run) answer(now time.Time, v plan.Verdict) Answer {
+	var a Answer
+	switch v {
+	case plan.Complete, plan.Partial:
+		a = r.success()
+	case plan.NotRun:
+		a = Answer{Status: http.StatusServiceUnavailable, RetryAfter: r.retryAfter(now), Reason: "no target took the request"}
+	default:
+		a = r.failure(v)
+	}
+	r.log(now, v, &a)
+	return a
+}
+
+func (r *run) success() Answer {
+	if !r.req.Route.Sharded() {
+		res := &r.parts[0]
+		return Answer{Status: res.Status, Header: res.Header, Seal: res.Seal, Body: res.Body}
+	}
+	a := Answer{Status: http.StatusOK, Sharded: true, Missing: len(r.services) - r.plan.In()}
+	bodies := make([][]byte, 0, len(r.parts))
+	for i := range r.parts {
+		if r.plan.Missing(i) {
+			continue
+		}
+		a.Seals = append(a.Seals, r.parts[i].Seal)
+		bodies = append(bodies, r.parts[i].Body)
+	}
+	a.Body = greatest(bodies, r.req.Route.Top)
+	return a
+}
+
+// failure passes a target's own failure on, or tells that of the system.
+func (r *run) failure(v plan.Verdict) Answer {
+	if !r.req.Route.Sharded() && r.last.Kind == upstream.Answered {
+		return Answer{Status: r.last.Status, Header: r.last.Header, Seal: r.last.Seal, Body: r.last.Body, Reason: "the target failed"}
+	}
+	if v == plan.Expired {
+		return Answer{Status: http.StatusGatewayTimeout, Reason: "the deadline passed"}
+	}
+	return Answer{Status: http.StatusBadGateway, Reason: "too many targets failed"}
+}
+
+// retryAfter is a part of the time that the caller has left.
+func (r *run) retryAfter(now time.Time) time.Duration {
+	return max(r.req.Call.Deadline.Sub(now)/20, minRetryAfter)
+}
+
+// left records that the caller is gone.
+func (r *run) left(now time.Time) Answer {
+	a := Answer{Status: statusGone, Reason: CallerLeft}
+	r.log(now, plan.Failed, &a)
+	return a
+}
+
+// log tells of each answer that is not what the caller hoped for.
+func (r *run) log(now time.Time, v plan.Verdict, a *Answer) {
+	took := now.Sub(r.req.Arrived)
+	late := r.req.Route.Aim > 0 && took > r.req.Route.Aim
+	if v == plan.Complete && !late && a.Status < 500 {
+		return
+	}
+	missing := make([]string, 0, a.Missing)
+	for i, service := range r.services {
+		if r.plan.Missing(i) && len(missing) < maxLoggedShards {
+			missing = append(missing, service)
+		}
+	}
+	r.engine.opts.Logger.Info("request answered",
+		"id", r.req.Call.ID, "route", r.req.Route.Name, "version", r.req.Version,
+		"status", a.Status, "reason", a.Reason, "took", took, "late", late,
+		"shards", len(r.services), "in", r.plan.In(), "missing", missing,
+		"attempts", len(r.attempts), "extra", r.hedges, "denied_by_budget", r.denied,
+		"refused", r.failures[upstream.Refused], "broken", r.failures[upstream.Broken],
+		"not_sent", r.failures[upstream.NotSent], "misdirected", r.failures[upstream.Misdirected])
+}
+
+// maxLoggedShards bounds the names in one log line.
+const maxLoggedShards = 4
--- /dev/null
+++ b/forward/engine.go
@@ -0,0 +1,354 @@
+// Package forward serves requests: it sends each to a target of its route's
+// service, or to one target of each shard, and makes the answer.
+package forward
+
+import (
+	"cmp"
+	"context"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/goldcrestmux/goldcrestmux/balance"
+	"github.com/goldcrestmux/goldcrestmux/budget"
+	"github.com/goldcrestmux/goldcrestmux/catalog"
+	"github.com/goldcrestmux/goldcrestmux/hedge"
+	"github.com/goldcrestmux/goldcrestmux/plan"
+	"github.com/goldcrestmux/goldcrestmux/upstream"
+)
+
+// Request is one request of a caller.
+type Request struct {
+	Call  *upstream.Call
+	Route *catalog.Route
+	// Version is the configuration that named the route.
+	Version uint64
+	// Arrived is when the request was read.
+	Arrived time.Time
+}
+
+// Answer is the final answer to a request.
+type Answer struct {
+	Status int
+	// Header and Seal are those of the target whose answer is passed on.
+	Header http.Header
+	Seal   string
+	// Seals are the signatures of the parts of a sharded answer.
+	Seals []string
+	// Missing is the number of shards that are left out.
+	Missing int
+	Sharded bool
+	Body    []byte
+	// RetryAfter is when the caller may come back; zero if it isn't told.
+	RetryAfter time.Duration
+	// Reason tells why the request was refused or failed; empty for success.
+	Reason string
+}
+
+// RetryBudget is the published bound on attempts beyond the first.
+type RetryBudget struct {
+	// Ratio is the number of extra attempts per request.
+	Ratio float64
+	// Slack is the number of extra attempts in a window beside, of all
+	// processes together.
+	Slack int
+}
+
+// Options configures an Engine.
+type Options struct {
+	Pool   *upstream.Pool
+	Budget RetryBudget
+	Logger *slog.Logger
+	// Hedge is how the delay of hedges is found.
+	Hedge hedge.Options
+}
+
+// Engine serves requests. Its methods may be called concurrently.
+//
+// Lock order: mu is taken with no other lock held, and none is taken under it.
+type Engine struct {
+	opts Options
+
+	mu       sync.Mutex
+	kinds    map[string]*kind // by route name
+	services map[string]*budget.Window
+	members  int
+}
+
+// kind is what is known of the attempts of one route.
+type kind struct {
+	latency *hedge.Estimator
+	used    time.Time
+}
+
+// New returns an Engine.
+func New(opts Options) *Engine {
+	return &Engine{opts: opts, kinds: map[string]*kind{}, services: map[string]*budget.Window{}, members: 1}
+}
+
+// budgetUse is the part of the retry budget that is used. The rest covers
+// differences between this process's clock and window and the targets'.
+const budgetUse = 0.8
+
+// SetMembers takes the number of processes that share the slack of the retry budget.
+func (e *Engine) SetMembers(n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if n == e.members || n < 1 {
+		return
+	}
+	e.members = n
+	for _, w := range e.services {
+		w.SetFloor(e.slack())
+	}
+}
+
+func (e *Engine) slack() uint32 {
+	return uint32(budgetUse * float64(e.opts.Budget.Slack) / float64(e.members))
+}
+
+// window returns the budget of a service. The lock is held.
+func (e *Engine) window(service string) *budget.Window {
+	w := e.services[service]
+	if w == nil {
+		w = budget.NewAllowance(budgetUse*e.opts.Budget.Ratio, e.slack())
+		e.services[service] = w
+	}
+	return w
+}
+
+// Timings of requests.
+const (
+	// answerMargin is the time between an answer's leaving here and its
+	// arrival at the caller, with the merge.
+	answerMargin = 12 * time.Millisecond
+	// deadlineMargin is how long before the caller's deadline a failure is told.
+	deadlineMargin = 20 * time.Millisecond
+	// lateFactor is how long an answer that has missed its aim is held for
+	// missing shards, in multiples of the aim.
+	lateFactor = 2
+	// offerShare is the part of the aim after which a request that could not
+	// be sent to any target is refused, so that the caller can go elsewhere.
+	offerShare = 0.25
+	// defaultAim is used where the route has none.
+	defaultAim = 500 * time.Millisecond
+	// hedgeAimShare bounds the hedge delay to a part of the aim.
+	hedgeAimShare = 0.5
+	// remoteShare is what staying in the own data centre is worth, as a part of the aim.
+	remoteShare = 0.12
+	// defaultAttempts is used where the route tells no number of attempts.
+	defaultAttempts = 2
+	// clientGoneLinger is how long attempts of a caller that has left may go on,
+	// so that their connections can be kept.
+	clientGoneLinger = 250 * time.Millisecond
+	// maxRetryAfter bounds what a refused caller is told to wait.
+	minRetryAfter = 50 * time.Millisecond
+)
+
+// run is one request in progress.
+type run struct {
+	engine   *Engine
+	req      *Request
+	services []string
+	plan     *plan.Plan
+	choice   balance.Kind
+	kind     *kind
+	results  chan upstream.Result
+	attempts []*upstream.Attempt
+	tried    [][]string // target ids by shard
+	parts    []upstream.Result
+	last     upstream.Result // the last failure that a target answered
+	denied   int             // attempts that the budget did not allow
+	hedges   int
+	failures map[upstream.Kind]int
+}
+
+// Do serves a request. The context ends when the caller leaves.
+func (e *Engine) Do(ctx context.Context, req *Request) Answer {
+	r := e.begin(req)
+	now := time.Now()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		r.send(now)
+		verdict := r.plan.Verdict(now)
+		if verdict != plan.Wait {
+			r.abandon(req.Call.Deadline.Sub(now))
+			return r.answer(now, verdict)
+		}
+		timer.Reset(r.plan.Wake(now).Sub(now))
+		select {
+		case res := <-r.results:
+			r.take(res)
+		case <-timer.C:
+		case <-ctx.Done():
+			r.abandon(clientGoneLinger)
+			return r.left(time.Now())
+		}
+		r.drain()
+		now = time.Now()
+	}
+}
+
+// drain takes all results that are there.
+func (r *run) drain() {
+	for {
+		select {
+		case res := <-r.results:
+			r.take(res)
+		default:
+			return
+		}
+	}
+}
+
+func (e *Engine) begin(req *Request) *run {
+	route := req.Route
+	r := &run{engine: e, req: req, services: route.Shards, failures: map[upstream.Kind]int{}}
+	if !route.Sharded() {
+		r.services = []string{route.Pick(req.Call.ID)}
+	}
+	aim := cmp.Or(route.Aim, defaultAim)
+	attempts := max(cmp.Or(route.MaxAttempts, defaultAttempts), 1)
+	now := time.Now()
+	hedgeAfter := e.expect(now, route, r)
+	deadline := req.Call.Deadline
+	if route.Timeout > 0 {
+		if at := req.Arrived.Add(route.Timeout); at.Before(deadline) {
+			deadline = at
+		}
+	}
+	opts := plan.Options{
+		Shards: len(r.services), MaxTargets: attempts, Idempotent: route.Idempotent || route.Sharded(),
+		MinShare: 1,
+		AnswerAt: req.Arrived.Add(aim - answerMargin),
+		LateAt:   req.Arrived.Add(lateFactor * aim),
+		OfferBy:  req.Arrived.Add(time.Duration(offerShare * float64(aim))),
+		Deadline: deadline.Add(-deadlineMargin), HedgeAfter: min(hedgeAfter, time.Duration(hedgeAimShare*float64(aim))),
+	}
+	if route.Sharded() {
+		opts.MinShare = route.MinShare
+	}
+	r.choice.Remote = time.Duration(remoteShare * float64(aim))
+	r.choice.Overdue = opts.HedgeAfter
+	e.opts.Pool.Prepare(req.Call)
+	r.plan = plan.New(now, opts)
+	r.results = make(chan upstream.Result, len(r.services)*(attempts+plan.ExtraSends))
+	r.tried = make([][]string, len(r.services))
+	r.parts = make([]upstream.Result, len(r.services))
+	return r
+}
+
+// expect looks up what is known of the route's attempts and counts the request
+// for the budget of each service.
+func (e *Engine) expect(now time.Time, route *catalog.Route, r *run) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	k := e.kinds[route.Name]
+	if k == nil {
+		k = &kind{latency: hedge.New(e.opts.Hedge)}
+		e.kinds[route.Name] = k
+	}
+	k.used = now
+	r.kind = k
+	r.choice.Expected = cmp.Or(k.latency.Quantile(now, 0.5), e.opts.Hedge.StartDelay/2)
+	delay, _ := k.latency.Delay(now)
+	for _, service := range r.services {
+		e.window(service).First(now)
+	}
+	return delay
+}
+
+// send makes the attempts that are due.
+func (r *run) send(now time.Time) {
+	for {
+		i, extra, ok := r.plan.Due(now)
+		if !ok {
+			return
+		}
+		if extra && !r.allowed(now, i) {
+			r.denied++
+			r.plan.Unavailable(now, i)
+			continue
+		}
+		a := r.engine.opts.Pool.Start(r.req.Call, i, upstream.Choice{
+			Service: r.services[i], Kind: r.choice, Tried: r.tried[i], NewTarget: r.plan.NewTarget(i),
+		}, r.results)
+		if a == nil {
+			r.plan.Unavailable(now, i)
+			continue
+		}
+		if extra {
+			r.hedges++
+			r.spend(now, i)
+		}
+		r.tried[i] = append(r.tried[i], a.Target.ID)
+		r.attempts = append(r.attempts, a)
+		r.plan.Sent(now, i)
+	}
+}
+
+func (r *run) allowed(now time.Time, i int) bool {
+	e := r.engine
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.window(r.services[i]).Allows(now)
+}
+
+func (r *run) spend(now time.Time, i int) {
+	e := r.engine
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.window(r.services[i]).TryExtra(now)
+}
+
+// take takes the end of an attempt.
+func (r *run) take(res upstream.Result) {
+	i := res.Attempt.Shard
+	if res.Kind != upstream.Answered {
+		r.failures[res.Kind]++
+	}
+	switch {
+	case res.Kind == upstream.Answered && r.good(&res):
+		if len(r.tried[i]) == 1 {
+			r.observe(res.At, res.At.Sub(res.Attempt.SentAt))
+		}
+		if r.plan.Answered(res.At, i) {
+			r.parts[i] = res
+		}
+	case res.Kind == upstream.Answered:
+		r.last = res
+		r.plan.Broken(res.At, i)
+	case res.Kind == upstream.Broken:
+		r.plan.Broken(res.At, i)
+	default:
+		if res.Kind == upstream.Refused {
+			r.last = res
+		}
+		r.plan.Refused(res.At, i)
+	}
+}
+
+// good reports whether an answer ends its shard. A failure of a target is no
+// part, and is tried again elsewhere if the request may run more than once.
+func (r *run) good(res *upstream.Result) bool {
+	if r.req.Route.Sharded() {
+		return res.Status >= 200 && res.Status < 300 && res.Seal != ""
+	}
+	return res.Status < 500
+}
+
+func (r *run) observe(now time.Time, took time.Duration) {
+	e := r.engine
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r.kind.latency.Observe(now, took)
+}
+
+// abandon gives up the attempts that are still in progress.
+func (r *run) abandon(linger time.Duration) {
+	for _, a := range r.attempts {
+		r.engine.opts.Pool.Abandon(a, linger)
+	}
+}
--- /dev/null
+++ b/ingress/ingress.go
@@ -0,0 +1,218 @@
+// Package ingress is the face to callers: it reads their requests within the
+// published limits, finds the route, and writes the answers.
+package ingress
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/goldcrestmux/goldcrestmux/catalog"
+	"github.com/goldcrestmux/goldcrestmux/forward"
+	"github.com/goldcrestmux/goldcrestmux/upstream"
+	"github.com/juju/errors"
+)
+
+// Meta is what the headers of a request say beside what is forwarded.
+type Meta struct {
+	// ID is the caller's id of the request.
+	ID string
+	// Wait is how long the caller waits; zero if it doesn't say.
+	Wait time.Duration
+}
+
+// Dialect reads the headers of requests and writes those of answers.
+type Dialect interface {
+	Decode(h http.Header) (Meta, error)
+	Encode(h http.Header, a *forward.Answer)
+}
+
+// Options configures a Handler.
+type Options struct {
+	Dialect Dialect
+	Engine  *forward.Engine
+	// View returns the picture in force; nil if none is known.
+	View func() *catalog.View
+	// StaleAfter is the age of the picture from which on an unknown route may
+	// just not be known yet.
+	StaleAfter time.Duration
+	// DefaultWait is how long a caller waits that doesn't say.
+	DefaultWait time.Duration
+	// Observe is told each answer; it must not block.
+	Observe func(route *catalog.Route, a *forward.Answer, took time.Duration)
+}
+
+// Handler serves callers. It doesn't route by pattern: paths are matched and
+// forwarded as they were sent.
+type Handler struct {
+	opts   Options
+	active atomic.Int64
+}
+
+// New returns a Handler.
+func New(opts Options) *Handler { return &Handler{opts: opts} }
+
+// Active returns the number of requests in progress.
+func (h *Handler) Active() int64 { return h.active.Load() }
+
+// Answers that are refused before a route is known say when to come back.
+const (
+	unknownRetry = 200 * time.Millisecond
+)
+
+// ServeHTTP serves one request.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.active.Add(1)
+	defer h.active.Add(-1)
+	arrived := time.Now()
+	route, a := h.serve(r, arrived)
+	h.write(w, &a)
+	if h.opts.Observe != nil {
+		h.opts.Observe(route, &a, time.Since(arrived))
+	}
+}
+
+func (h *Handler) serve(r *http.Request, arrived time.Time) (*catalog.Route, forward.Answer) {
+	view := h.opts.View()
+	if !view.Known() {
+		return nil, forward.Answer{Status: http.StatusServiceUnavailable, RetryAfter: unknownRetry, Reason: "no configuration is known"}
+	}
+	uri := requestURI(r)
+	path, _, _ := strings.Cut(uri, "?")
+	route := view.Route(r.Host, path)
+	if route == nil {
+		return nil, h.noRoute(view, arrived)
+	}
+	if n := view.Limits.HeaderBytes; n > 0 && headerBytes(r) > n {
+		return route, forward.Answer{Status: http.StatusRequestHeaderFieldsTooLarge, Reason: "the headers are larger than allowed"}
+	}
+	meta, err := h.opts.Dialect.Decode(r.Header)
+	if err != nil {
+		return route, forward.Answer{Status: http.StatusBadRequest, Reason: err.Error()}
+	}
+	body, err := readBody(r, view.Limits.BodyBytes)
+	if err != nil {
+		return route, bodyAnswer(err)
+	}
+	wait := meta.Wait
+	if wait <= 0 {
+		wait = h.opts.DefaultWait
+	}
+	call := &upstream.Call{
+		ID: meta.ID, Method: r.Method, URI: uri, Host: r.Host, Header: forwarded(r.Header),
+		Body: body, HasBody: r.ContentLength != 0, Deadline: arrived.Add(wait),
+	}
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	return route, h.opts.Engine.Do(ctx, &forward.Request{Call: call, Route: route, Version: view.Version, Arrived: arrived})
+}
+
+// noRoute refuses a request that no known route allows. While the picture is
+// old, the route may exist.
+func (h *Handler) noRoute(view *catalog.View, now time.Time) forward.Answer {
+	if now.Sub(view.AsOf) > h.opts.StaleAfter {
+		return forward.Answer{Status: http.StatusServiceUnavailable, RetryAfter: unknownRetry, Reason: "no route is known, and the configuration may be old"}
+	}
+	return forward.Answer{Status: http.StatusNotFound, Reason: "no route"}
+}
+
+// requestURI returns the path and query as they were sent.
+func requestURI(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
+func headerBytes(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + 4
+		}
+	}
+	return n
+}
+
+var errBodyTooLarge = errors.New("the body is larger than allowed")
+
+func readBody(r *http.Request, limit int64) ([]byte, error) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	if r.ContentLength > limit {
+		return nil, errBodyTooLarge
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if err != nil {
+		return nil, errors.Annotate(err, "read the body")
+	}
+	if int64(len(body)) > limit {
+		return nil, errBodyTooLarge
+	}
+	return body, nil
+}
+
+// defaultBodyBytes bounds bodies where the configuration doesn't.
+const defaultBodyBytes = 1 << 20
+
+func bodyAnswer(err error) forward.Answer {
+	if errors.Is(err, errBodyTooLarge) {
+		return forward.Answer{Status: http.StatusRequestEntityTooLarge, Reason: err.Error()}
+	}
+	return forward.Answer{Status: http.StatusBadRequest, Reason: err.Error()}
+}
+
+// oneConnection names the headers that concern one connection only.
+var oneConnection = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
+}
+
+// forwarded removes the headers that concern one connection. The request's own
+// map is changed: nobody else uses it.
+func forwarded(h http.Header) http.Header {
+	for _, value := range h["Connection"] {
+		for _, name := range strings.Split(value, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range oneConnection {
+		delete(h, name)
+	}
+	return h
+}
+
+func (h *Handler) write(w http.ResponseWriter, a *forward.Answer) {
+	if a.Reason == forward.CallerLeft {
+		panic(http.ErrAbortHandler) // nobody reads an answer
+	}
+	out := w.Header()
+	for name, values := range forwarded(a.Header) {
+		out[name] = values
+	}
+	// The library would add these; they are the target's to give.
+	for _, name := range []string{"Date", "Content-Type"} {
+		if _, ok := out[name]; !ok {
+			out[name] = nil
+		}
+	}
+	h.opts.Dialect.Encode(out, a)
+	if a.RetryAfter > 0 {
+		out.Set("Retry-After", strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+	body := a.Body
+	if body == nil && a.Reason != "" {
+		body = []byte(a.Reason + "\n")
+	}
+	out.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(a.Status)
+	_, _ = w.Write(body) // a failure means that the caller left
+}
--- /dev/null
+++ b/peers/node.go
@@ -0,0 +1,143 @@
+package peers
+
+import (
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
+	"gopkg.in/tomb.v2"
+)
+
+// Node exchanges the messages of a State over UDP.
+//
+// Lock order: mu is taken with no other lock held, and none is taken under it.
+type Node struct {
+	tomb   tomb.Tomb
+	socket net.PacketConn
+	logger *slog.Logger
+	count  func(int)
+	tick   time.Duration
+
+	mu    sync.Mutex
+	state *State
+	last  int
+}
+
+// Listen opens the socket of a node. Count is told each change of the number
+// of processes.
+func Listen(address string, state *State, tick time.Duration, logger *slog.Logger, count func(int)) (*Node, error) {
+	socket, err := net.ListenPacket("udp4", address)
+	if err != nil {
+		return nil, errors.Annotatef(err, "listen for peers on %s", address)
+	}
+	return &Node{socket: socket, logger: logger, count: count, tick: tick, state: state}, nil
+}
+
+// Start begins to exchange messages.
+func (n *Node) Start() {
+	n.tomb.Go(n.receive)
+	n.tomb.Go(n.run)
+}
+
+// Stop closes the socket and waits.
+func (n *Node) Stop() error {
+	n.tomb.Kill(nil)
+	_ = n.socket.Close() // ends receive
+	return n.tomb.Wait()
+}
+
+func (n *Node) run() error {
+	ticker := time.NewTicker(n.tick)
+	defer ticker.Stop()
+	for {
+		now := time.Now()
+		n.mu.Lock()
+		sends := n.state.Tick(now)
+		n.mu.Unlock()
+		n.send(sends)
+		n.tell(now)
+		select {
+		case <-n.tomb.Dying():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// tell passes the number of processes on when it changes.
+func (n *Node) tell(now time.Time) {
+	n.mu.Lock()
+	count := n.state.Count(now)
+	changed := count != n.last
+	before := n.last
+	n.last = count
+	n.mu.Unlock()
+	if changed {
+		n.logger.Info("number of processes changed", "from", before, "to", count)
+		n.count(count)
+	}
+}
+
+func (n *Node) send(sends []Send) {
+	for _, s := range sends {
+		address, err := net.ResolveUDPAddr("udp4", s.To)
+		if err != nil {
+			n.logger.Warn("a peer's address is not valid", "address", s.To, "error", err)
+			continue
+		}
+		data, err := cbor.Marshal(s.Message)
+		if err != nil {
+			n.logger.Error("message to a peer can't be encoded", "error", err)
+			continue
+		}
+		if _, err := n.socket.WriteTo(data, address); err != nil {
+			n.logger.Debug("message to a peer not sent", "address", s.To, "error", err)
+		}
+	}
+}
+
+func (n *Node) receive() error {
+	buf := make([]byte, 64<<10)
+	for {
+		size, from, err := n.socket.ReadFrom(buf)
+		if err != nil {
+			if n.tomb.Alive() {
+				n.logger.Warn("reading from peers failed", "error", err)
+				time.Sleep(n.tick)
+				continue
+			}
+			return nil
+		}
+		var m Message
+		if err := cbor.Unmarshal(buf[:size], &m); err != nil {
+			n.logger.Warn("message of a peer can't be read", "from", from.String(), "error", err)
+			continue
+		}
+		now := time.Now()
+		n.mu.Lock()
+		sends, added := n.state.Heard(now, m)
+		n.mu.Unlock()
+		for _, name := range added {
+			n.logger.Info("peer found", "peer", name, "told_by", from.String())
+		}
+		n.send(sends)
+		n.tell(now)
+	}
+}
+
+// Gap tells that the process was paused.
+func (n *Node) Gap(now time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.state.Gap(now)
+}
+
+// Members returns what is known of the others.
+func (n *Node) Members() []Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.state.Members()
+}
--- /dev/null
+++ b/peers/state.go
@@ -0,0 +1,198 @@
+// Package peers keeps count of the processes that share the limits of targets.
+// They find each other by a few seeds, which may be stale or down, and by
+// gossip: each tells a few others of those that it has heard of.
+//
+// State is pure: time and randomness are passed in, and it does no I/O. It
+// isn't safe for concurrent use.
+package peers
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Member is what is told of one process.
+type Member struct {
+	Name    string `cbor:"1,keyasint"`
+	Address string `cbor:"2,keyasint"` // host and port
+	// Started tells the incarnations of a process apart: nanoseconds since the
+	// Unix epoch.
+	Started int64 `cbor:"3,keyasint"`
+	// Beat grows with each message of the process itself.
+	Beat uint64 `cbor:"4,keyasint"`
+}
+
+// Message is what a process sends.
+type Message struct {
+	Members []Member `cbor:"1,keyasint"` // the sender comes first
+	// Reply is true if the sender knows little and asks for an answer.
+	Reply bool `cbor:"2,keyasint,omitempty"`
+}
+
+// Send is an action: send the message to the address.
+type Send struct {
+	To      string
+	Message Message
+}
+
+// Options configures a State.
+type Options struct {
+	Self  Member
+	Seeds []string
+	// Interval is the time between two rounds of messages.
+	Interval time.Duration
+	// Fanout is the number of members told in a round.
+	Fanout int
+	// Entries bounds the members named in a message.
+	Entries int
+	// Forget is how long a member that nobody hears of counts. It is long: a
+	// share must not grow because others are cut off for a while.
+	Forget time.Duration
+	// Unknown is the number of processes that is assumed until others are heard of.
+	Unknown int
+	// Settle is how long after the start the count may still be too low.
+	Settle time.Duration
+	Rand   *rand.Rand
+}
+
+type record struct {
+	Member
+	heard time.Time // when the beat last grew here
+}
+
+// State is the membership as one process sees it.
+type State struct {
+	opts    Options
+	members map[string]*record
+	started time.Time
+	next    time.Time
+}
+
+// New returns a State that knows only itself.
+func New(now time.Time, opts Options) *State {
+	return &State{opts: opts, members: map[string]*record{}, started: now}
+}
+
+// Tick returns the messages that are due, and whether members were forgotten.
+func (s *State) Tick(now time.Time) []Send {
+	s.forget(now)
+	if now.Before(s.next) {
+		return nil
+	}
+	s.next = now.Add(s.opts.Interval)
+	s.opts.Self.Beat++
+	var sends []Send
+	for _, to := range s.receivers() {
+		sends = append(sends, Send{To: to, Message: s.message(len(s.members) == 0)})
+	}
+	return sends
+}
+
+// receivers picks members at random, and a seed.
+func (s *State) receivers() []string {
+	addresses := make([]string, 0, len(s.members))
+	for _, r := range s.members {
+		addresses = append(addresses, r.Address)
+	}
+	slices.Sort(addresses)
+	s.opts.Rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	addresses = addresses[:min(len(addresses), s.opts.Fanout)]
+	seeds := slices.DeleteFunc(slices.Clone(s.opts.Seeds), func(a string) bool { return a == s.opts.Self.Address })
+	if len(seeds) == 0 {
+		return addresses
+	}
+	if len(s.members) == 0 {
+		return seeds
+	}
+	seed := seeds[s.opts.Rand.IntN(len(seeds))]
+	if !slices.Contains(addresses, seed) {
+		addresses = append(addresses, seed)
+	}
+	return addresses
+}
+
+// message names this process and others, those heard of last first.
+func (s *State) message(reply bool) Message {
+	known := make([]*record, 0, len(s.members))
+	for _, r := range s.members {
+		known = append(known, r)
+	}
+	slices.SortFunc(known, func(a, b *record) int {
+		if c := b.heard.Compare(a.heard); c != 0 {
+			return c
+		}
+		return strings.Compare(a.Name, b.Name)
+	})
+	m := Message{Members: []Member{s.opts.Self}, Reply: reply}
+	for _, r := range known[:min(len(known), s.opts.Entries)] {
+		m.Members = append(m.Members, r.Member)
+	}
+	return m
+}
+
+// Heard takes a message and returns the answer that it asks for, if any, and
+// the names of members that are new.
+func (s *State) Heard(now time.Time, m Message) (sends []Send, added []string) {
+	for i := range m.Members {
+		if s.learn(now, m.Members[i]) {
+			added = append(added, m.Members[i].Name)
+		}
+	}
+	if m.Reply && len(m.Members) > 0 {
+		sends = append(sends, Send{To: m.Members[0].Address, Message: s.message(false)})
+	}
+	return sends, added
+}
+
+func (s *State) learn(now time.Time, m Member) (added bool) {
+	if m.Name == s.opts.Self.Name || m.Name == "" || m.Address == "" {
+		return false
+	}
+	known := s.members[m.Name]
+	if known == nil {
+		s.members[m.Name] = &record{Member: m, heard: now}
+		return true
+	}
+	newer := m.Started > known.Started || (m.Started == known.Started && m.Beat > known.Beat)
+	if newer {
+		known.Member, known.heard = m, now
+	}
+	return false
+}
+
+func (s *State) forget(now time.Time) {
+	for name, r := range s.members {
+		if now.Sub(r.heard) > s.opts.Forget {
+			delete(s.members, name)
+		}
+	}
+}
+
+// Gap tells that this process was paused: silence in that time was its own.
+func (s *State) Gap(now time.Time) {
+	for _, r := range s.members {
+		r.heard = now
+	}
+}
+
+// Count returns the number of processes that share the limits, this one
+// included, and never fewer than can be there for all that is known.
+func (s *State) Count(now time.Time) int {
+	n := len(s.members) + 1
+	if len(s.members) == 0 || now.Sub(s.started) < s.opts.Settle {
+		return max(n, s.opts.Unknown)
+	}
+	return n
+}
+
+// Members returns what is known of the others, by name.
+func (s *State) Members() []Member {
+	out := make([]Member, 0, len(s.members))
+	for _, r := range s.members {
+		out = append(out, r.Member)
+	}
+	slices.SortFunc(out, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
--- /dev/null
+++ b/plan/plan.go
@@ -0,0 +1,302 @@
+// Package plan decides the course of one request over one or more shards: when
+// another attempt is made, when the answer is given with the shards that are
+// in, and when the request has failed.
+//
+// The package is pure: time is passed in, and attempts are made by the caller.
+package plan
+
+import "time"
+
+// Bounds of a plan.
+const (
+	// ExtraSends is the number of attempts at a shard beyond the targets that
+	// it may run on: refusals and repeats at the same target don't add to those.
+	ExtraSends = 3
+	// minRetryDelay and maxRetryDelay bound the wait before a shard is tried
+	// again after a refusal, or when no target could be had.
+	minRetryDelay = 4 * time.Millisecond
+	maxRetryDelay = 64 * time.Millisecond
+	// repeatDelay is the least wait before an attempt beyond the second is
+	// made only because the others are overdue. It is above the pauses of
+	// targets: what takes longer is a connection that has gone silent.
+	repeatDelay = 300 * time.Millisecond
+)
+
+// Options describes a request.
+type Options struct {
+	// Shards is the number of shards; 1 for a request to one service.
+	Shards int
+	// MaxTargets bounds the targets of a shard that may run the request.
+	MaxTargets int
+	// Idempotent is true if the request may run more than once.
+	Idempotent bool
+	// MinShare is the least share of shards that makes an answer.
+	MinShare float64
+	// AnswerAt is when an answer with enough shards is given though some are missing.
+	AnswerAt time.Time
+	// LateAt is when, enough shards having come only after AnswerAt, the
+	// answer isn't held for more.
+	LateAt time.Time
+	// OfferBy is when a request that could not be sent at all is refused.
+	OfferBy time.Time
+	// Deadline is when the request has failed.
+	Deadline time.Time
+	// HedgeAfter is how long an attempt may take before another target is
+	// asked as well; zero for never.
+	HedgeAfter time.Duration
+}
+
+// Verdict tells what to do with the request.
+type Verdict int
+
+// Verdicts.
+const (
+	Wait     Verdict = iota
+	Complete         // all shards are in
+	Partial          // enough shards are in; the others are left out
+	NotRun           // no target ran it or will; it may be refused as not run
+	Failed           // it failed, and a target may have run it
+	Expired          // its deadline passed, and a target may have run it
+)
+
+type shard struct {
+	in       bool
+	lost     bool
+	sends    int
+	ran      int // attempts that a target may have run
+	inFlight int
+	refusals int
+	next     time.Time // when another attempt is due; zero for none
+}
+
+// Plan is the state of one request. It isn't safe for concurrent use.
+type Plan struct {
+	opts   Options
+	shards []shard
+	in     int
+	lost   int
+	sent   bool
+	ran    bool
+	// enoughAt is when enough shards were in; zero before.
+	enoughAt time.Time
+}
+
+// New returns the plan of a request whose shards are all due.
+func New(now time.Time, opts Options) *Plan {
+	p := &Plan{opts: opts, shards: make([]shard, opts.Shards)}
+	for i := range p.shards {
+		p.shards[i].next = now
+	}
+	return p
+}
+
+// Due returns a shard that is due for another attempt, if any. Extra is true
+// if the shard was sent before, so that the attempt draws on the budget.
+func (p *Plan) Due(now time.Time) (i int, extra, ok bool) {
+	for i := range p.shards {
+		s := &p.shards[i]
+		if !s.in && !s.lost && !s.next.IsZero() && !s.next.After(now) {
+			return i, s.sends > 0, true
+		}
+	}
+	return 0, false, false
+}
+
+// Sent records an attempt at a shard.
+func (p *Plan) Sent(now time.Time, i int) {
+	s := &p.shards[i]
+	s.sends++
+	s.inFlight++
+	p.sent = true
+	s.next = time.Time{}
+	if p.opts.HedgeAfter == 0 || !p.opts.Idempotent || s.sends >= p.maxSends() {
+		return
+	}
+	delay := p.opts.HedgeAfter
+	if s.sends > 1 {
+		delay = max(delay, repeatDelay)
+	}
+	s.next = now.Add(delay)
+}
+
+func (p *Plan) maxSends() int { return p.opts.MaxTargets + ExtraSends }
+
+// Unavailable records that no target of the shard could be had, or that the
+// budget did not allow the attempt; it is due again a little later.
+func (p *Plan) Unavailable(now time.Time, i int) {
+	s := &p.shards[i]
+	s.next = now.Add(p.delay(s))
+	s.refusals++
+}
+
+func (p *Plan) delay(s *shard) time.Duration {
+	return min(minRetryDelay<<min(s.refusals, 8), maxRetryDelay)
+}
+
+// Answered records that a shard is in. It returns false if it was already.
+func (p *Plan) Answered(now time.Time, i int) bool {
+	s := &p.shards[i]
+	s.inFlight--
+	if s.in {
+		return false
+	}
+	if s.lost {
+		s.lost = false
+		p.lost--
+	}
+	s.in = true
+	p.in++
+	if p.enoughAt.IsZero() && p.enough(p.in) {
+		p.enoughAt = now
+	}
+	return true
+}
+
+// Refused records that an attempt did not run.
+func (p *Plan) Refused(now time.Time, i int) {
+	s := &p.shards[i]
+	s.inFlight--
+	if s.in {
+		return
+	}
+	p.again(now, s)
+}
+
+// Broken records that an attempt failed and may have run.
+func (p *Plan) Broken(now time.Time, i int) {
+	s := &p.shards[i]
+	s.inFlight--
+	s.ran++
+	p.ran = true
+	if s.in {
+		return
+	}
+	if !p.opts.Idempotent {
+		p.lose(s)
+		return
+	}
+	p.again(now, s)
+}
+
+// again makes a shard due for a retry, or gives it up.
+func (p *Plan) again(now time.Time, s *shard) {
+	if s.sends >= p.maxSends() {
+		if s.inFlight == 0 {
+			p.lose(s)
+		}
+		return
+	}
+	retry := now
+	if s.refusals > 0 {
+		retry = now.Add(p.delay(s))
+	}
+	s.refusals++
+	s.next = retry
+}
+
+func (p *Plan) lose(s *shard) {
+	if !s.lost {
+		s.lost = true
+		p.lost++
+	}
+	s.next = time.Time{}
+}
+
+// In returns the number of shards that are in.
+func (p *Plan) In() int { return p.in }
+
+// Missing reports whether a shard is not in.
+func (p *Plan) Missing(i int) bool { return !p.shards[i].in }
+
+// Sends returns the number of attempts at a shard.
+func (p *Plan) Sends(i int) int { return p.shards[i].sends }
+
+// enough reports whether n shards make an answer.
+func (p *Plan) enough(n int) bool {
+	return n > 0 && float64(n) >= p.opts.MinShare*float64(len(p.shards))-1e-9
+}
+
+// mayRun reports whether a target runs, ran or may yet run the request.
+func (p *Plan) mayRun() bool {
+	if p.ran || p.in > 0 {
+		return true
+	}
+	for i := range p.shards {
+		if p.shards[i].inFlight > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Verdict returns what to do now.
+func (p *Plan) Verdict(now time.Time) Verdict {
+	n := len(p.shards)
+	switch {
+	case p.in == n:
+		return Complete
+	case p.enough(p.in) && p.settled(now):
+		return Partial
+	case !p.enough(n - p.lost):
+		return p.failure(Failed)
+	case !now.Before(p.opts.Deadline):
+		return p.failure(Expired)
+	case !p.sent && !now.Before(p.opts.OfferBy):
+		return NotRun
+	}
+	return Wait
+}
+
+// settled reports whether the shards that are in, being enough, make the answer.
+func (p *Plan) settled(now time.Time) bool {
+	return p.in+p.lost == len(p.shards) || !now.Before(p.answerBy())
+}
+
+// answerBy returns when the shards that are in are answered without the others.
+// If enough came too late for AnswerAt, the others get until LateAt.
+func (p *Plan) answerBy() time.Time {
+	if p.enoughAt.After(p.opts.AnswerAt) {
+		return p.opts.LateAt
+	}
+	return p.opts.AnswerAt
+}
+
+// NewTarget reports whether another target of the shard may be asked; else only
+// those that were asked before.
+func (p *Plan) NewTarget(i int) bool {
+	return p.shards[i].ran+p.shards[i].inFlight < p.opts.MaxTargets
+}
+
+func (p *Plan) failure(v Verdict) Verdict {
+	if p.mayRun() {
+		return v
+	}
+	return NotRun
+}
+
+// Wake returns when something is due next.
+func (p *Plan) Wake(now time.Time) time.Time {
+	wake := p.opts.Deadline
+	if len(p.shards) > 1 {
+		wake = earliest(wake, now, p.opts.AnswerAt)
+		wake = earliest(wake, now, p.opts.LateAt)
+	}
+	if !p.sent && p.opts.OfferBy.Before(wake) {
+		wake = p.opts.OfferBy
+	}
+	for i := range p.shards {
+		s := &p.shards[i]
+		if !s.in && !s.lost && !s.next.IsZero() && s.next.Before(wake) {
+			wake = s.next
+		}
+	}
+	return wake
+}
+
+// earliest returns at if it lies between now and wake, else wake.
+func earliest(wake, now, at time.Time) time.Time {
+	if at.After(now) && at.Before(wake) {
+		return at
+	}
+	return wake
+}
--- /dev/null
+++ b/upstream/conn.go
@@ -0,0 +1,137 @@
+package upstream
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Sizes of a connection's buffers.
+const (
+	readBuffer = 2 << 10
+	// maxAnswerBytes bounds an answer that is held in memory.
+	maxAnswerBytes = 8 << 20
+)
+
+// conn is one connection to a target. It carries one request at a time; its
+// reading goroutine runs until it is closed.
+type conn struct {
+	pool   *Pool
+	target *Target
+	net    net.Conn
+	read   *bufio.Reader
+	// Guarded by the pool's lock.
+	current *Attempt
+	closed  bool
+	// writing is true while a request is being written.
+	writing bool
+	// early is true if the answer came before the request was written whole.
+	early bool
+	// idleSince is when the last request ended.
+	idleSince time.Time
+	// idleLimit is how long the target keeps the connection unused.
+	idleLimit time.Duration
+}
+
+// send writes an attempt that holds the connection.
+func (c *conn) send(a *Attempt) {
+	now := time.Now()
+	left := a.Call.Deadline.Sub(now)
+	if left <= 0 {
+		c.pool.unsent(c, a, errDeadline)
+		return
+	}
+	buf := c.pool.buffer()
+	buf = append(buf, a.Call.prefix...)
+	buf = c.pool.opts.Codec.AppendAttempt(buf, left, a.Target.ID)
+	buf = append(buf, a.Call.Body...)
+	_ = c.net.SetWriteDeadline(now.Add(min(left, writeTimeout))) // fails only on a closed connection, and then the write does
+	n, err := c.net.Write(buf)
+	c.pool.release(buf)
+	c.pool.written(c, a, n, err)
+}
+
+// writeTimeout bounds the writing of a request; its target reads within milliseconds.
+const writeTimeout = 2 * time.Second
+
+// run reads answers until the connection ends.
+func (c *conn) run() {
+	for {
+		_, err := c.read.Peek(1)
+		a := c.pool.currentOf(c)
+		if err != nil {
+			c.pool.ended(c, a, errors.Trace(err))
+			return
+		}
+		if a == nil {
+			c.pool.ended(c, nil, errUnasked)
+			return
+		}
+		if !c.receive(a) {
+			return
+		}
+	}
+}
+
+// receive reads one answer and reports whether the connection can go on.
+func (c *conn) receive(a *Attempt) bool {
+	resp, err := http.ReadResponse(c.read, &http.Request{Method: a.Call.Method})
+	if err != nil {
+		c.pool.ended(c, a, errors.Annotate(err, "read the answer"))
+		return false
+	}
+	if resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
+		return true // an interim answer
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	if err != nil {
+		c.pool.ended(c, a, errors.Annotate(err, "read the answer's body"))
+		return false
+	}
+	if len(body) > maxAnswerBytes {
+		c.pool.ended(c, a, errors.Errorf("the answer is larger than %d bytes", maxAnswerBytes))
+		return false
+	}
+	reply := c.pool.opts.Codec.Reply(resp.Header, resp.StatusCode)
+	if reply.ID != "" && reply.ID != a.Call.ID {
+		c.pool.ended(c, a, errOtherAnswer)
+		return false
+	}
+	result := Result{
+		Attempt: a, Kind: kindOf(reply), Status: resp.StatusCode, Header: resp.Header,
+		Seal: reply.Seal, Body: body, At: time.Now(),
+	}
+	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	keep := framed && !resp.Close && c.read.Buffered() == 0
+	return c.pool.answered(c, result, keep, keepAlive(resp.Header))
+}
+
+func kindOf(r Reply) Kind {
+	switch {
+	case r.Misdirected:
+		return Misdirected
+	case r.NotRun:
+		return Refused
+	}
+	return Answered
+}
+
+// keepAlive returns the idle time-out that an answer tells, or 0.
+func keepAlive(h http.Header) time.Duration {
+	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if secs, err := strconv.Atoi(value); err == nil && secs > 0 {
+			return time.Duration(secs) * time.Second
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/upstream/target.go
@@ -0,0 +1,69 @@
+package upstream
+
+import (
+	"time"
+
+	"github.com/goldcrestmux/goldcrestmux/balance"
+	"github.com/goldcrestmux/goldcrestmux/catalog"
+)
+
+// Target is one target with its connections. All fields are guarded by the
+// pool's lock.
+type Target struct {
+	ID      string
+	Service string
+	entry   *catalog.Entry
+	remote  bool
+	record  balance.Record
+	// idle holds the unused connections, the last used one at the end.
+	idle []*conn
+	// open counts connections, also those that are being opened.
+	open    int
+	waiting []*Attempt
+	gone    bool
+	// lapsed is true while the target is a last resort.
+	lapsed bool
+	// avoided is true if its data centre is evacuated.
+	avoided bool
+}
+
+// take returns the connection that was used last, or nil.
+func (t *Target) take() *conn {
+	n := len(t.idle)
+	if n == 0 {
+		return nil
+	}
+	c := t.idle[n-1]
+	t.idle[n-1] = nil
+	t.idle = t.idle[:n-1]
+	return c
+}
+
+// drop removes a connection from the idle ones.
+func (t *Target) drop(c *conn) {
+	for i, other := range t.idle {
+		if other == c {
+			t.idle = append(t.idle[:i], t.idle[i+1:]...)
+			return
+		}
+	}
+}
+
+// unqueue removes an attempt that waits for a connection.
+func (t *Target) unqueue(a *Attempt) bool {
+	for i, other := range t.waiting {
+		if other == a {
+			t.waiting = append(t.waiting[:i], t.waiting[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// usable reports whether the target may get requests.
+func (t *Target) usable(now time.Time, drainUse time.Duration) bool {
+	if t.gone || t.avoided {
+		return false
+	}
+	return !t.entry.Draining || now.Sub(t.entry.DrainingSince) < drainUse
+}
