--- a/entry/entry.go
+++ b/entry/entry.go
@@ -177,7 +177,13 @@
 		return err
 	}
 	e.ready = &http.Server{Handler: e.readyPage(), ReadHeaderTimeout: defaultWait}
-	e.tomb.Go(func() error { return served(e.callers.Serve(callers), "callers") })
+	e.tomb.Go(func() error {
+		err := e.callers.Serve(callers)
+		if e.stopping.Load() && errors.Is(err, net.ErrClosed) {
+			return nil // the stop closed the listener
+		}
+		return served(err, "callers")
+	})
 	e.tomb.Go(func() error { return served(e.ready.Serve(ready), "the ready page") })
 	e.startMetrics()
 	e.follower.Start()
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -65,14 +65,16 @@
 	e.stopping.Store(true)
 	e.log.Info("stopping", "signal", sig.String(), "bound", e.settings.StopBound, "in_progress", e.handler.Active())
 	time.Sleep(at(lastRequestsAt))
-	e.callers.LastRequests()
+	e.handler.LastRequests()
 	time.Sleep(at(closeListenerAt))
-	ctx, cancel := context.WithTimeout(context.Background(), at(giveUpAt))
-	defer cancel()
 	code := exitOK
-	if err := e.callers.Shutdown(ctx); err != nil {
+	left, err := e.callers.Drain(time.Now().Add(at(giveUpAt)))
+	if err != nil {
+		e.log.Warn("the listener did not close", "error", err)
+	}
+	if left > 0 {
 		code = exitCutOff
-		e.log.Error("requests were cut off", "in_progress", e.handler.Active(), "error", err)
+		e.log.Error("requests were cut off", "in_progress", left)
 	}
 	e.closeAll()
 	e.log.Info("stopped", "took", time.Since(begun), "exit_code", code)
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -51,6 +51,7 @@
 type Handler struct {
 	opts   Options
 	active atomic.Int64
+	last   atomic.Bool
 }
 
 // New returns a Handler.
@@ -59,6 +60,9 @@
 // Active returns the number of requests in progress.
 func (h *Handler) Active() int64 { return h.active.Load() }
 
+// LastRequests makes each connection end with its next answer.
+func (h *Handler) LastRequests() { h.last.Store(true) }
+
 // Answers that are refused before a route is known say when to come back.
 const (
 	unknownRetry = 200 * time.Millisecond
@@ -205,6 +209,9 @@
 		}
 	}
 	h.opts.Dialect.Encode(out, a)
+	if h.last.Load() {
+		out.Set("Connection", "close")
+	}
 	if a.RetryAfter > 0 {
 		out.Set("Retry-After", strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', 3, 64))
 	}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -1,11 +1,14 @@
 package ingress
 
 import (
-	"context"
+	"io"
+	"log"
 	"net"
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 // Bounds of the server, whatever the configuration says.
@@ -14,46 +17,58 @@
 	maxHeaderBytes = 64 << 10
 	// readHeaderTimeout ends connections whose request's headers don't come.
 	readHeaderTimeout = 10 * time.Second
+	// stopPoll is the interval at which a stopping server looks for work.
+	stopPoll = 20 * time.Millisecond
 )
 
 // Server accepts connections of callers and closes them when they are idle.
+// It doesn't use the library's own closing of idle connections, which may
+// close one whose request has just been read.
 //
-// Lock order: mu is taken with no other lock held, and none is taken under it.
+// Lock order: mu is taken before the mutex of a connection.
 type Server struct {
-	http *http.Server
+	http    *http.Server
+	handler *Handler
 
-	mu   sync.Mutex
-	idle map[net.Conn]time.Time
-	open int
+	mu       sync.Mutex
+	conns    map[*callerConn]struct{}
+	listener net.Listener
 }
 
 // NewServer returns a server for a handler.
-func NewServer(h http.Handler) *Server {
-	s := &Server{idle: map[net.Conn]time.Time{}}
+func NewServer(h *Handler) *Server {
+	s := &Server{handler: h, conns: map[*callerConn]struct{}{}}
 	s.http = &http.Server{
 		Handler: h, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: s.track, DisableGeneralOptionsHandler: true, ErrorLog: nil,
+		ConnState: s.track, DisableGeneralOptionsHandler: true,
+		// Faults of single connections are the callers' and would flood the log.
+		ErrorLog: log.New(io.Discard, "", 0),
 	}
 	return s
 }
 
 // Serve accepts connections until the server is closed.
-func (s *Server) Serve(l net.Listener) error { return s.http.Serve(l) }
+func (s *Server) Serve(l net.Listener) error {
+	s.mu.Lock()
+	s.listener = l
+	s.mu.Unlock()
+	return s.http.Serve(listener{l})
+}
 
-func (s *Server) track(c net.Conn, state http.ConnState) {
+func (s *Server) track(nc net.Conn, state http.ConnState) {
+	c, ok := nc.(*callerConn)
+	if !ok {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch state {
 	case http.StateNew:
-		s.open++
-		s.idle[c] = time.Now()
+		s.conns[c] = struct{}{}
 	case http.StateIdle:
-		s.idle[c] = time.Now()
-	case http.StateActive:
-		delete(s.idle, c)
+		c.rest(time.Now())
 	case http.StateClosed, http.StateHijacked:
-		delete(s.idle, c)
-		s.open--
+		delete(s.conns, c)
 	}
 }
 
@@ -61,31 +76,38 @@
 func (s *Server) Open() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.open
+	return len(s.conns)
 }
 
 // CloseIdle closes the connections that have had no request since a time.
 func (s *Server) CloseIdle(since time.Time) {
 	s.mu.Lock()
-	var old []net.Conn
-	for c, at := range s.idle {
-		if at.Before(since) {
-			old = append(old, c)
-			delete(s.idle, c)
-		}
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.closeIdle(since)
+	}
+}
+
+// Drain accepts no more connections, closes idle ones, and waits for the
+// requests in progress until a time. It reports how many were left.
+func (s *Server) Drain(until time.Time) (left int, err error) {
+	s.handler.LastRequests()
+	s.mu.Lock()
+	if s.listener != nil {
+		err = errors.Annotate(s.listener.Close(), "close the listener for callers")
 	}
 	s.mu.Unlock()
-	for _, c := range old {
-		_ = c.Close() // the caller sees the end
+	for {
+		s.CloseIdle(time.Now())
+		if s.handler.Active() == 0 && s.Open() == 0 {
+			return 0, err
+		}
+		if !time.Now().Before(until) {
+			return int(s.handler.Active()), err
+		}
+		time.Sleep(stopPoll)
 	}
 }
 
-// LastRequests makes each connection end with its next answer, and closes the
-// idle ones.
-func (s *Server) LastRequests() { s.http.SetKeepAlivesEnabled(false) }
-
-// Shutdown accepts no more connections and waits for the requests in progress.
-func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
-
 // Close closes everything at once.
-func (s *Server) Close() error { return s.http.Close() }
+func (s *Server) Close() error { return errors.Trace(s.http.Close()) }
--- /dev/null
+++ b/ingress/server_test.go
@@ -0,0 +1,48 @@
+package ingress
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+// pipeConn is a connection whose read can be held up, as on a busy processor.
+type pipeConn struct {
+	net.Conn
+	closed bool
+}
+
+func (c *pipeConn) Close() error { c.closed = true; return nil }
+func (c *pipeConn) Read(p []byte) (int, error) {
+	return copy(p, "GET / HTTP/1.1\r\n"), nil
+}
+
+// A connection of which a request has been read must not be closed as idle,
+// though the server has not begun to handle the request.
+func TestIdleCloseSparesAReadRequest(t *testing.T) {
+	now := time.Now()
+	raw := &pipeConn{}
+	c := &callerConn{Conn: raw, idle: now}
+	if _, err := c.Read(make([]byte, 64)); err != nil {
+		t.Fatal(err)
+	}
+	if c.closeIdle(now.Add(time.Hour)) || raw.closed {
+		t.Fatal("closed under a request that has been read")
+	}
+	c.rest(now)
+	if !c.closeIdle(now.Add(time.Hour)) || !raw.closed {
+		t.Fatal("an idle connection was not closed")
+	}
+	if n, err := c.Read(make([]byte, 64)); n != 0 || err != io.EOF {
+		t.Fatalf("read %d bytes, error %v after the close, want EOF", n, err)
+	}
+}
+
+func TestIdleCloseKeepsRecentConnections(t *testing.T) {
+	now := time.Now()
+	c := &callerConn{Conn: &pipeConn{}, idle: now}
+	if c.closeIdle(now.Add(-time.Second)) {
+		t.Fatal("closed a connection that was idle for less than the limit")
+	}
+}
