--- /dev/null
+++ b/balance/balance_test.go
@@ -0,0 +1,86 @@
+package balance
+
+import (
+	"testing"
+	"time"
+)
+
+var (
+	epoch = time.Unix(1_700_000_000, 0)
+	kind  = Kind{Expected: 20 * time.Millisecond, Overdue: 50 * time.Millisecond, Remote: 15 * time.Millisecond}
+)
+
+func pair() []Candidate {
+	return []Candidate{{Record: &Record{}, Slots: 2}, {Record: &Record{}, Slots: 2}}
+}
+
+func TestLeavesAStalledTarget(t *testing.T) {
+	c := pair()
+	c[1].Remote = true
+	if i := Choose(epoch, kind, c, 0); i != 0 {
+		t.Fatalf("chose %d, want the one in the own data centre", i)
+	}
+	c[0].Record.Sent(epoch)
+	if i := Choose(epoch.Add(40*time.Millisecond), kind, c, 0); i != 0 {
+		t.Fatalf("chose %d before the attempt is overdue, want 0", i)
+	}
+	if i := Choose(epoch.Add(60*time.Millisecond), kind, c, 0); i != 1 {
+		t.Fatalf("chose %d while an attempt at 0 is overdue, want 1", i)
+	}
+	c[0].Record.Answered(epoch.Add(70*time.Millisecond), epoch, kind.Expected)
+	if i := Choose(epoch.Add(10*time.Second), kind, c, 0); i != 0 {
+		t.Fatalf("chose %d long after the stall, want 0", i)
+	}
+}
+
+func TestLeavesASlowTargetAndComesBack(t *testing.T) {
+	c := pair()
+	now := epoch
+	for range 5 {
+		c[0].Record.Sent(now)
+		c[0].Record.Answered(now.Add(200*time.Millisecond), now, kind.Expected)
+		now = now.Add(200 * time.Millisecond)
+	}
+	for turn := range uint64(4) {
+		if i := Choose(now, kind, c, turn); i != 1 {
+			t.Fatalf("chose the slow target")
+		}
+	}
+	later := now.Add(5 * forgetAfter)
+	if cost := c[0].Cost(later, kind); cost > 22*time.Millisecond {
+		t.Fatalf("cost %v after five times the memory's length, want about the usual", cost)
+	}
+}
+
+func TestLeavesAFailingTarget(t *testing.T) {
+	c := pair()
+	for range 4 {
+		c[0].Record.Sent(epoch)
+		c[0].Record.Failed(epoch, epoch)
+	}
+	if i := Choose(epoch, kind, c, 0); i != 1 {
+		t.Fatalf("chose the failing target")
+	}
+}
+
+func TestOrderOfLastResorts(t *testing.T) {
+	c := []Candidate{
+		{Record: &Record{}, Slots: 2, Last: true},
+		{Record: &Record{}, Slots: 2, Tried: 1},
+		{Record: &Record{}, Slots: 2, Cold: true},
+	}
+	c[2].Record.Unreachable(epoch, epoch)
+	if i := Choose(epoch, kind, c, 0); i != 2 {
+		t.Fatalf("chose %d, want the unreachable one before one that was tried or is leaving", i)
+	}
+	if i := Choose(epoch, kind, c[:2], 0); i != 1 {
+		t.Fatalf("chose %d, want the tried one before the leaving one", i)
+	}
+}
+
+func TestEqualTargetsTakeTurns(t *testing.T) {
+	c := pair()
+	if a, b := Choose(epoch, kind, c, 0), Choose(epoch, kind, c, 1); a == b {
+		t.Fatalf("both turns chose %d", a)
+	}
+}
--- /dev/null
+++ b/catalog/state_test.go
@@ -0,0 +1,169 @@
+package catalog
+
+import (
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+func newState() *State { return NewState(StateOptions{LapseHold: 2 * time.Second}) }
+
+func configItem(version, revision uint64, prefixes ...string) Item {
+	c := &Config{Version: version, Services: []*Service{{Name: "s1", MaxConnections: 25}}}
+	for _, p := range prefixes {
+		c.Routes = append(c.Routes, &Route{Name: p, Host: "a.example", Prefix: p, Parts: []Part{{"s1", 1}}, Idempotent: true})
+	}
+	return Item{Kind: KindConfig, Revision: revision, Config: c}
+}
+
+func targetItem(id string, revision uint64, change func(*Target)) Item {
+	t := &Target{ID: id, Service: "s1", Address: "10.0.0.1:80", DataCentre: "dc1", Slots: 2, Born: 100, Sequence: 5}
+	if change != nil {
+		change(t)
+	}
+	return Item{Kind: KindTarget, Name: id, Revision: revision, Target: t}
+}
+
+func TestConfigurationNeverRegresses(t *testing.T) {
+	s := newState()
+	s.Apply(epoch, []Item{configItem(7, 10, "/a/")})
+	s.Apply(epoch, []Item{configItem(5, 11, "/old/")})
+	if v := s.View(); v.Version != 7 || v.Route("a.example", "/old/x") != nil {
+		t.Fatalf("version %d after an older one was read, want 7", v.Version)
+	}
+	s.Replace(epoch, []Item{configItem(6, 12, "/old/")}, 12)
+	if v := s.View(); v.Version != 7 {
+		t.Fatalf("version %d after a listing from a replica that is behind, want 7", v.Version)
+	}
+}
+
+func TestBadConfigurationKeepsTheLastGoodOne(t *testing.T) {
+	good := configItem(7, 10, "/a/")
+	for name, bad := range map[string]Item{
+		"unreadable": {Kind: KindConfig, Revision: 11, Err: errors.New("not JSON")},
+		"deleted":    {Kind: KindConfig, Revision: 11, Deleted: true},
+		"no slash":   configItem(8, 11, "/a"),
+	} {
+		s := newState()
+		s.Apply(epoch, []Item{good})
+		changes := s.Apply(epoch, []Item{bad})
+		if v := s.View(); v.Version != 7 || v.Route("a.example", "/a/x") == nil {
+			t.Errorf("%s: the last good configuration is not in force", name)
+		}
+		if len(changes) != 1 {
+			t.Errorf("%s: %d changes told, want 1", name, len(changes))
+		}
+	}
+}
+
+func TestRouteByHostAndLongestPrefix(t *testing.T) {
+	s := newState()
+	s.Apply(epoch, []Item{configItem(1, 1, "/a/", "/a/b/", "/")})
+	v := s.View()
+	for path, want := range map[string]string{
+		"/a/b/c": "/a/b/", "/a/b": "/a/", "/a/x/y": "/a/", "/q": "/", "/a/b/": "/a/b/", "/a%2Fb/": "/",
+	} {
+		if r := v.Route("A.example:8080", path); r == nil || r.Prefix != want {
+			t.Errorf("route of %s is %v, want %s", path, r, want)
+		}
+	}
+	if r := v.Route("b.example", "/a/"); r != nil {
+		t.Errorf("route of an unknown host is %v, want none", r)
+	}
+}
+
+func TestSplitFollowsWeights(t *testing.T) {
+	r := &Route{Parts: []Part{{"s1", 3}, {"s2", 1}}}
+	counts := map[string]int{}
+	const n = 20000
+	for i := range n {
+		counts[r.Pick(time.Duration(i).String())]++
+	}
+	if share := float64(counts["s1"]) / n; share < 0.72 || share > 0.78 {
+		t.Fatalf("share of the first part is %.3f, want 0.75", share)
+	}
+}
+
+func TestEntriesThatCantBeUsedNameNoTarget(t *testing.T) {
+	s := newState()
+	s.Apply(epoch, []Item{configItem(1, 1, "/a/"), targetItem("t1", 2, nil), targetItem("t2", 3, nil)})
+	s.Apply(epoch, []Item{{Kind: KindTarget, Name: "t1", Revision: 4, Err: errors.New("not JSON")}})
+	if e := s.View().Targets("s1"); len(e) != 2 || e[0].LapsedAt.IsZero() || !e[1].LapsedAt.IsZero() {
+		t.Fatalf("entries %+v, want t1 lapsed and t2 as it was", e)
+	}
+	s.Tick(epoch.Add(2 * time.Second))
+	if e := s.View().Targets("s1"); len(e) != 1 || e[0].ID != "t2" {
+		t.Fatalf("entries %+v, want only t2", e)
+	}
+}
+
+func TestOldWordOfATargetIsIgnored(t *testing.T) {
+	s := newState()
+	draining := targetItem("t1", 5, func(t *Target) { t.Draining, t.Sequence = true, 9 })
+	s.Apply(epoch, []Item{draining, targetItem("t1", 6, func(t *Target) { t.Sequence = 8 })})
+	if e := s.View().Targets("s1")[0]; !e.Draining {
+		t.Fatal("an older word of the target undid that it drains")
+	}
+	restarted := targetItem("t1", 7, func(t *Target) { t.Born, t.Sequence = 200, 1 })
+	s.Apply(epoch, []Item{restarted})
+	if e := s.View().Targets("s1")[0]; e.Draining {
+		t.Fatal("the new incarnation counts as draining")
+	}
+}
+
+func TestDrainingSinceTheFirstWord(t *testing.T) {
+	s := newState()
+	drain := func(seq int64) func(*Target) { return func(t *Target) { t.Draining, t.Sequence = true, seq } }
+	s.Apply(epoch, []Item{targetItem("t1", 5, drain(6))})
+	s.Apply(epoch.Add(time.Second), []Item{targetItem("t1", 6, drain(7))})
+	if e := s.View().Targets("s1")[0]; !e.DrainingSince.Equal(epoch) {
+		t.Fatalf("draining since %v, want %v", e.DrainingSince, epoch)
+	}
+}
+
+func TestLapsedTargetIsHeldThenDropped(t *testing.T) {
+	s := newState()
+	s.Apply(epoch, []Item{targetItem("t1", 2, nil)})
+	s.Apply(epoch, []Item{{Kind: KindTarget, Name: "t1", Revision: 3, Deleted: true}})
+	if len(s.Tick(epoch.Add(1900*time.Millisecond))) != 0 || len(s.View().Targets("s1")) != 1 {
+		t.Fatal("dropped before the hold was over")
+	}
+	s.Apply(epoch.Add(1900*time.Millisecond), []Item{targetItem("t1", 4, func(t *Target) { t.Sequence = 6 })})
+	s.Tick(epoch.Add(time.Minute))
+	if e := s.View().Targets("s1"); len(e) != 1 || !e[0].LapsedAt.IsZero() {
+		t.Fatalf("entries %+v, want t1 back", e)
+	}
+}
+
+func TestListingEndsWhatItDoesNotName(t *testing.T) {
+	s := newState()
+	zone := Item{Kind: KindEvacuation, Name: "dc1", Revision: 3}
+	s.Apply(epoch, []Item{targetItem("t1", 2, nil), zone, targetItem("t9", 9, nil)})
+	s.Replace(epoch, []Item{targetItem("t2", 4, nil)}, 5)
+	v := s.View()
+	if v.Evacuated("dc1") {
+		t.Error("an evacuation that the listing doesn't name is in force")
+	}
+	e := v.Targets("s1")
+	if len(e) != 3 || e[0].LapsedAt.IsZero() || !e[1].LapsedAt.IsZero() || !e[2].LapsedAt.IsZero() {
+		t.Errorf("entries %+v, want t1 lapsed, t2 and the newer t9 in use", e)
+	}
+}
+
+func TestDeletionIsNotUndoneByAnOlderPage(t *testing.T) {
+	s := newState()
+	zone := Item{Kind: KindEvacuation, Name: "dc1", Revision: 3}
+	end := Item{Kind: KindEvacuation, Name: "dc1", Revision: 7, Deleted: true}
+	s.Apply(epoch, []Item{zone, end, zone})
+	if s.View().Evacuated("dc1") {
+		t.Error("an older page brought an evacuation back")
+	}
+	gone := Item{Kind: KindTarget, Name: "t1", Revision: 8, Deleted: true}
+	s.Apply(epoch, []Item{targetItem("t1", 2, nil), gone, targetItem("t1", 2, nil)})
+	if e := s.View().Targets("s1")[0]; e.LapsedAt.IsZero() {
+		t.Error("an older page brought a target back")
+	}
+}
--- /dev/null
+++ b/follow/state_test.go
@@ -0,0 +1,66 @@
+package follow
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+func newTestState() *State {
+	return NewState(StateOptions{
+		Wait: 4 * time.Second, Gather: 150 * time.Millisecond,
+		MinBackoff: 100 * time.Millisecond, MaxBackoff: time.Second, Rand: rand.New(rand.NewPCG(1, 2)),
+	})
+}
+
+func TestListThenWatchFromItsRevision(t *testing.T) {
+	s := newTestState()
+	if step := s.Begin(); step.Op != OpList || !step.Stale {
+		t.Fatalf("first step %+v, want a listing that may be stale", step)
+	}
+	if step := s.Listed(40); step.Op != OpWatch || step.After != 40 || step.Delay != 0 {
+		t.Fatalf("after the listing %+v, want a watch after 40", step)
+	}
+	if step := s.Watched(43, 2); step.After != 43 || step.Delay != 150*time.Millisecond {
+		t.Fatalf("after changes %+v, want a watch after 43 with a pause", step)
+	}
+	if step := s.Watched(43, 0); step.Delay != 0 {
+		t.Fatalf("after no change %+v, want no pause", step)
+	}
+}
+
+func TestLostHistoryIsListedFresh(t *testing.T) {
+	s := newTestState()
+	s.Listed(40)
+	step := s.Failed(errors.Trace(ErrHistoryLost))
+	if step.Op != OpList || step.Stale || step.Delay != 0 {
+		t.Fatalf("step %+v, want a listing at once that isn't stale", step)
+	}
+	if step = s.Failed(ErrHistoryLost); step.Delay == 0 {
+		t.Fatal("the history is lost again and again, and nothing slows the calls")
+	}
+}
+
+func TestFailuresBackOffAndKeepTheRevision(t *testing.T) {
+	s := newTestState()
+	s.Listed(40)
+	var last time.Duration
+	for range 12 {
+		step := s.Failed(errors.New("timeout"))
+		if step.Op != OpWatch || step.After != 40 {
+			t.Fatalf("step %+v, want the watch again", step)
+		}
+		if step.Delay > time.Second {
+			t.Fatalf("delay %v, want at most 1s", step.Delay)
+		}
+		last = step.Delay
+	}
+	if last < 500*time.Millisecond {
+		t.Fatalf("delay %v after 12 failures, want at least half of the bound", last)
+	}
+	if step := s.Failed(&BusyError{Status: 429, RetryAfter: 3 * time.Second}); step.Delay < 3*time.Second {
+		t.Fatalf("delay %v, want what the store asked for", step.Delay)
+	}
+}
--- /dev/null
+++ b/plan/plan_test.go
@@ -0,0 +1,206 @@
+package plan
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func options(shards int) Options {
+	return Options{
+		Shards: shards, MaxTargets: 2, Idempotent: true, MinShare: 0.75,
+		AnswerAt: at(100), LateAt: at(200), OfferBy: at(25), Deadline: at(1000), HedgeAfter: 30 * time.Millisecond,
+	}
+}
+
+// sendDue makes all attempts that are due and returns how many were extra.
+func sendDue(p *Plan, now time.Time) (extra int) {
+	for {
+		i, more, ok := p.Due(now)
+		if !ok {
+			return extra
+		}
+		if more {
+			extra++
+		}
+		p.Sent(now, i)
+	}
+}
+
+func TestAnswersWhenAllAreIn(t *testing.T) {
+	p := New(start, options(4))
+	sendDue(p, start)
+	for i := range 4 {
+		if v := p.Verdict(at(5)); v != Wait {
+			t.Fatalf("verdict %v with %d shards in, want to wait", v, i)
+		}
+		p.Answered(at(5), i)
+	}
+	if v := p.Verdict(at(5)); v != Complete {
+		t.Fatalf("verdict %v, want complete", v)
+	}
+}
+
+func TestAnswersWithEnoughShardsAtItsTime(t *testing.T) {
+	p := New(start, options(4))
+	sendDue(p, start)
+	for i := range 3 {
+		p.Answered(at(5), i)
+	}
+	if v := p.Verdict(at(99)); v != Wait {
+		t.Fatalf("verdict %v before the time, want to wait", v)
+	}
+	if v := p.Verdict(at(100)); v != Partial {
+		t.Fatalf("verdict %v at the time, want a partial answer", v)
+	}
+}
+
+func TestNeverAnswersBelowTheLeastShare(t *testing.T) {
+	p := New(start, options(4))
+	sendDue(p, start)
+	p.Answered(at(5), 0)
+	p.Answered(at(5), 1)
+	if v := p.Verdict(at(500)); v != Wait {
+		t.Fatalf("verdict %v with half of the shards, want to wait", v)
+	}
+	p.Answered(at(150), 2)
+	if v := p.Verdict(at(150)); v != Wait {
+		t.Fatalf("verdict %v, want to wait for the last shard until the late time", v)
+	}
+	if v := p.Verdict(at(200)); v != Partial {
+		t.Fatalf("verdict %v at the late time, want a partial answer", v)
+	}
+}
+
+func TestHedgesAnOverdueShardOnce(t *testing.T) {
+	p := New(start, options(2))
+	sendDue(p, start)
+	p.Answered(at(5), 0)
+	if n := sendDue(p, at(29)); n != 0 {
+		t.Fatalf("%d hedges before the delay, want none", n)
+	}
+	if n := sendDue(p, at(30)); n != 1 {
+		t.Fatalf("%d hedges at the delay, want 1", n)
+	}
+	if n := sendDue(p, at(200)); n != 0 {
+		t.Fatalf("%d more attempts while two are in progress, want none", n)
+	}
+	if p.NewTarget(1) {
+		t.Fatal("a third target may be asked, the route allows two")
+	}
+}
+
+func TestNotIdempotentIsSentAgainOnlyIfRefused(t *testing.T) {
+	o := options(1)
+	o.Idempotent = false
+	p := New(start, o)
+	sendDue(p, start)
+	if n := sendDue(p, at(500)); n != 0 {
+		t.Fatalf("%d hedges of a request that must not run twice", n)
+	}
+	p.Refused(at(500), 0)
+	if n := sendDue(p, at(500)); n != 1 {
+		t.Fatalf("%d attempts after a refusal, want 1", n)
+	}
+	p.Broken(at(510), 0)
+	if v := p.Verdict(at(510)); v != Failed {
+		t.Fatalf("verdict %v after a broken attempt, want failed", v)
+	}
+}
+
+func TestRefusedAsNotRunOnlyIfNothingMayRun(t *testing.T) {
+	p := New(start, options(1))
+	for !p.opts.OfferBy.Before(at(25)) && p.Verdict(at(24)) == Wait {
+		i, _, ok := p.Due(at(24))
+		if !ok {
+			break
+		}
+		p.Unavailable(at(24), i)
+	}
+	if v := p.Verdict(at(25)); v != NotRun {
+		t.Fatalf("verdict %v without a target, want not run", v)
+	}
+	p = New(start, options(1))
+	sendDue(p, start)
+	if v := p.Verdict(at(1000)); v != Expired {
+		t.Fatalf("verdict %v with an attempt in progress at the deadline, want expired", v)
+	}
+}
+
+// Whatever happens, a plan ends by its deadline; "not run" is told only while
+// nothing may have run; an answer has enough shards.
+func TestAnyCourseEndsTrue(t *testing.T) {
+	for seed := range uint64(2000) {
+		rng := rand.New(rand.NewPCG(seed, 7))
+		o := options(1 + rng.IntN(6))
+		o.Idempotent = rng.IntN(3) > 0
+		p := New(start, o)
+		inFlight := map[int]int{}
+		mayHaveRun := false
+		in := 0
+		var v Verdict
+		ms := 0
+		for ; ms <= 1000; ms += 1 + rng.IntN(20) {
+			now := at(ms)
+			for {
+				i, _, ok := p.Due(now)
+				if !ok {
+					break
+				}
+				if rng.IntN(4) == 0 {
+					p.Unavailable(now, i)
+					continue
+				}
+				p.Sent(now, i)
+				inFlight[i]++
+			}
+			for i := range o.Shards {
+				if inFlight[i] == 0 || rng.IntN(3) > 0 {
+					continue
+				}
+				inFlight[i]--
+				switch rng.IntN(3) {
+				case 0:
+					p.Refused(now, i)
+				case 1:
+					p.Broken(now, i)
+					mayHaveRun = true
+				default:
+					mayHaveRun = true
+					if p.Answered(now, i) {
+						in++
+					}
+				}
+			}
+			if v = p.Verdict(now); v != Wait {
+				break
+			}
+			if wake := p.Wake(now); wake.After(o.Deadline) {
+				t.Fatalf("seed %d: wakes after the deadline", seed)
+			}
+		}
+		if v == Wait {
+			if v = p.Verdict(at(1000)); v == Wait {
+				t.Fatalf("seed %d: no verdict at the deadline", seed)
+			}
+		}
+		for _, n := range inFlight {
+			mayHaveRun = mayHaveRun || n > 0
+		}
+		if v == NotRun && mayHaveRun {
+			t.Fatalf("seed %d: told as not run though it may have", seed)
+		}
+		if (v == Complete && in != o.Shards) || (v == Partial && float64(in) < o.MinShare*float64(o.Shards)) {
+			t.Fatalf("seed %d: verdict %v with %d of %d shards", seed, v, in, o.Shards)
+		}
+		for i := range p.shards {
+			if p.shards[i].ran > 0 && !o.Idempotent && p.shards[i].sends > p.shards[i].refusals+1 {
+				t.Fatalf("seed %d: sent again after it may have run", seed)
+			}
+		}
+	}
+}
