--- a/entry/entry.go
+++ b/entry/entry.go
@@ -100,22 +100,31 @@
 // Run runs the process until a signal stops it, and returns its exit code.
 func Run(adapter Adapter, log *slog.Logger) int {
 	debug.SetGCPercent(gcPercent)
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE)
+	return RunUntil(adapter, log, signals)
+}
+
+// memoryShare is the part of the allowed memory that the heap may take before
+// garbage is collected more often.
+const memoryShare = 0.6
+
+// RunUntil runs the process until a signal stops it that comes from the channel.
+func RunUntil(adapter Adapter, log *slog.Logger, signals <-chan os.Signal) int {
 	s, err := adapter.Load()
 	if err != nil {
 		log.Error("can't start", "error", err)
-		return 1
+		return exitFailure
 	}
 	if s.MemoryBytes > 0 {
-		debug.SetMemoryLimit(s.MemoryBytes * 6 / 10)
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	}
 	log = log.With("process", s.Name)
 	e := newEntry(adapter, s, log)
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
-	signal.Ignore(syscall.SIGPIPE)
 	if err := e.start(); err != nil {
 		log.Error("can't start", "error", err)
-		return 1
+		return exitFailure
 	}
 	return e.supervise(signals)
 }
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -4,6 +4,7 @@
 	"expvar"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/goldcrestmux/goldcrestmux/catalog"
@@ -35,9 +36,15 @@
 	return m
 }
 
-// publish makes the metrics part of the page; names are global, so it is done
-// once a process.
+// publishOnce guards the names of the page, which are global.
+var publishOnce sync.Once
+
+// publish makes the metrics part of the page.
 func (m *metrics) publish(e *Entry) {
+	publishOnce.Do(func() { m.publishAll(e) })
+}
+
+func (m *metrics) publishAll(e *Entry) {
 	expvar.Publish("answers", m.answers)
 	expvar.Publish("reasons", m.reasons)
 	expvar.Publish("latency_ms", m.latency)
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -52,7 +52,7 @@
 
 // failure passes a target's own failure on, or tells that of the system.
 func (r *run) failure(v plan.Verdict) Answer {
-	if !r.req.Route.Sharded() && r.last.Kind == upstream.Answered {
+	if !r.req.Route.Sharded() && r.last.Kind == upstream.Answered && r.last.Status >= 500 {
 		return Answer{Status: r.last.Status, Header: r.last.Header, Seal: r.last.Seal, Body: r.last.Body, Reason: "the target failed"}
 	}
 	if v == plan.Expired {
--- a/forward/engine.go
+++ b/forward/engine.go
@@ -333,10 +333,10 @@
 // good reports whether an answer ends its shard. A failure of a target is no
 // part, and is tried again elsewhere if the request may run more than once.
 func (r *run) good(res *upstream.Result) bool {
-	if r.req.Route.Sharded() {
-		return res.Status >= 200 && res.Status < 300 && res.Seal != ""
+	if res.Status >= 200 && res.Status < 300 {
+		return res.Seal != ""
 	}
-	return res.Status < 500
+	return !r.req.Route.Sharded() && res.Status < 500
 }
 
 func (r *run) observe(now time.Time, took time.Duration) {
