Give targets no more time than their answer is of use

Attempts of a sharded request now end with the time until which the answer waits for them, those of a single request with its route's time-out.

--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -20,7 +20,7 @@
 	if i := Choose(epoch, kind, c, 0); i != 0 {
 		t.Fatalf("chose %d, want the one in the own data centre", i)
 	}
-	c[0].Record.Sent(epoch)
+	c[0].Record.Sent(epoch, kind.Overdue)
 	if i := Choose(epoch.Add(40*time.Millisecond), kind, c, 0); i != 0 {
 		t.Fatalf("chose %d before the attempt is overdue, want 0", i)
 	}
@@ -33,11 +33,21 @@
 	}
 }
 
+// A request that usually takes long is no sign of a stall to a short one.
+func TestLongRequestsAreNoStall(t *testing.T) {
+	c := pair()
+	c[1].Remote = true
+	c[0].Record.Sent(epoch, time.Second)
+	if i := Choose(epoch.Add(200*time.Millisecond), kind, c, 0); i != 0 {
+		t.Fatalf("chose %d while 0 works on a long request, want 0", i)
+	}
+}
+
 func TestLeavesASlowTargetAndComesBack(t *testing.T) {
 	c := pair()
 	now := epoch
 	for range 5 {
-		c[0].Record.Sent(now)
+		c[0].Record.Sent(now, kind.Overdue)
 		c[0].Record.Answered(now.Add(200*time.Millisecond), now, kind.Expected)
 		now = now.Add(200 * time.Millisecond)
 	}
@@ -55,7 +65,7 @@
 func TestLeavesAFailingTarget(t *testing.T) {
 	c := pair()
 	for range 4 {
-		c[0].Record.Sent(epoch)
+		c[0].Record.Sent(epoch, kind.Overdue)
 		c[0].Record.Failed(epoch, epoch)
 	}
 	if i := Choose(epoch, kind, c, 0); i != 1 {
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -73,7 +73,7 @@
 	queue := max(float64(r.Outstanding()+1)-slots, 0) / slots
 	load := float64(r.Outstanding()) / slots
 	cost := time.Duration(work * (1 + queue + load/4))
-	if r.overdue(now, kind.Overdue) > 0 {
+	if r.stalled(now) {
 		cost += stalledCost
 	}
 	cost += time.Duration(r.failing * float64(failingCost))
--- a/balance/record.go
+++ b/balance/record.go
@@ -31,15 +31,24 @@
 	slowness float64
 	failing  float64 // share of attempts that failed
 	seen     time.Time
-	// sent holds when each attempt in progress was sent, oldest first.
-	sent []time.Time
+	// sent holds the attempts in progress, oldest first.
+	sent []attempt
 	// avoidUntil is set after failures to connect.
 	avoidUntil time.Time
 	refusals   int // in a row
 }
 
-// Sent records that an attempt begins.
-func (r *Record) Sent(now time.Time) { r.sent = append(r.sent, now) }
+// attempt is one attempt in progress.
+type attempt struct {
+	sent time.Time
+	// overdue is when it has taken longer than its kind usually does.
+	overdue time.Time
+}
+
+// Sent records that an attempt begins, which is overdue after a time.
+func (r *Record) Sent(now time.Time, overdue time.Duration) {
+	r.sent = append(r.sent, attempt{now, now.Add(overdue)})
+}
 
 // Outstanding returns the number of attempts in progress.
 func (r *Record) Outstanding() int { return len(r.sent) }
@@ -82,7 +91,7 @@
 func (r *Record) Canceled(sent time.Time) { r.end(sent) }
 
 func (r *Record) end(sent time.Time) {
-	if i := slices.Index(r.sent, sent); i >= 0 {
+	if i := slices.IndexFunc(r.sent, func(a attempt) bool { return a.sent.Equal(sent) }); i >= 0 {
 		r.sent = slices.Delete(r.sent, i, i+1)
 	}
 }
@@ -101,11 +110,12 @@
 	}
 }
 
-// overdue returns for how long the oldest attempt has been in progress beyond
-// the limit.
-func (r *Record) overdue(now time.Time, limit time.Duration) time.Duration {
-	if len(r.sent) == 0 {
-		return 0
+// stalled reports whether an attempt in progress is overdue.
+func (r *Record) stalled(now time.Time) bool {
+	for _, a := range r.sent {
+		if now.After(a.overdue) {
+			return true
+		}
 	}
-	return max(now.Sub(r.sent[0])-limit, 0)
+	return false
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -97,6 +97,16 @@
 	MinSamples:  60,
 }
 
+// singleHedging is for requests to one service: nothing waits for the slowest
+// of many, and a second attempt costs as much as the request.
+var singleHedging = hedge.Options{
+	Quantile:    0.98,
+	MinDelay:    10 * time.Millisecond,
+	MaxDelay:    2 * time.Second,
+	MedianRatio: 4,
+	MinSamples:  40,
+}
+
 // Run runs the process until a signal stops it, and returns its exit code.
 func Run(adapter Adapter, log *slog.Logger) int {
 	debug.SetGCPercent(gcPercent)
@@ -138,7 +148,7 @@
 		Codec: adapter.Codec, DataCentre: s.DataCentre, Dial: e.dial, DialTimeout: dialTimeout,
 		DrainUse: s.DrainUse / 3, Event: e.connectionEvent,
 	})
-	e.engine = forward.New(forward.Options{Pool: e.pool, Budget: s.Retry, Logger: log, Hedge: hedging})
+	e.engine = forward.New(forward.Options{Pool: e.pool, Budget: s.Retry, Logger: log, Hedge: hedging, SingleHedge: singleHedging})
 	e.handler = ingress.New(ingress.Options{
 		Dialect: adapter.Dialect, Engine: e.engine, View: e.view.Load,
 		StaleAfter: staleAfter, DefaultWait: defaultWait, Observe: e.metrics.observe,
--- a/forward/engine.go
+++ b/forward/engine.go
@@ -60,8 +60,10 @@
 	Pool   *upstream.Pool
 	Budget RetryBudget
 	Logger *slog.Logger
-	// Hedge is how the delay of hedges is found.
-	Hedge hedge.Options
+	// Hedge is how the delay of hedges is found for the shards of a request,
+	// and SingleHedge for requests to one service.
+	Hedge       hedge.Options
+	SingleHedge hedge.Options
 }
 
 // Engine serves requests. Its methods may be called concurrently.
@@ -156,7 +158,8 @@
 	kind     *kind
 	results  chan upstream.Result
 	attempts []*upstream.Attempt
-	tried    [][]string // target ids by shard
+	tried    [][]string  // target ids by shard
+	first    []time.Time // when the first attempt at each shard was made
 	parts    []upstream.Result
 	last     upstream.Result // the last failure that a target answered
 	denied   int             // attempts that the budget did not allow
@@ -174,7 +177,8 @@
 		r.send(now)
 		verdict := r.plan.Verdict(now)
 		if verdict != plan.Wait {
-			r.abandon(req.Call.Deadline.Sub(now))
+			r.observeMissing(now)
+			r.abandon(r.linger(now))
 			return r.answer(now, verdict)
 		}
 		timer.Reset(r.plan.Wake(now).Sub(now))
@@ -191,6 +195,16 @@
 	}
 }
 
+// linger returns how long attempts that have lost may go on so that their
+// connections can be kept. The parts of a sharded request are short; a single
+// request would keep its target busy for nothing.
+func (r *run) linger(now time.Time) time.Duration {
+	if r.req.Route.Sharded() {
+		return r.req.Call.Deadline.Sub(now)
+	}
+	return 0
+}
+
 // drain takes all results that are there.
 func (r *run) drain() {
 	for {
@@ -213,10 +227,9 @@
 	attempts := max(cmp.Or(route.MaxAttempts, defaultAttempts), 1)
 	now := time.Now()
 	hedgeAfter := e.expect(now, route, r)
-	deadline := req.Call.Deadline
 	if route.Timeout > 0 {
-		if at := req.Arrived.Add(route.Timeout); at.Before(deadline) {
-			deadline = at
+		if at := req.Arrived.Add(route.Timeout); at.Before(req.Call.Deadline) {
+			req.Call.Deadline = at
 		}
 	}
 	opts := plan.Options{
@@ -225,7 +238,7 @@
 		AnswerAt: req.Arrived.Add(aim - answerMargin),
 		LateAt:   req.Arrived.Add(lateFactor * aim),
 		OfferBy:  req.Arrived.Add(time.Duration(offerShare * float64(aim))),
-		Deadline: deadline.Add(-deadlineMargin), HedgeAfter: min(hedgeAfter, time.Duration(hedgeAimShare*float64(aim))),
+		Deadline: req.Call.Deadline.Add(-deadlineMargin), HedgeAfter: min(hedgeAfter, time.Duration(hedgeAimShare*float64(aim))),
 	}
 	if route.Sharded() {
 		opts.MinShare = route.MinShare
@@ -236,6 +249,7 @@
 	r.plan = plan.New(now, opts)
 	r.results = make(chan upstream.Result, len(r.services)*(attempts+plan.ExtraSends))
 	r.tried = make([][]string, len(r.services))
+	r.first = make([]time.Time, len(r.services))
 	r.parts = make([]upstream.Result, len(r.services))
 	return r
 }
@@ -247,7 +261,12 @@
 	defer e.mu.Unlock()
 	k := e.kinds[route.Name]
 	if k == nil {
-		k = &kind{latency: hedge.New(e.opts.Hedge)}
+		opts := e.opts.Hedge
+		if !route.Sharded() {
+			opts = e.opts.SingleHedge
+			opts.StartDelay = time.Duration(hedgeAimShare * float64(cmp.Or(route.Aim, defaultAim)))
+		}
+		k = &kind{latency: hedge.New(opts)}
 		e.kinds[route.Name] = k
 	}
 	k.used = now
@@ -274,6 +293,7 @@
 		}
 		a := r.engine.opts.Pool.Start(r.req.Call, i, upstream.Choice{
 			Service: r.services[i], Kind: r.choice, Tried: r.tried[i], NewTarget: r.plan.NewTarget(i),
+			Deadline: r.attemptDeadline(now),
 		}, r.results)
 		if a == nil {
 			r.plan.Unavailable(now, i)
@@ -283,12 +303,25 @@
 			r.hedges++
 			r.spend(now, i)
 		}
+		if len(r.tried[i]) == 0 {
+			r.first[i] = now
+		}
 		r.tried[i] = append(r.tried[i], a.Target.ID)
 		r.attempts = append(r.attempts, a)
 		r.plan.Sent(now, i)
 	}
 }
 
+// attemptDeadline returns when the answer to an attempt is of no use any more: a
+// sharded request is answered without it, so targets need not work on it.
+func (r *run) attemptDeadline(now time.Time) time.Time {
+	late := r.req.Arrived.Add(lateFactor * cmp.Or(r.req.Route.Aim, defaultAim))
+	if r.req.Route.Sharded() && now.Before(late) && late.Before(r.req.Call.Deadline) {
+		return late
+	}
+	return r.req.Call.Deadline
+}
+
 func (r *run) allowed(now time.Time, i int) bool {
 	e := r.engine
 	e.mu.Lock()
@@ -311,11 +344,9 @@
 	}
 	switch {
 	case res.Kind == upstream.Answered && r.good(&res):
-		if len(r.tried[i]) == 1 {
-			r.observe(res.At, res.At.Sub(res.Attempt.SentAt))
-		}
 		if r.plan.Answered(res.At, i) {
 			r.parts[i] = res
+			r.observe(res.At, i)
 		}
 	case res.Kind == upstream.Answered:
 		r.last = res
@@ -339,11 +370,23 @@
 	return !r.req.Route.Sharded() && res.Status < 500
 }
 
-func (r *run) observe(now time.Time, took time.Duration) {
+// observe records how long the first attempt at a shard took, or that it took
+// at least until now: a sample of only those that were not overtaken by another
+// attempt would make the delay of hedges shrink.
+func (r *run) observe(now time.Time, i int) {
 	e := r.engine
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	r.kind.latency.Observe(now, took)
+	r.kind.latency.Observe(now, now.Sub(r.first[i]))
+}
+
+// observeMissing records the attempts that have not been answered.
+func (r *run) observeMissing(now time.Time) {
+	for i := range r.services {
+		if r.plan.Missing(i) && !r.first[i].IsZero() {
+			r.observe(now, i)
+		}
+	}
 }
 
 // abandon gives up the attempts that are still in progress.
--- a/upstream/call.go
+++ b/upstream/call.go
@@ -22,7 +22,7 @@
 	Body   []byte
 	// HasBody is true if the caller sent a body, be it empty.
 	HasBody bool
-	// Deadline is when the caller stops waiting.
+	// Deadline is when the caller stops waiting, or the route's time is over.
 	Deadline time.Time
 
 	prefix []byte // the encoded part that all attempts share
@@ -91,6 +91,8 @@
 	Target *Target
 	// SentAt is when the attempt was handed to the pool.
 	SentAt time.Time
+	// Deadline is when the target may stop its work.
+	Deadline time.Time
 
 	expected time.Duration
 	results  chan<- Result
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -42,7 +42,7 @@
 // send writes an attempt that holds the connection.
 func (c *conn) send(a *Attempt) {
 	now := time.Now()
-	left := a.Call.Deadline.Sub(now)
+	left := a.Deadline.Sub(now)
 	if left <= 0 {
 		c.pool.unsent(c, a, errDeadline)
 		return
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -199,6 +199,8 @@
 	Tried []string
 	// NewTarget is false if only targets that were tried may be chosen.
 	NewTarget bool
+	// Deadline is when the target may stop its work.
+	Deadline time.Time
 }
 
 // Start sends an attempt to the best target of a service. It returns nil if
@@ -211,8 +213,11 @@
 		p.mu.Unlock()
 		return nil
 	}
-	a := &Attempt{Call: call, Shard: shard, Target: t, SentAt: now, results: results, expected: choice.Kind.Expected}
-	t.record.Sent(now)
+	a := &Attempt{
+		Call: call, Shard: shard, Target: t, SentAt: now, Deadline: choice.Deadline,
+		results: results, expected: choice.Kind.Expected,
+	}
+	t.record.Sent(now, choice.Kind.Overdue)
 	c := t.take()
 	switch {
 	case c != nil:
@@ -550,7 +555,7 @@
 		if a == nil {
 			continue
 		}
-		over := now.After(a.Call.Deadline.Add(answerSlack)) || (a.abandoned && now.After(a.closeAt))
+		over := now.After(a.Deadline.Add(answerSlack)) || (a.abandoned && now.After(a.closeAt))
 		if over {
 			silent = append(silent, c)
 		}
