--- a/forward/engine.go
+++ b/forward/engine.go
@@ -124,7 +124,7 @@
 const (
 	// answerMargin is the time between an answer's leaving here and its
 	// arrival at the caller, with the merge.
-	answerMargin = 12 * time.Millisecond
+	answerMargin = 15 * time.Millisecond
 	// deadlineMargin is how long before the caller's deadline a failure is told.
 	deadlineMargin = 20 * time.Millisecond
 	// lateFactor is how long an answer that has missed its aim is held for
