--- a/entry/entry.go
+++ b/entry/entry.go
@@ -61,8 +61,10 @@
 	// watchWait bounds one watch of the store: an answer that is lost delays
 	// what it told by so much, and each call has its price.
 	watchWait = 4 * time.Second
-	// watchGather is the pause between watches while changes come in.
-	watchGather = 150 * time.Millisecond
+	// minWatchGather and maxWatchGather bound the pause between watches while
+	// changes come in; they are small beside the seconds that changes may take.
+	minWatchGather = 150 * time.Millisecond
+	maxWatchGather = 900 * time.Millisecond
 	// storeMinBackoff and storeMaxBackoff bound the wait after a failed call: the
 	// store's return must be noticed within the time that changes may take.
 	storeMinBackoff = 100 * time.Millisecond
@@ -158,7 +160,8 @@
 	e.follower = follow.New(follow.Options{
 		Source: adapter.Source(&s, e.dial),
 		State: follow.NewState(follow.StateOptions{
-			Wait: watchWait, Gather: watchGather, MinBackoff: storeMinBackoff, MaxBackoff: storeMaxBackoff,
+			Wait: watchWait, MinGather: minWatchGather, MaxGather: maxWatchGather,
+			MinBackoff: storeMinBackoff, MaxBackoff: storeMaxBackoff,
 			Rand: rand.New(rand.NewPCG(seed, 1)),
 		}),
 		Catalog: catalog.NewState(catalog.StateOptions{LapseHold: lapseHold}),
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -154,7 +154,7 @@
 		return f.opts.State.Listed(r.batch.Revision)
 	}
 	f.note(f.opts.Catalog.Apply(now, r.batch.Items), len(r.batch.Items) > 0)
-	return f.opts.State.Watched(r.batch.Revision, len(r.batch.Items))
+	return f.opts.State.Watched(r.batch.Revision, len(r.batch.Items), r.took)
 }
 
 // note logs changes and publishes the new picture if there may be one.
--- a/follow/state.go
+++ b/follow/state.go
@@ -35,9 +35,11 @@
 type StateOptions struct {
 	// Wait bounds one watch. A lost answer is noticed after it.
 	Wait time.Duration
-	// Gather is the pause between two watches after changes, so that changes in
-	// quick succession cost one call.
-	Gather time.Duration
+	// MinGather and MaxGather bound the pause between two watches after changes,
+	// so that changes in quick succession cost one call. The pause doubles while
+	// each watch brings changes at once.
+	MinGather time.Duration
+	MaxGather time.Duration
 	// MinBackoff and MaxBackoff bound the delay after failures.
 	MinBackoff time.Duration
 	MaxBackoff time.Duration
@@ -51,6 +53,8 @@
 	stale    bool
 	revision uint64
 	failures int
+	// bursts counts the watches in a row that brought changes at once.
+	bursts int
 }
 
 // NewState returns a State that begins with a listing.
@@ -66,15 +70,21 @@
 	return s.watch(0)
 }
 
-// Watched takes the answer of a watch.
-func (s *State) Watched(revision uint64, changes int) Step {
+// Watched takes the answer of a watch that took a while.
+func (s *State) Watched(revision uint64, changes int, took time.Duration) Step {
 	s.failures = 0
 	s.stale = true
 	s.revision = max(s.revision, revision)
 	if changes == 0 {
+		s.bursts = 0
 		return s.watch(0)
 	}
-	return s.watch(s.opts.Gather)
+	if took >= s.opts.MaxGather {
+		s.bursts = 0
+	}
+	pause := min(s.opts.MinGather<<min(s.bursts, 10), s.opts.MaxGather)
+	s.bursts++
+	return s.watch(pause)
 }
 
 func (s *State) watch(delay time.Duration) Step {
--- a/follow/state_test.go
+++ b/follow/state_test.go
@@ -10,7 +10,7 @@
 
 func newTestState() *State {
 	return NewState(StateOptions{
-		Wait: 4 * time.Second, Gather: 150 * time.Millisecond,
+		Wait: 4 * time.Second, MinGather: 150 * time.Millisecond, MaxGather: 800 * time.Millisecond,
 		MinBackoff: 100 * time.Millisecond, MaxBackoff: time.Second, Rand: rand.New(rand.NewPCG(1, 2)),
 	})
 }
@@ -23,10 +23,10 @@
 	if step := s.Listed(40); step.Op != OpWatch || step.After != 40 || step.Delay != 0 {
 		t.Fatalf("after the listing %+v, want a watch after 40", step)
 	}
-	if step := s.Watched(43, 2); step.After != 43 || step.Delay != 150*time.Millisecond {
+	if step := s.Watched(43, 2, time.Second); step.After != 43 || step.Delay != 150*time.Millisecond {
 		t.Fatalf("after changes %+v, want a watch after 43 with a pause", step)
 	}
-	if step := s.Watched(43, 0); step.Delay != 0 {
+	if step := s.Watched(43, 0, 4*time.Second); step.Delay != 0 {
 		t.Fatalf("after no change %+v, want no pause", step)
 	}
 }
@@ -64,3 +64,24 @@
 		t.Fatalf("delay %v, want what the store asked for", step.Delay)
 	}
 }
+
+func TestChangesInQuickSuccessionAreGathered(t *testing.T) {
+	s := newTestState()
+	s.Listed(1)
+	var total time.Duration
+	calls := 0
+	for rev := uint64(2); total < 8*time.Second; rev++ {
+		step := s.Watched(rev, 1, 5*time.Millisecond)
+		if step.Delay > 800*time.Millisecond {
+			t.Fatalf("pause %v, want at most 800ms", step.Delay)
+		}
+		total += step.Delay + 5*time.Millisecond
+		calls++
+	}
+	if calls > 13 {
+		t.Fatalf("%d calls in 8 s of changes, want at most 13", calls)
+	}
+	if step := s.Watched(99, 1, 2*time.Second); step.Delay != 150*time.Millisecond {
+		t.Fatalf("pause %v after a calm, want the shortest", step.Delay)
+	}
+}
