Divide limits that hold for all processes by what each knows of the others

Gossip named only the members heard of last, so with 75 processes some were not known after 18 s; most names are random now, a process asks for answers until its count has settled, and assumes twice what it knows until then. Settings are read again at SIGHUP and when the file has changed.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -21,6 +21,8 @@
 	Remote bool
 	// Cold is true if the target has started lately.
 	Cold bool
+	// Bounded is true if a cold target bears few requests and fails beyond them.
+	Bounded bool
 	// Last is true for a target that is taken only if there is no other.
 	Last bool
 	// Tried is the number of earlier attempts of the request at the target.
@@ -39,6 +41,9 @@
 	avoidCost = 2 * time.Second
 	// triedCost is for a target that the request has been sent to before.
 	triedCost = 5 * time.Second
+	// boundedCost keeps requests from a target that bears few, unless the others
+	// are worse off.
+	boundedCost = time.Second
 	// lastCost is for a target that is on its way out.
 	lastCost = 10 * time.Second
 	// coldFactor is how much slower a cold target is expected to be.
@@ -77,6 +82,9 @@
 		cost += stalledCost
 	}
 	cost += time.Duration(r.failing * float64(failingCost))
+	if c.Bounded {
+		cost += boundedCost
+	}
 	if c.Remote {
 		cost += kind.Remote
 	}
--- a/catalog/state.go
+++ b/catalog/state.go
@@ -47,6 +47,9 @@
 	// LapseHold is how long a target whose entry disappeared stays a last
 	// resort. It must be below the time after which it may get nothing.
 	LapseHold time.Duration
+	// RestoreCold is how long the targets of a data centre count as cold after
+	// its evacuation: what they say of themselves lags.
+	RestoreCold time.Duration
 }
 
 // State merges published items. It isn't safe for concurrent use.
@@ -104,7 +107,7 @@
 	}
 	for _, zone := range slices.Sorted(maps.Keys(s.evacuated)) {
 		if !zones[zone] && s.evacuated[zone] <= revision {
-			changes = append(changes, s.restore(zone, revision))
+			changes = append(changes, s.restore(now, zone, revision))
 		}
 	}
 	return changes
@@ -117,7 +120,7 @@
 	case KindTarget:
 		return s.applyTarget(now, it)
 	case KindEvacuation:
-		return s.applyEvacuation(it)
+		return s.applyEvacuation(now, it)
 	}
 	return nil
 }
@@ -240,7 +243,7 @@
 	return Change{What: "target", Name: e.ID, Outcome: "entry gone", Revision: revision}
 }
 
-func (s *State) applyEvacuation(it *Item) []Change {
+func (s *State) applyEvacuation(now time.Time, it *Item) []Change {
 	key := "evacuation of " + it.Name
 	if it.Revision < s.deletedAt[key] || it.Revision < s.evacuated[it.Name] {
 		return nil
@@ -250,7 +253,7 @@
 		if _, ok := s.evacuated[it.Name]; !ok {
 			return nil
 		}
-		return []Change{s.restore(it.Name, it.Revision)}
+		return []Change{s.restore(now, it.Name, it.Revision)}
 	}
 	_, known := s.evacuated[it.Name]
 	s.evacuated[it.Name] = it.Revision
@@ -260,8 +263,18 @@
 	return []Change{{What: "data centre", Name: it.Name, Outcome: "evacuated", Revision: it.Revision}}
 }
 
-func (s *State) restore(zone string, revision uint64) Change {
+// restore ends an evacuation. The data centre's targets count as cold until they
+// have had time to say whether they are.
+func (s *State) restore(now time.Time, zone string, revision uint64) Change {
 	delete(s.evacuated, zone)
+	until := now.Add(s.opts.RestoreCold)
+	for id, e := range s.targets {
+		if e.DataCentre == zone && e.ColdUntil.Before(until) {
+			cold := *e
+			cold.ColdUntil = until
+			s.targets[id] = &cold
+		}
+	}
 	return Change{What: "data centre", Name: zone, Outcome: "back in service", Revision: revision}
 }
 
--- a/catalog/state_test.go
+++ b/catalog/state_test.go
@@ -9,7 +9,9 @@
 
 var epoch = time.Unix(1_700_000_000, 0)
 
-func newState() *State { return NewState(StateOptions{LapseHold: 2 * time.Second}) }
+func newState() *State {
+	return NewState(StateOptions{LapseHold: 2 * time.Second, RestoreCold: 3 * time.Second})
+}
 
 func configItem(version, revision uint64, prefixes ...string) Item {
 	c := &Config{Version: version, Services: []*Service{{Name: "s1", MaxConnections: 25}}}
@@ -167,3 +169,19 @@
 		t.Error("an older page brought a target back")
 	}
 }
+
+func TestTargetsCountAsColdAfterAnEvacuation(t *testing.T) {
+	s := newState()
+	s.Apply(epoch, []Item{
+		targetItem("t1", 2, nil), targetItem("t2", 3, func(t *Target) { t.DataCentre = "dc2" }),
+		{Kind: KindEvacuation, Name: "dc1", Revision: 4},
+		{Kind: KindEvacuation, Name: "dc1", Revision: 5, Deleted: true},
+	})
+	e := s.View().Targets("s1")
+	if want := epoch.Add(3 * time.Second); !e[0].ColdUntil.Equal(want) {
+		t.Errorf("t1 is cold until %v, want %v", e[0].ColdUntil, want)
+	}
+	if e[1].ColdUntil.After(epoch) {
+		t.Error("a target of another data centre counts as cold")
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -19,6 +20,7 @@
 	"github.com/goldcrestmux/goldcrestmux/hedge"
 	"github.com/goldcrestmux/goldcrestmux/ingress"
 	"github.com/goldcrestmux/goldcrestmux/peers"
+	"github.com/goldcrestmux/goldcrestmux/share"
 	"github.com/goldcrestmux/goldcrestmux/upstream"
 	"github.com/juju/errors"
 	"gopkg.in/tomb.v2"
@@ -54,6 +56,10 @@
 	callers  *ingress.Server
 	ready    *http.Server
 	metrics  *metrics
+
+	// reloading guards latest, the settings as they were last read.
+	reloading sync.Mutex
+	latest    Settings
 }
 
 // Timings of a process.
@@ -72,6 +78,8 @@
 	// lapseHold is how long the entry of a target may be missing after the
 	// store was away.
 	lapseHold = 2 * time.Second
+	// restoreCold covers two heartbeats of targets and the way through the store.
+	restoreCold = 3 * time.Second
 	// housekeeping is the interval at which idle and silent connections are closed.
 	housekeeping = 100 * time.Millisecond
 	// dialTimeout is well above a connection's cost of milliseconds.
@@ -83,7 +91,7 @@
 	// gossipInterval and gossipFanout make three messages a second.
 	gossipInterval = time.Second
 	gossipFanout   = 2
-	gossipEntries  = 12
+	gossipEntries  = 24
 	gossipForget   = 60 * time.Second
 	gossipSettle   = 2500 * time.Millisecond
 	// unknownPeers is assumed until others are heard of.
@@ -145,10 +153,10 @@
 const gcPercent = 100
 
 func newEntry(adapter Adapter, s Settings, log *slog.Logger) *Entry {
-	e := &Entry{adapter: adapter, settings: s, log: log, started: time.Now(), metrics: newMetrics()}
+	e := &Entry{adapter: adapter, settings: s, log: log, started: time.Now(), metrics: newMetrics(), latest: s}
 	e.pool = upstream.New(upstream.Options{
 		Codec: adapter.Codec, DataCentre: s.DataCentre, Dial: e.dial, DialTimeout: dialTimeout,
-		DrainUse: s.DrainUse / 3, Event: e.connectionEvent,
+		DrainUse: s.DrainUse / 3, Cold: s.Cold, Event: e.connectionEvent,
 	})
 	e.engine = forward.New(forward.Options{Pool: e.pool, Budget: s.Retry, Logger: log, Hedge: hedging, SingleHedge: singleHedging})
 	e.handler = ingress.New(ingress.Options{
@@ -164,7 +172,7 @@
 			MinBackoff: storeMinBackoff, MaxBackoff: storeMaxBackoff,
 			Rand: rand.New(rand.NewPCG(seed, 1)),
 		}),
-		Catalog: catalog.NewState(catalog.StateOptions{LapseHold: lapseHold}),
+		Catalog: catalog.NewState(catalog.StateOptions{LapseHold: lapseHold, RestoreCold: restoreCold}),
 		Logger:  log, Publish: e.publish, TickInterval: 250 * time.Millisecond,
 	})
 	return e
@@ -210,6 +218,7 @@
 	e.startMetrics()
 	e.follower.Start()
 	e.tomb.Go(e.keepHouse)
+	e.tomb.Go(e.pollSettings)
 	e.log.Info("started", "data_centre", s.DataCentre, "callers", s.CallerListen, "ready", s.ReadyListen,
 		"peers", s.PeerListen, "seeds", s.Seeds, "store", s.StoreAddress)
 	return nil
@@ -240,9 +249,9 @@
 		Forget: gossipForget, Unknown: unknownPeers, Settle: gossipSettle,
 		Rand: rand.New(rand.NewPCG(uint64(now.UnixNano()), 2)),
 	})
-	node, err := peers.Listen(s.PeerListen, state, gossipInterval/4, e.log, func(n int) {
-		e.pool.SetMembers(n)
-		e.engine.SetMembers(n)
+	node, err := peers.Listen(s.PeerListen, state, gossipInterval/4, e.log, func(f share.Fleet) {
+		e.pool.SetFleet(f)
+		e.engine.SetFleet(f)
 	})
 	if err != nil {
 		return err
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/goldcrestmux/goldcrestmux/forward"
+	"github.com/goldcrestmux/goldcrestmux/upstream"
 	"github.com/juju/errors"
 )
 
@@ -33,6 +34,7 @@
 	// StopBound is how long after a stop was asked for the process is ended.
 	StopBound time.Duration
 	Retry     forward.RetryBudget
+	Cold      upstream.ColdBound
 	// MetricsListen is the host and port of the metrics; empty for none.
 	MetricsListen string
 }
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -38,7 +38,7 @@
 			return exitFailure
 		case sig := <-signals:
 			if sig == syscall.SIGHUP {
-				e.reload("signal")
+				e.reload(reloadBySignal)
 				continue
 			}
 			return e.stop(sig)
@@ -46,16 +46,6 @@
 	}
 }
 
-// reload reads the settings again. Addresses can't change while the process runs.
-func (e *Entry) reload(why string) {
-	s, err := e.adapter.Load()
-	if err != nil {
-		e.log.Error("settings not reloaded; the ones in force stay", "by", why, "error", err)
-		return
-	}
-	e.log.Info("settings reloaded", "by", why, "seeds", s.Seeds)
-}
-
 // stop lets callers move to other processes and finishes what is in progress.
 func (e *Entry) stop(sig os.Signal) int {
 	begun := time.Now()
--- a/forward/engine.go
+++ b/forward/engine.go
@@ -15,6 +15,7 @@
 	"github.com/goldcrestmux/goldcrestmux/catalog"
 	"github.com/goldcrestmux/goldcrestmux/hedge"
 	"github.com/goldcrestmux/goldcrestmux/plan"
+	"github.com/goldcrestmux/goldcrestmux/share"
 	"github.com/goldcrestmux/goldcrestmux/upstream"
 )
 
@@ -75,7 +76,7 @@
 	mu       sync.Mutex
 	kinds    map[string]*kind // by route name
 	services map[string]*budget.Window
-	members  int
+	fleet    share.Fleet
 }
 
 // kind is what is known of the attempts of one route.
@@ -86,35 +87,32 @@
 
 // New returns an Engine.
 func New(opts Options) *Engine {
-	return &Engine{opts: opts, kinds: map[string]*kind{}, services: map[string]*budget.Window{}, members: 1}
+	return &Engine{opts: opts, kinds: map[string]*kind{}, services: map[string]*budget.Window{}}
 }
 
-// budgetUse is the part of the retry budget that is used. The rest covers
+// budgetUse is the part of the retry ratio that is used. The rest covers
 // differences between this process's clock and window and the targets'.
 const budgetUse = 0.8
 
-// SetMembers takes the number of processes that share the slack of the retry budget.
-func (e *Engine) SetMembers(n int) {
+// SetFleet takes the processes that share the slack of the retry budget.
+func (e *Engine) SetFleet(f share.Fleet) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if n == e.members || n < 1 {
-		return
-	}
-	e.members = n
-	for _, w := range e.services {
-		w.SetFloor(e.slack())
+	e.fleet = f
+	for name, w := range e.services {
+		w.SetFloor(e.slack(name))
 	}
 }
 
-func (e *Engine) slack() uint32 {
-	return uint32(budgetUse * float64(e.opts.Budget.Slack) / float64(e.members))
+func (e *Engine) slack(service string) uint32 {
+	return uint32(e.fleet.Part(float64(e.opts.Budget.Slack), service))
 }
 
 // window returns the budget of a service. The lock is held.
 func (e *Engine) window(service string) *budget.Window {
 	w := e.services[service]
 	if w == nil {
-		w = budget.NewAllowance(budgetUse*e.opts.Budget.Ratio, e.slack())
+		w = budget.NewAllowance(budgetUse*e.opts.Budget.Ratio, e.slack(service))
 		e.services[service] = w
 	}
 	return w
--- a/peers/node.go
+++ b/peers/node.go
@@ -3,10 +3,12 @@
 import (
 	"log/slog"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/goldcrestmux/goldcrestmux/share"
 	"github.com/juju/errors"
 	"gopkg.in/tomb.v2"
 )
@@ -18,22 +20,22 @@
 	tomb   tomb.Tomb
 	socket net.PacketConn
 	logger *slog.Logger
-	count  func(int)
+	fleet  func(share.Fleet)
 	tick   time.Duration
 
 	mu    sync.Mutex
 	state *State
-	last  int
+	last  share.Fleet
 }
 
-// Listen opens the socket of a node. Count is told each change of the number
-// of processes.
-func Listen(address string, state *State, tick time.Duration, logger *slog.Logger, count func(int)) (*Node, error) {
+// Listen opens the socket of a node. Fleet is told each change of the processes
+// that share limits.
+func Listen(address string, state *State, tick time.Duration, logger *slog.Logger, fleet func(share.Fleet)) (*Node, error) {
 	socket, err := net.ListenPacket("udp4", address)
 	if err != nil {
 		return nil, errors.Annotatef(err, "listen for peers on %s", address)
 	}
-	return &Node{socket: socket, logger: logger, count: count, tick: tick, state: state}, nil
+	return &Node{socket: socket, logger: logger, fleet: fleet, tick: tick, state: state}, nil
 }
 
 // Start begins to exchange messages.
@@ -67,17 +69,18 @@
 	}
 }
 
-// tell passes the number of processes on when it changes.
+// tell passes the processes on when they change.
 func (n *Node) tell(now time.Time) {
 	n.mu.Lock()
-	count := n.state.Count(now)
-	changed := count != n.last
+	fleet := n.state.Fleet(now)
 	before := n.last
-	n.last = count
+	changed := fleet.Assumed != before.Assumed || !slices.Equal(fleet.Members, before.Members)
+	n.last = fleet
 	n.mu.Unlock()
 	if changed {
-		n.logger.Info("number of processes changed", "from", before, "to", count)
-		n.count(count)
+		n.logger.Info("processes that share limits changed",
+			"known", len(fleet.Members), "assumed", fleet.Assumed, "before", len(before.Members))
+		n.fleet(fleet)
 	}
 }
 
@@ -128,6 +131,13 @@
 	}
 }
 
+// SetSeeds takes the addresses to begin with as they are told now.
+func (n *Node) SetSeeds(seeds []string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.state.SetSeeds(seeds)
+}
+
 // Gap tells that the process was paused.
 func (n *Node) Gap(now time.Time) {
 	n.mu.Lock()
--- a/peers/state.go
+++ b/peers/state.go
@@ -11,6 +11,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/goldcrestmux/goldcrestmux/share"
 )
 
 // Member is what is told of one process.
@@ -27,7 +29,7 @@
 // Message is what a process sends.
 type Message struct {
 	Members []Member `cbor:"1,keyasint"` // the sender comes first
-	// Reply is true if the sender knows little and asks for an answer.
+	// Reply is true if the sender may not know all and asks for an answer.
 	Reply bool `cbor:"2,keyasint,omitempty"`
 }
 
@@ -52,7 +54,7 @@
 	Forget time.Duration
 	// Unknown is the number of processes that is assumed until others are heard of.
 	Unknown int
-	// Settle is how long after the start the count may still be too low.
+	// Settle is how long after the last member was found there may be more.
 	Settle time.Duration
 	Rand   *rand.Rand
 }
@@ -66,13 +68,13 @@
 type State struct {
 	opts    Options
 	members map[string]*record
-	started time.Time
+	grown   time.Time // when the last new member was found
 	next    time.Time
 }
 
 // New returns a State that knows only itself.
 func New(now time.Time, opts Options) *State {
-	return &State{opts: opts, members: map[string]*record{}, started: now}
+	return &State{opts: opts, members: map[string]*record{}, grown: now}
 }
 
 // Tick returns the messages that are due, and whether members were forgotten.
@@ -85,7 +87,7 @@
 	s.opts.Self.Beat++
 	var sends []Send
 	for _, to := range s.receivers() {
-		sends = append(sends, Send{To: to, Message: s.message(len(s.members) == 0)})
+		sends = append(sends, Send{To: to, Message: s.message(now.Sub(s.grown) < s.opts.Settle)})
 	}
 	return sends
 }
@@ -113,7 +115,8 @@
 	return addresses
 }
 
-// message names this process and others, those heard of last first.
+// message names this process and others: a quarter of them those heard of last,
+// the rest at random, so that no member is left out for long.
 func (s *State) message(reply bool) Message {
 	known := make([]*record, 0, len(s.members))
 	for _, r := range s.members {
@@ -126,6 +129,9 @@
 		return strings.Compare(a.Name, b.Name)
 	})
 	m := Message{Members: []Member{s.opts.Self}, Reply: reply}
+	fresh := min(len(known), s.opts.Entries/4)
+	rest := known[fresh:]
+	s.opts.Rand.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
 	for _, r := range known[:min(len(known), s.opts.Entries)] {
 		m.Members = append(m.Members, r.Member)
 	}
@@ -153,6 +159,7 @@
 	known := s.members[m.Name]
 	if known == nil {
 		s.members[m.Name] = &record{Member: m, heard: now}
+		s.grown = now
 		return true
 	}
 	newer := m.Started > known.Started || (m.Started == known.Started && m.Beat > known.Beat)
@@ -170,6 +177,9 @@
 	}
 }
 
+// SetSeeds takes the addresses to begin with as they are told now.
+func (s *State) SetSeeds(seeds []string) { s.opts.Seeds = seeds }
+
 // Gap tells that this process was paused: silence in that time was its own.
 func (s *State) Gap(now time.Time) {
 	for _, r := range s.members {
@@ -177,14 +187,18 @@
 	}
 }
 
-// Count returns the number of processes that share the limits, this one
-// included, and never fewer than can be there for all that is known.
-func (s *State) Count(now time.Time) int {
-	n := len(s.members) + 1
-	if len(s.members) == 0 || now.Sub(s.started) < s.opts.Settle {
-		return max(n, s.opts.Unknown)
+// Fleet returns the processes that share limits, and how many there may be for
+// all that is known.
+func (s *State) Fleet(now time.Time) share.Fleet {
+	f := share.Fleet{Self: s.opts.Self.Name, Members: []string{s.opts.Self.Name}}
+	for name := range s.members {
+		f.Members = append(f.Members, name)
+	}
+	slices.Sort(f.Members)
+	if len(s.members) == 0 || now.Sub(s.grown) < s.opts.Settle {
+		f.Assumed = max(s.opts.Unknown, 2*len(f.Members))
 	}
-	return n
+	return f
 }
 
 // Members returns what is known of the others, by name.
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -9,6 +9,7 @@
 
 	"github.com/goldcrestmux/goldcrestmux/balance"
 	"github.com/goldcrestmux/goldcrestmux/catalog"
+	"github.com/goldcrestmux/goldcrestmux/share"
 	"github.com/juju/errors"
 )
 
@@ -23,6 +24,8 @@
 	DialTimeout time.Duration
 	// DrainUse is how long a draining target stays a last resort.
 	DrainUse time.Duration
+	// Cold bounds the requests to cold targets, from all processes.
+	Cold ColdBound
 	// Event is told what happens to connections, for logs. It must not block.
 	Event func(Event)
 }
@@ -46,7 +49,7 @@
 	targets  map[string]*Target
 	services map[string]*service
 	view     *catalog.View
-	members  int
+	fleet    share.Fleet
 	turn     uint64
 	busy     map[*conn]struct{}
 	buffers  sync.Pool
@@ -55,16 +58,25 @@
 // service is the targets of one service.
 type service struct {
 	targets []*Target
-	// connections is the most that this process opens to one target.
+	// connections bounds those to one target, from all processes.
 	connections int
-	warmupRate  float64
+	// warmupRate is what a cold target bears, from all processes; zero if cold
+	// targets are only slow.
+	warmupRate float64
+}
+
+// ColdBound is the published bound on requests to a cold target: in any second
+// Overshoot times the rate that its service names, and Slack beside.
+type ColdBound struct {
+	Overshoot float64
+	Slack     float64
 }
 
 // New returns a pool that knows no targets.
 func New(opts Options) *Pool {
 	p := &Pool{
 		opts: opts, targets: map[string]*Target{}, services: map[string]*service{},
-		members: 1, busy: map[*conn]struct{}{},
+		busy: map[*conn]struct{}{},
 	}
 	p.buffers.New = func() any { b := make([]byte, 0, 1024); return &b }
 	return p
@@ -77,31 +89,26 @@
 // Prepare encodes the part of a call that all attempts share.
 func (p *Pool) Prepare(c *Call) { c.prefix = p.opts.Codec.AppendCall(nil, c) }
 
-// SetMembers takes the number of processes that share the connections of targets.
-func (p *Pool) SetMembers(n int) {
+// SetFleet takes the processes that share the limits of targets.
+func (p *Pool) SetFleet(f share.Fleet) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if n == p.members || n < 1 {
-		return
-	}
-	p.members = n
-	for name, svc := range p.services {
-		if s := p.view.Service(name); s != nil {
-			svc.connections = share(s.MaxConnections, n)
+	p.fleet = f
+	for _, svc := range p.services {
+		for _, t := range svc.targets {
+			p.limit(t, svc)
 		}
 	}
 }
 
-// connectionReserve is the share of a target's connections that is left to
-// processes that are not known yet, and to connections that are being closed.
-const connectionReserve = 0.1
-
-// minConnections lets a request pass while another one is stalled.
+// minConnections lets a request pass while another one is stalled. Targets may
+// reset connections beyond their limit; those requests go elsewhere.
 const minConnections = 2
 
-// share returns the part of one process in the connections of a target.
-func share(limit, members int) int {
-	return max(int(float64(limit)*(1-connectionReserve))/members, minConnections)
+// limit works out this process's parts of a target's limits.
+func (p *Pool) limit(t *Target, svc *service) {
+	t.connections = max(p.fleet.Part(float64(svc.connections), t.ID), minConnections)
+	t.coldLimit = p.fleet.Part(svc.warmupRate*p.opts.Cold.Overshoot+p.opts.Cold.Slack, t.ID)
 }
 
 // Update takes a new picture of what is published.
@@ -136,12 +143,13 @@
 		if svc == nil {
 			svc = &service{connections: minConnections}
 			if s := v.Service(e.Service); s != nil {
-				svc.connections = share(s.MaxConnections, p.members)
+				svc.connections = s.MaxConnections
 				svc.warmupRate = s.WarmupRate
 			}
 			services[e.Service] = svc
 		}
 		svc.targets = append(svc.targets, t)
+		p.limit(t, svc)
 	})
 	p.services = services
 	var done []Result
@@ -218,11 +226,14 @@
 		results: results, expected: choice.Kind.Expected,
 	}
 	t.record.Sent(now, choice.Kind.Overdue)
+	if t.cold(now) {
+		t.coldRate.Add(now)
+	}
 	c := t.take()
 	switch {
 	case c != nil:
 		p.assign(c, a)
-	case t.open < p.connections(t):
+	case t.open < t.connections:
 		t.open++
 		a.state = stateDialing
 		go p.dial(t, t.entry.Address, a)
@@ -237,13 +248,6 @@
 	return a
 }
 
-func (p *Pool) connections(t *Target) int {
-	if svc := p.services[t.Service]; svc != nil {
-		return svc.connections
-	}
-	return minConnections
-}
-
 func (p *Pool) assign(c *conn, a *Attempt) {
 	c.current = a
 	c.writing = true
@@ -270,9 +274,13 @@
 		if !t.usable(now, p.opts.DrainUse) || (tried == 0 && !choice.NewTarget) {
 			continue
 		}
+		cold := t.cold(now)
+		if cold && svc.warmupRate > 0 && !t.coldRate.Allows(now, t.coldLimit) {
+			continue
+		}
 		candidates = append(candidates, balance.Candidate{
 			Record: &t.record, Slots: t.entry.Slots, Remote: t.remote,
-			Cold: now.Before(t.entry.ColdUntil), Last: t.lapsed || t.entry.Draining, Tried: tried,
+			Cold: cold, Bounded: cold && svc.warmupRate > 0, Last: t.lapsed || t.entry.Draining, Tried: tried,
 		})
 		targets = append(targets, t)
 	}
@@ -443,7 +451,7 @@
 func (p *Pool) reopen(t *Target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(t.waiting) == 0 || t.gone || t.open >= p.connections(t) {
+	if len(t.waiting) == 0 || t.gone || t.open >= t.connections {
 		return
 	}
 	a := t.waiting[0]
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -5,6 +5,7 @@
 
 	"github.com/goldcrestmux/goldcrestmux/balance"
 	"github.com/goldcrestmux/goldcrestmux/catalog"
+	"github.com/goldcrestmux/goldcrestmux/share"
 )
 
 // Target is one target with its connections. All fields are guarded by the
@@ -20,7 +21,12 @@
 	// open counts connections, also those that are being opened.
 	open    int
 	waiting []*Attempt
-	gone    bool
+	// connections and coldLimit are this process's parts of what the target
+	// bears: connections, and requests a second while it is cold.
+	connections int
+	coldLimit   int
+	coldRate    share.Rate
+	gone        bool
 	// lapsed is true while the target is a last resort.
 	lapsed bool
 	// avoided is true if its data centre is evacuated.
@@ -60,6 +66,9 @@
 	return false
 }
 
+// cold reports whether the target has started lately.
+func (t *Target) cold(now time.Time) bool { return now.Before(t.entry.ColdUntil) }
+
 // usable reports whether the target may get requests.
 func (t *Target) usable(now time.Time, drainUse time.Duration) bool {
 	if t.gone || t.avoided {
