Notice a lost watch sooner; read what is published over peers where many do

A process that starts forgets what it sent and took its whole slack anew, which could exceed the budget; it takes a smaller part at first.

--- a/catalog/state.go
+++ b/catalog/state.go
@@ -45,8 +45,12 @@
 // StateOptions configures a State.
 type StateOptions struct {
 	// LapseHold is how long a target whose entry disappeared stays a last
-	// resort. It must be below the time after which it may get nothing.
+	// resort. With the time that the news takes it must be below the time after
+	// which the target may get nothing.
 	LapseHold time.Duration
+	// UnsteadyHold is the same for entries that may have lapsed only because the
+	// store was away.
+	UnsteadyHold time.Duration
 	// RestoreCold is how long the targets of a data centre count as cold after
 	// its evacuation: what they say of themselves lags.
 	RestoreCold time.Duration
@@ -64,6 +68,7 @@
 	// not there, so that a page read earlier can't bring it back.
 	deletedAt map[string]uint64
 	asOf      time.Time
+	unsteady  time.Time // until when missing entries may come back
 }
 
 // NewState returns a State that knows nothing.
@@ -77,6 +82,9 @@
 // Confirm records that the source told at the given time all that it knew.
 func (s *State) Confirm(now time.Time) { s.asOf = now }
 
+// Unsteady tells that entries may have lapsed because the store was away.
+func (s *State) Unsteady(until time.Time) { s.unsteady = until }
+
 // Apply takes changes in the order of their revisions.
 func (s *State) Apply(now time.Time, items []Item) []Change {
 	var changes []Change
@@ -101,7 +109,7 @@
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(s.targets)) {
-		if e := s.targets[id]; !listed[id] && e.Revision <= revision && e.LapsedAt.IsZero() {
+		if e := s.targets[id]; !listed[id] && e.Revision <= revision && !e.Lapsed() {
 			changes = append(changes, s.lapse(now, e, revision))
 		}
 	}
@@ -166,7 +174,7 @@
 	switch {
 	case it.Deleted:
 		s.deletedAt[it.Name] = it.Revision
-		if known == nil || !known.LapsedAt.IsZero() {
+		if known == nil || known.Lapsed() {
 			return nil
 		}
 		known.Revision = it.Revision
@@ -174,7 +182,7 @@
 	case it.Err != nil:
 		c.Outcome, c.Err = "not used: the entry can't be read", it.Err
 		if known != nil {
-			s.targets[it.Name] = lapsed(known, now)
+			s.targets[it.Name] = s.lapsed(known, now)
 		}
 		return []Change{c}
 	}
@@ -213,7 +221,7 @@
 			return "known, draining"
 		}
 		return "known"
-	case !known.LapsedAt.IsZero():
+	case known.Lapsed():
 		return "back"
 	case known.Born != t.Born || known.Address != t.Address:
 		return "restarted"
@@ -229,17 +237,20 @@
 	return ""
 }
 
-func lapsed(e *Entry, now time.Time) *Entry {
-	if !e.LapsedAt.IsZero() {
+func (s *State) lapsed(e *Entry, now time.Time) *Entry {
+	if e.Lapsed() {
 		return e
 	}
 	gone := *e
-	gone.LapsedAt = now
+	gone.LapsesAt = now.Add(s.opts.LapseHold)
+	if now.Before(s.unsteady) {
+		gone.LapsesAt = now.Add(s.opts.UnsteadyHold)
+	}
 	return &gone
 }
 
 func (s *State) lapse(now time.Time, e *Entry, revision uint64) Change {
-	s.targets[e.ID] = lapsed(e, now)
+	s.targets[e.ID] = s.lapsed(e, now)
 	return Change{What: "target", Name: e.ID, Outcome: "entry gone", Revision: revision}
 }
 
@@ -283,7 +294,7 @@
 	var changes []Change
 	for _, id := range slices.Sorted(maps.Keys(s.targets)) {
 		e := s.targets[id]
-		if e.LapsedAt.IsZero() || now.Sub(e.LapsedAt) < s.opts.LapseHold {
+		if !e.Lapsed() || now.Before(e.LapsesAt) {
 			continue
 		}
 		delete(s.targets, id)
--- a/catalog/state_test.go
+++ b/catalog/state_test.go
@@ -10,7 +10,7 @@
 var epoch = time.Unix(1_700_000_000, 0)
 
 func newState() *State {
-	return NewState(StateOptions{LapseHold: 2 * time.Second, RestoreCold: 3 * time.Second})
+	return NewState(StateOptions{LapseHold: 2 * time.Second, UnsteadyHold: 3 * time.Second, RestoreCold: 3 * time.Second})
 }
 
 func configItem(version, revision uint64, prefixes ...string) Item {
@@ -93,7 +93,7 @@
 	s := newState()
 	s.Apply(epoch, []Item{configItem(1, 1, "/a/"), targetItem("t1", 2, nil), targetItem("t2", 3, nil)})
 	s.Apply(epoch, []Item{{Kind: KindTarget, Name: "t1", Revision: 4, Err: errors.New("not JSON")}})
-	if e := s.View().Targets("s1"); len(e) != 2 || e[0].LapsedAt.IsZero() || !e[1].LapsedAt.IsZero() {
+	if e := s.View().Targets("s1"); len(e) != 2 || !e[0].Lapsed() || e[1].Lapsed() {
 		t.Fatalf("entries %+v, want t1 lapsed and t2 as it was", e)
 	}
 	s.Tick(epoch.Add(2 * time.Second))
@@ -135,7 +135,7 @@
 	}
 	s.Apply(epoch.Add(1900*time.Millisecond), []Item{targetItem("t1", 4, func(t *Target) { t.Sequence = 6 })})
 	s.Tick(epoch.Add(time.Minute))
-	if e := s.View().Targets("s1"); len(e) != 1 || !e[0].LapsedAt.IsZero() {
+	if e := s.View().Targets("s1"); len(e) != 1 || e[0].Lapsed() {
 		t.Fatalf("entries %+v, want t1 back", e)
 	}
 }
@@ -150,7 +150,7 @@
 		t.Error("an evacuation that the listing doesn't name is in force")
 	}
 	e := v.Targets("s1")
-	if len(e) != 3 || e[0].LapsedAt.IsZero() || !e[1].LapsedAt.IsZero() || !e[2].LapsedAt.IsZero() {
+	if len(e) != 3 || !e[0].Lapsed() || e[1].Lapsed() || e[2].Lapsed() {
 		t.Errorf("entries %+v, want t1 lapsed, t2 and the newer t9 in use", e)
 	}
 }
@@ -165,7 +165,7 @@
 	}
 	gone := Item{Kind: KindTarget, Name: "t1", Revision: 8, Deleted: true}
 	s.Apply(epoch, []Item{targetItem("t1", 2, nil), gone, targetItem("t1", 2, nil)})
-	if e := s.View().Targets("s1")[0]; e.LapsedAt.IsZero() {
+	if e := s.View().Targets("s1")[0]; !e.Lapsed() {
 		t.Error("an older page brought a target back")
 	}
 }
@@ -185,3 +185,18 @@
 		t.Error("a target of another data centre counts as cold")
 	}
 }
+
+func TestEntriesAreHeldLongerAfterTheStoreWasAway(t *testing.T) {
+	s := newState()
+	s.Apply(epoch, []Item{targetItem("t1", 2, nil)})
+	s.Unsteady(epoch.Add(4 * time.Second))
+	s.Apply(epoch, []Item{{Kind: KindTarget, Name: "t1", Revision: 3, Deleted: true}})
+	s.Tick(epoch.Add(2900 * time.Millisecond))
+	if len(s.View().Targets("s1")) != 1 {
+		t.Fatal("dropped though its entry may come back")
+	}
+	s.Tick(epoch.Add(3 * time.Second))
+	if len(s.View().Targets("s1")) != 0 {
+		t.Fatal("still there after the hold")
+	}
+}
--- a/catalog/view.go
+++ b/catalog/view.go
@@ -23,12 +23,16 @@
 	ColdUntil time.Time
 	// DrainingSince is when the target was first seen draining; zero if it isn't.
 	DrainingSince time.Time
-	// LapsedAt is when the entry disappeared; zero while it is published.
-	LapsedAt time.Time
+	// LapsesAt is when a target whose entry disappeared may get nothing more;
+	// zero while it is published.
+	LapsesAt time.Time
 	// Revision is the store's revision of the entry.
 	Revision uint64
 }
 
+// Lapsed reports whether the target's entry has disappeared.
+func (e *Entry) Lapsed() bool { return !e.LapsesAt.IsZero() }
+
 // Known reports whether a configuration is in force.
 func (v *View) Known() bool { return v != nil && v.Version > 0 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,15 +14,21 @@
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/goldcrestmux/goldcrestmux/catalog"
 	"github.com/goldcrestmux/goldcrestmux/follow"
 	"github.com/goldcrestmux/goldcrestmux/forward"
 	"github.com/goldcrestmux/goldcrestmux/hedge"
 	"github.com/goldcrestmux/goldcrestmux/ingress"
+	"github.com/goldcrestmux/goldcrestmux/link"
+	"github.com/goldcrestmux/goldcrestmux/mesh"
 	"github.com/goldcrestmux/goldcrestmux/peers"
 	"github.com/goldcrestmux/goldcrestmux/share"
 	"github.com/goldcrestmux/goldcrestmux/upstream"
+	"github.com/goldcrestmux/goldcrestmux/wire"
 	"github.com/juju/errors"
+	"goji.io"
+	"goji.io/pat"
 	"gopkg.in/tomb.v2"
 )
 
@@ -52,6 +58,10 @@
 	engine   *forward.Engine
 	follower *follow.Follower
 	peers    *peers.Node
+	mesh     *mesh.Mesh
+	links    *http.Server
+	source   *follow.Switch
+	replica  *follow.Replica
 	handler  *ingress.Handler
 	callers  *ingress.Server
 	ready    *http.Server
@@ -64,20 +74,26 @@
 
 // Timings of a process.
 const (
-	// watchWait bounds one watch of the store: an answer that is lost delays
-	// what it told by so much, and each call has its price.
-	watchWait = 4 * time.Second
+	// watchWait bounds one watch of the store. A watch whose answer is lost is
+	// noticed only after it, and changes must be in force four seconds after the
+	// store is well again; but each call has its price.
+	watchWait = 2 * time.Second
 	// minWatchGather and maxWatchGather bound the pause between watches while
 	// changes come in; they are small beside the seconds that changes may take.
 	minWatchGather = 150 * time.Millisecond
-	maxWatchGather = 900 * time.Millisecond
+	maxWatchGather = 600 * time.Millisecond
+	// probeWait bounds the first watch after a failed call.
+	probeWait = 200 * time.Millisecond
 	// storeMinBackoff and storeMaxBackoff bound the wait after a failed call: the
 	// store's return must be noticed within the time that changes may take.
 	storeMinBackoff = 100 * time.Millisecond
 	storeMaxBackoff = 1200 * time.Millisecond
-	// lapseHold is how long the entry of a target may be missing after the
-	// store was away.
-	lapseHold = 2 * time.Second
+	// lapseShare is the part of the time that a leaving target may be used for
+	// which one whose entry disappeared stays a last resort.
+	lapseShare = 0.3
+	// unsteadyHold is the same after the store was away: entries that lapsed
+	// meanwhile are back within about two seconds.
+	unsteadyHold = 2300 * time.Millisecond
 	// restoreCold covers two heartbeats of targets and the way through the store.
 	restoreCold = 3 * time.Second
 	// housekeeping is the interval at which idle and silent connections are closed.
@@ -93,7 +109,14 @@
 	gossipFanout   = 2
 	gossipEntries  = 24
 	gossipForget   = 60 * time.Second
-	gossipSettle   = 2500 * time.Millisecond
+	gossipSettle   = 5 * time.Second
+	// meetInterval is how often the peers that are alive are looked up, and
+	// aliveWithin how lately they must have been heard of: gossip takes seconds.
+	meetInterval = time.Second
+	aliveWithin  = 20 * time.Second
+	// linkCheck is the time between two liveness checks of links: they carry
+	// what is asked again a moment later.
+	linkCheck = 250 * time.Millisecond
 	// unknownPeers is assumed until others are heard of.
 	unknownPeers = 16
 )
@@ -165,19 +188,33 @@
 	})
 	e.callers = ingress.NewServer(e.handler)
 	seed := uint64(time.Now().UnixNano())
+	e.replica = follow.NewReplica()
+	e.mesh = mesh.New(mesh.Options{
+		Self:   wire.Process{VM: s.Name, Role: wire.RoleEntry, DataCentre: s.DataCentre, Incarnation: seed},
+		Logger: log, Feed: e.replica.Answer, CheckInterval: linkCheck,
+	})
+	e.source = follow.NewSwitch(adapter.Source(&s, e.dial), e.mesh,
+		follow.NewRoute(reader(s.Name, s.DataCentre), s.ConfigApply, rand.New(rand.NewPCG(seed, 3))), log)
 	e.follower = follow.New(follow.Options{
-		Source: adapter.Source(&s, e.dial),
+		Source: e.source, Replica: e.replica,
 		State: follow.NewState(follow.StateOptions{
 			Wait: watchWait, MinGather: minWatchGather, MaxGather: maxWatchGather,
-			MinBackoff: storeMinBackoff, MaxBackoff: storeMaxBackoff,
+			ProbeWait: probeWait, MinBackoff: storeMinBackoff, MaxBackoff: storeMaxBackoff,
 			Rand: rand.New(rand.NewPCG(seed, 1)),
 		}),
-		Catalog: catalog.NewState(catalog.StateOptions{LapseHold: lapseHold, RestoreCold: restoreCold}),
-		Logger:  log, Publish: e.publish, TickInterval: 250 * time.Millisecond,
+		Catalog: catalog.NewState(catalog.StateOptions{
+			LapseHold: time.Duration(lapseShare * float64(s.DrainUse)), UnsteadyHold: unsteadyHold, RestoreCold: restoreCold,
+		}),
+		Logger: log, Publish: e.publish, TickInterval: 250 * time.Millisecond,
 	})
 	return e
 }
 
+// reader describes a process as one that may read the store for others.
+func reader(name, dataCentre string) follow.Reader {
+	return follow.Reader{Name: name, DataCentre: dataCentre, Rank: xxhash.Sum64String(name)}
+}
+
 func (e *Entry) connectionEvent(ev upstream.Event) {
 	e.metrics.connection(ev.What)
 	e.log.Info(ev.What, "target", ev.Target, "service", ev.Service, "id", ev.Request, "error", ev.Err)
@@ -244,7 +281,10 @@
 	}
 	now := time.Now()
 	state := peers.New(now, peers.Options{
-		Self:  peers.Member{Name: s.Name, Address: s.PeerListen, Started: now.UnixNano()},
+		Self: peers.Member{
+			Name: s.Name, Address: s.PeerListen, Started: now.UnixNano(),
+			DataCentre: s.DataCentre, Power: uint16(s.Power * 100),
+		},
 		Seeds: s.Seeds, Interval: gossipInterval, Fanout: gossipFanout, Entries: gossipEntries,
 		Forget: gossipForget, Unknown: unknownPeers, Settle: gossipSettle,
 		Rand: rand.New(rand.NewPCG(uint64(now.UnixNano()), 2)),
@@ -258,9 +298,33 @@
 	}
 	e.peers = node
 	node.Start()
+	l, err := listen("links of peers", s.PeerListen)
+	if err != nil {
+		return err
+	}
+	mux := goji.NewMux()
+	mux.Handle(pat.Get(link.Path), e.mesh)
+	e.links = &http.Server{Handler: mux, ReadHeaderTimeout: defaultWait}
+	e.tomb.Go(func() error { return served(e.links.Serve(l), "links of peers") })
 	return nil
 }
 
+// meet takes the peers that are alive.
+func (e *Entry) meet() {
+	if e.peers == nil {
+		return
+	}
+	alive := e.peers.Alive(aliveWithin)
+	addresses := make(map[string]string, len(alive))
+	readers := make([]follow.Reader, 0, len(alive))
+	for _, m := range alive {
+		addresses[m.Name] = m.Address
+		readers = append(readers, reader(m.Name, m.DataCentre))
+	}
+	e.mesh.SetPeers(addresses)
+	e.source.SetPeers(readers)
+}
+
 func (e *Entry) readyPage() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		if e.stopping.Load() || !e.view.Load().Known() {
@@ -275,6 +339,7 @@
 func (e *Entry) keepHouse() error {
 	ticker := time.NewTicker(housekeeping)
 	defer ticker.Stop()
+	var met time.Time
 	for {
 		select {
 		case <-e.tomb.Dying():
@@ -282,6 +347,10 @@
 		case <-ticker.C:
 		}
 		now := time.Now()
+		if now.Sub(met) >= meetInterval {
+			met = now
+			e.meet()
+		}
 		e.pool.Tick(now)
 		if v := e.view.Load(); v.Known() && v.Limits.IdleTimeout > 0 {
 			e.callers.CloseIdle(now.Add(-v.Limits.IdleTimeout))
@@ -304,7 +373,7 @@
 		"process": e.settings.Name, "uptime_s": int(time.Since(e.started).Seconds()),
 		"stopping": e.stopping.Load(), "ready": v.Known() && !e.stopping.Load(),
 		"upstream": e.pool.Stats(), "active_requests": e.handler.Active(), "caller_connections": e.callers.Open(),
-		"store_calls": e.follower.Calls(),
+		"store_calls": e.follower.Calls() - e.source.Asks(), "peer_asks": e.source.Asks(), "links": e.mesh.Links(),
 	}
 	if v.Known() {
 		out["version"] = v.Version
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -25,6 +25,10 @@
 	Seeds []string
 	// StoreAddress is the host and port of the store to follow.
 	StoreAddress string
+	// ConfigApply is the time within which published changes must be in force.
+	ConfigApply time.Duration
+	// Power is the process's part of a core.
+	Power float64
 	// MemoryBytes is above which the process is ended.
 	MemoryBytes int64
 	OpenFiles   int
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -83,6 +83,10 @@
 			e.log.Warn("the exchange with peers ended with an error", "error", err)
 		}
 	}
+	e.mesh.Close()
+	if e.links != nil {
+		_ = e.links.Close() // links are closed already
+	}
 	e.pool.Close()
 	if err := e.tomb.Wait(); err != nil && !errors.Is(err, context.Canceled) {
 		e.log.Warn("stopped with an error", "error", err)
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -19,15 +19,26 @@
 	// Catalog is fed with what is read. The follower is its only user.
 	Catalog *catalog.State
 	Logger  *slog.Logger
+	// Replica is told what is read, for peers.
+	Replica *Replica
 	// Publish is told each new picture, by one goroutine at a time.
 	Publish func(*catalog.View)
 	// TickInterval is how often the catalog lets time take effect.
 	TickInterval time.Duration
 }
 
-// callSlack is how long a call may take beyond the time that a watch waits: the
-// store answers within milliseconds, and within seconds while it is slow.
-const callSlack = 2 * time.Second
+// Bounds of calls.
+const (
+	// callSlack is how long a call may take beyond the time that a watch waits:
+	// the store answers within milliseconds, and within parts of a second while
+	// it is slow.
+	callSlack = time.Second
+	// listTimeout bounds a listing of many pages.
+	listTimeout = 5 * time.Second
+	// unsteadySpan is how long after a failed call entries may be missing that
+	// lapsed while the store was away.
+	unsteadySpan = 4 * time.Second
+)
 
 // Follower drives a State.
 type Follower struct {
@@ -39,13 +50,6 @@
 	results chan result
 	down    bool
 	calls   atomic.Int64
-	offered chan Offer
-}
-
-// Offer is a listing that a peer passed on.
-type Offer struct {
-	Peer  string
-	Batch Batch
 }
 
 type result struct {
@@ -57,7 +61,7 @@
 
 // New returns a Follower that is not started.
 func New(opts Options) *Follower {
-	f := &Follower{opts: opts, results: make(chan result, 1), offered: make(chan Offer, 4)}
+	f := &Follower{opts: opts, results: make(chan result, 1)}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	return f
 }
@@ -75,14 +79,6 @@
 // Calls returns the number of calls that were begun.
 func (f *Follower) Calls() int64 { return f.calls.Load() }
 
-// Offer passes on what a peer read. It is dropped if the follower is behind.
-func (f *Follower) Offer(o Offer) {
-	select {
-	case f.offered <- o:
-	default:
-	}
-}
-
 func (f *Follower) run() error {
 	ticker := time.NewTicker(f.opts.TickInterval)
 	defer ticker.Stop()
@@ -95,8 +91,6 @@
 			if changes := f.opts.Catalog.Tick(now); len(changes) > 0 {
 				f.note(changes, true)
 			}
-		case o := <-f.offered:
-			f.note(f.opts.Catalog.Apply(time.Now(), o.Batch.Items), true)
 		case r := <-f.results:
 			f.begin(f.take(r))
 		}
@@ -122,7 +116,11 @@
 }
 
 func (f *Follower) call(step Step) (Batch, error) {
-	ctx, cancel := context.WithTimeout(f.ctx, step.Wait+callSlack)
+	timeout := step.Wait + callSlack
+	if step.Op == OpList {
+		timeout = listTimeout
+	}
+	ctx, cancel := context.WithTimeout(f.ctx, timeout)
 	defer cancel()
 	if step.Op == OpList {
 		return f.opts.Source.List(ctx, step.Stale)
@@ -135,6 +133,7 @@
 	now := time.Now()
 	if r.err != nil {
 		step := f.opts.State.Failed(r.err)
+		f.opts.Catalog.Unsteady(now.Add(unsteadySpan))
 		if !f.down && !errors.Is(r.err, ErrHistoryLost) {
 			f.down = true
 			f.opts.Logger.Warn("lost the store", "error", r.err, "took", r.took, "retry_in", step.Delay)
@@ -147,12 +146,15 @@
 		f.down = false
 		f.opts.Logger.Info("regained the store", "revision", r.batch.Revision)
 	}
-	f.opts.Catalog.Confirm(now)
+	asOf := now.Add(-r.batch.Age)
+	f.opts.Catalog.Confirm(asOf)
 	if r.step.Op == OpList {
+		f.opts.Replica.Listed(asOf, r.batch)
 		f.note(f.opts.Catalog.Replace(now, r.batch.Items, r.batch.Revision), true)
 		f.opts.Logger.Info("listed the store", "revision", r.batch.Revision, "items", len(r.batch.Items), "took", r.took, "stale", r.step.Stale)
 		return f.opts.State.Listed(r.batch.Revision)
 	}
+	f.opts.Replica.Changed(asOf, r.batch)
 	f.note(f.opts.Catalog.Apply(now, r.batch.Items), len(r.batch.Items) > 0)
 	return f.opts.State.Watched(r.batch.Revision, len(r.batch.Items), r.took)
 }
--- a/follow/source.go
+++ b/follow/source.go
@@ -16,6 +16,8 @@
 	// Revision is the store's revision that the answer reflects; a watch goes
 	// on from there.
 	Revision uint64
+	// Age is how long ago the store confirmed the answer, if a peer passed it on.
+	Age time.Duration
 }
 
 // Source reads published items. Its errors are ErrHistoryLost, a *BusyError or
--- a/follow/state.go
+++ b/follow/state.go
@@ -35,6 +35,9 @@
 type StateOptions struct {
 	// Wait bounds one watch. A lost answer is noticed after it.
 	Wait time.Duration
+	// ProbeWait bounds the first watch after a failure: the store may still be
+	// silent, and its return must be noticed soon.
+	ProbeWait time.Duration
 	// MinGather and MaxGather bound the pause between two watches after changes,
 	// so that changes in quick succession cost one call. The pause doubles while
 	// each watch brings changes at once.
@@ -108,6 +111,7 @@
 	step := Step{Op: OpList, Stale: s.stale, Delay: s.backoff()}
 	if s.listed {
 		step = s.watch(step.Delay)
+		step.Wait = min(step.Wait, s.opts.ProbeWait)
 	}
 	var busy *BusyError
 	if errors.As(err, &busy) {
--- a/follow/state_test.go
+++ b/follow/state_test.go
@@ -11,7 +11,7 @@
 func newTestState() *State {
 	return NewState(StateOptions{
 		Wait: 4 * time.Second, MinGather: 150 * time.Millisecond, MaxGather: 800 * time.Millisecond,
-		MinBackoff: 100 * time.Millisecond, MaxBackoff: time.Second, Rand: rand.New(rand.NewPCG(1, 2)),
+		ProbeWait: 200 * time.Millisecond, MinBackoff: 100 * time.Millisecond, MaxBackoff: time.Second, Rand: rand.New(rand.NewPCG(1, 2)),
 	})
 }
 
@@ -85,3 +85,16 @@
 		t.Fatalf("pause %v after a calm, want the shortest", step.Delay)
 	}
 }
+
+// A store that is silent must not hold the first watch after a failure for long:
+// it may return a moment after the watch was sent.
+func TestFirstWatchAfterAFailureIsShort(t *testing.T) {
+	s := newTestState()
+	s.Listed(40)
+	if step := s.Failed(errors.New("timeout")); step.Op != OpWatch || step.Wait > 200*time.Millisecond {
+		t.Fatalf("step %+v, want a watch of at most 200ms", step)
+	}
+	if step := s.Watched(40, 0, 10*time.Millisecond); step.Wait != 4*time.Second {
+		t.Fatalf("step %+v, want a full watch again", step)
+	}
+}
--- /dev/null
+++ b/follow/switch.go
@@ -0,0 +1,129 @@
+package follow
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/goldcrestmux/goldcrestmux/wire"
+	"github.com/juju/errors"
+)
+
+// Asker asks a peer for what it read from the store.
+type Asker interface {
+	AskFeed(ctx context.Context, peer string, ask wire.FeedAsk) (wire.FeedAnswer, error)
+}
+
+// Timings of asking peers.
+const (
+	// peerWait is how long a peer may hold an ask: asking again costs little, and
+	// a peer that is paused is noticed after it.
+	peerWait = 1500 * time.Millisecond
+	// peerSlack is how long its answer may take beyond.
+	peerSlack = 700 * time.Millisecond
+)
+
+// Switch is a Source that reads the store or asks a peer, as its Route decides.
+type Switch struct {
+	direct Source
+	asker  Asker
+	logger *slog.Logger
+
+	mu    sync.Mutex
+	route *Route
+	last  string
+	asks  int64
+}
+
+// NewSwitch returns a Switch.
+func NewSwitch(direct Source, asker Asker, route *Route, logger *slog.Logger) *Switch {
+	return &Switch{direct: direct, asker: asker, route: route, logger: logger, last: "the store"}
+}
+
+// SetPeers takes the other processes.
+func (s *Switch) SetPeers(peers []Reader) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.route.SetPeers(peers)
+}
+
+// Asks returns the number of asks that went to peers.
+func (s *Switch) Asks() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.asks
+}
+
+// next picks whom to ask, and tells when that changes.
+func (s *Switch) next() string {
+	s.mu.Lock()
+	peer := s.route.Next(time.Now())
+	name, before := peer, s.last
+	if peer == "" {
+		name = "the store"
+	} else {
+		s.asks++
+	}
+	s.last = name
+	s.mu.Unlock()
+	if (name == "the store") != (before == "the store") {
+		s.logger.Info("published state is read elsewhere", "from", name, "before", before)
+	}
+	return peer
+}
+
+func (s *Switch) failed(peer string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.route.Failed(time.Now(), peer)
+}
+
+// List reads all items from the store or a peer.
+func (s *Switch) List(ctx context.Context, stale bool) (Batch, error) {
+	peer := s.next()
+	var b Batch
+	var err error
+	if peer == "" {
+		b, err = s.direct.List(ctx, stale)
+	} else {
+		b, err = s.ask(ctx, peer, wire.FeedAsk{List: true}, 0)
+	}
+	if err != nil {
+		s.failed(peer)
+	}
+	return b, err
+}
+
+// Watch waits for changes at the store or a peer.
+func (s *Switch) Watch(ctx context.Context, after uint64, wait time.Duration) (Batch, error) {
+	peer := s.next()
+	var b Batch
+	var err error
+	if peer == "" {
+		b, err = s.direct.Watch(ctx, after, wait)
+	} else {
+		b, err = s.ask(ctx, peer, wire.FeedAsk{After: after}, min(wait, peerWait))
+	}
+	if err != nil && !errors.Is(err, ErrHistoryLost) {
+		s.failed(peer)
+	}
+	return b, err
+}
+
+func (s *Switch) ask(ctx context.Context, peer string, ask wire.FeedAsk, wait time.Duration) (Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+peerSlack)
+	defer cancel()
+	ask.WaitMillis = uint32(wait.Milliseconds())
+	a, err := s.asker.AskFeed(ctx, peer, ask)
+	if err != nil {
+		return Batch{}, errors.Annotatef(err, "ask %s", peer)
+	}
+	age := time.Duration(a.AgeMillis) * time.Millisecond
+	if age > MaxAge {
+		return Batch{}, errors.Errorf("%s has not heard from the store for %v", peer, age)
+	}
+	b, err := open(&a)
+	b.Age = age
+	return b, err
+}
--- a/forward/engine.go
+++ b/forward/engine.go
@@ -77,6 +77,7 @@
 	kinds    map[string]*kind // by route name
 	services map[string]*budget.Window
 	fleet    share.Fleet
+	started  time.Time
 }
 
 // kind is what is known of the attempts of one route.
@@ -87,7 +88,7 @@
 
 // New returns an Engine.
 func New(opts Options) *Engine {
-	return &Engine{opts: opts, kinds: map[string]*kind{}, services: map[string]*budget.Window{}}
+	return &Engine{opts: opts, kinds: map[string]*kind{}, services: map[string]*budget.Window{}, started: time.Now()}
 }
 
 // budgetUse is the part of the retry ratio that is used. The rest covers
@@ -99,20 +100,29 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.fleet = f
-	for name, w := range e.services {
-		w.SetFloor(e.slack(name))
-	}
 }
 
-func (e *Engine) slack(service string) uint32 {
-	return uint32(e.fleet.Part(float64(e.opts.Budget.Slack), service))
+// Parts of the budget's slack that are used. A process that has just started
+// does not know what it sent before; both parts together keep to the slack.
+const (
+	slackUse      = 0.8
+	slackUseFresh = 0.25
+)
+
+// slack returns this process's part of a service's slack. The lock is held.
+func (e *Engine) slack(now time.Time, service string) uint32 {
+	use := slackUse
+	if now.Sub(e.started) < budget.Span {
+		use = slackUseFresh
+	}
+	return uint32(e.fleet.Part(use*float64(e.opts.Budget.Slack), service))
 }
 
 // window returns the budget of a service. The lock is held.
 func (e *Engine) window(service string) *budget.Window {
 	w := e.services[service]
 	if w == nil {
-		w = budget.NewAllowance(budgetUse*e.opts.Budget.Ratio, e.slack(service))
+		w = budget.NewAllowance(budgetUse*e.opts.Budget.Ratio, 0)
 		e.services[service] = w
 	}
 	return w
@@ -324,7 +334,9 @@
 	e := r.engine
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.window(r.services[i]).Allows(now)
+	w := e.window(r.services[i])
+	w.SetFloor(e.slack(now, r.services[i]))
+	return w.Allows(now)
 }
 
 func (r *run) spend(now time.Time, i int) {
--- a/link/pool.go
+++ b/link/pool.go
@@ -19,8 +19,8 @@
 
 // Intervals of the pool.
 const (
-	// checkInterval is the time between two liveness checks of all links.
-	checkInterval = 50 * time.Millisecond
+	// DefaultCheckInterval is the time between two liveness checks of all links.
+	DefaultCheckInterval = 50 * time.Millisecond
 	// handshakeTimeout bounds dialling and the exchange of Hello frames.
 	handshakeTimeout = 2 * time.Second
 	// sweepInterval is the time between two searches for unwanted links.
@@ -44,6 +44,9 @@
 	Credit uint32
 	// Liveness bounds how long a link may be quiet.
 	Liveness LivenessOptions
+	// CheckInterval is the time between two liveness checks of all links; 0
+	// means DefaultCheckInterval.
+	CheckInterval time.Duration
 }
 
 // Peer is a process that may be dialled.
@@ -80,6 +83,7 @@
 // NewPool returns a running pool without peers.
 func NewPool(opts Options) *Pool {
 	opts.Credit = cmp.Or(opts.Credit, DefaultCredit)
+	opts.CheckInterval = cmp.Or(opts.CheckInterval, DefaultCheckInterval)
 	p := &Pool{
 		opts:  opts,
 		dials: make(chan struct{}, maxDials),
@@ -185,7 +189,7 @@
 }
 
 func (p *Pool) loop() error {
-	ticker := time.NewTicker(checkInterval)
+	ticker := time.NewTicker(p.opts.CheckInterval)
 	defer ticker.Stop()
 	var swept time.Time
 	for {
--- a/peers/node.go
+++ b/peers/node.go
@@ -151,3 +151,10 @@
 	defer n.mu.Unlock()
 	return n.state.Members()
 }
+
+// Alive returns the others that were heard of within a span.
+func (n *Node) Alive(within time.Duration) []Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.state.Alive(time.Now(), within)
+}
--- a/peers/state.go
+++ b/peers/state.go
@@ -24,6 +24,10 @@
 	Started int64 `cbor:"3,keyasint"`
 	// Beat grows with each message of the process itself.
 	Beat uint64 `cbor:"4,keyasint"`
+	// DataCentre is where the process runs.
+	DataCentre string `cbor:"5,keyasint"`
+	// Power is the process's part of a core, in hundredths.
+	Power uint16 `cbor:"6,keyasint"`
 }
 
 // Message is what a process sends.
@@ -86,38 +90,51 @@
 	s.next = now.Add(s.opts.Interval)
 	s.opts.Self.Beat++
 	var sends []Send
-	for _, to := range s.receivers() {
-		sends = append(sends, Send{To: to, Message: s.message(now.Sub(s.grown) < s.opts.Settle)})
+	for _, to := range s.receivers(now) {
+		sends = append(sends, Send{To: to, Message: s.message(now, !s.settled(now))})
 	}
 	return sends
 }
 
-// receivers picks members at random, and a seed.
-func (s *State) receivers() []string {
-	addresses := make([]string, 0, len(s.members))
+// farRounds is the number of rounds for each that goes to another data centre
+// once all are known: the bytes between data centres have their price.
+const farRounds = 3
+
+// settled reports whether no member was found lately.
+func (s *State) settled(now time.Time) bool { return now.Sub(s.grown) >= s.opts.Settle }
+
+// receivers picks members at random, and a seed: mostly in the own data centre
+// once all are known.
+func (s *State) receivers(now time.Time) []string {
+	if len(s.members) == 0 {
+		return s.seeds()
+	}
+	far := !s.settled(now) || s.opts.Self.Beat%farRounds == 0
+	var addresses []string
 	for _, r := range s.members {
-		addresses = append(addresses, r.Address)
+		if far || r.DataCentre == s.opts.Self.DataCentre {
+			addresses = append(addresses, r.Address)
+		}
 	}
 	slices.Sort(addresses)
 	s.opts.Rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	addresses = addresses[:min(len(addresses), s.opts.Fanout)]
-	seeds := slices.DeleteFunc(slices.Clone(s.opts.Seeds), func(a string) bool { return a == s.opts.Self.Address })
-	if len(seeds) == 0 {
-		return addresses
-	}
-	if len(s.members) == 0 {
-		return seeds
-	}
-	seed := seeds[s.opts.Rand.IntN(len(seeds))]
-	if !slices.Contains(addresses, seed) {
-		addresses = append(addresses, seed)
+	if seeds := s.seeds(); far && len(seeds) > 0 {
+		if seed := seeds[s.opts.Rand.IntN(len(seeds))]; !slices.Contains(addresses, seed) {
+			addresses = append(addresses, seed)
+		}
 	}
 	return addresses
 }
 
-// message names this process and others: a quarter of them those heard of last,
-// the rest at random, so that no member is left out for long.
-func (s *State) message(reply bool) Message {
+// seeds returns the seeds but this process itself.
+func (s *State) seeds() []string {
+	return slices.DeleteFunc(slices.Clone(s.opts.Seeds), func(a string) bool { return a == s.opts.Self.Address })
+}
+
+// message names this process and others at random: any while some may not be
+// known, else those heard of last.
+func (s *State) message(now time.Time, reply bool) Message {
 	known := make([]*record, 0, len(s.members))
 	for _, r := range s.members {
 		known = append(known, r)
@@ -129,10 +146,13 @@
 		return strings.Compare(a.Name, b.Name)
 	})
 	m := Message{Members: []Member{s.opts.Self}, Reply: reply}
-	fresh := min(len(known), s.opts.Entries/4)
-	rest := known[fresh:]
-	s.opts.Rand.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
-	for _, r := range known[:min(len(known), s.opts.Entries)] {
+	entries := s.opts.Entries
+	if s.settled(now) {
+		entries /= 2 // only the beats are news, and those of the last heard are new
+		known = known[:min(len(known), max(len(known)/2, entries))]
+	}
+	s.opts.Rand.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
+	for _, r := range known[:min(len(known), entries)] {
 		m.Members = append(m.Members, r.Member)
 	}
 	return m
@@ -147,7 +167,7 @@
 		}
 	}
 	if m.Reply && len(m.Members) > 0 {
-		sends = append(sends, Send{To: m.Members[0].Address, Message: s.message(false)})
+		sends = append(sends, Send{To: m.Members[0].Address, Message: s.message(now, false)})
 	}
 	return sends, added
 }
@@ -195,12 +215,24 @@
 		f.Members = append(f.Members, name)
 	}
 	slices.Sort(f.Members)
-	if len(s.members) == 0 || now.Sub(s.grown) < s.opts.Settle {
+	if len(s.members) == 0 || !s.settled(now) {
 		f.Assumed = max(s.opts.Unknown, 2*len(f.Members))
 	}
 	return f
 }
 
+// Alive returns the others that were heard of within a span, by name.
+func (s *State) Alive(now time.Time, within time.Duration) []Member {
+	var out []Member
+	for _, r := range s.members {
+		if now.Sub(r.heard) <= within {
+			out = append(out, r.Member)
+		}
+	}
+	slices.SortFunc(out, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
 // Members returns what is known of the others, by name.
 func (s *State) Members() []Member {
 	out := make([]Member, 0, len(s.members))
--- a/peers/state_test.go
+++ b/peers/state_test.go
@@ -28,9 +28,11 @@
 func (n *network) add(i int, now time.Time, seeds []string) {
 	address := fmt.Sprintf("10.0.0.%d:1", i)
 	n.states[address] = New(now, Options{
-		Self:  Member{Name: fmt.Sprint("front-", i), Address: address, Started: now.UnixNano()},
+		Self: Member{
+			Name: fmt.Sprint("front-", i), Address: address, Started: now.UnixNano(), DataCentre: fmt.Sprint("dc", i%3),
+		},
 		Seeds: seeds, Interval: time.Second, Fanout: 2, Entries: 24, Forget: 60 * time.Second,
-		Unknown: 16, Settle: 2500 * time.Millisecond, Rand: rand.New(rand.NewPCG(uint64(i), 9)),
+		Unknown: 16, Settle: 5 * time.Second, Rand: rand.New(rand.NewPCG(uint64(i), 9)),
 	})
 }
 
@@ -125,3 +127,22 @@
 		}
 	}
 }
+
+// Those that read the store for others are picked among the living.
+func TestLivingMembersAreHeardOfOften(t *testing.T) {
+	net := newNetwork(5, 75, "10.0.0.0:1", "10.0.0.1:1", "10.0.0.2:1")
+	net.loss = 0.05
+	now := net.run(epoch, 20*time.Second)
+	for range 40 {
+		now = net.run(now, time.Second)
+		near := 0
+		for _, m := range net.states["10.0.0.10:1"].Alive(now, 20*time.Second) {
+			if m.DataCentre == "dc1" {
+				near++
+			}
+		}
+		if near < 23 {
+			t.Fatalf("%d of 24 living members of the own data centre count as alive", near)
+		}
+	}
+}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -136,7 +136,6 @@
 			p.targets[e.ID] = t
 		}
 		t.entry = e
-		t.lapsed = !e.LapsedAt.IsZero()
 		t.avoided = v.Evacuated(e.DataCentre)
 		seen[e.ID] = true
 		svc := services[e.Service]
@@ -280,7 +279,7 @@
 		}
 		candidates = append(candidates, balance.Candidate{
 			Record: &t.record, Slots: t.entry.Slots, Remote: t.remote,
-			Cold: cold, Bounded: cold && svc.warmupRate > 0, Last: t.lapsed || t.entry.Draining, Tried: tried,
+			Cold: cold, Bounded: cold && svc.warmupRate > 0, Last: t.entry.Lapsed() || t.entry.Draining, Tried: tried,
 		})
 		targets = append(targets, t)
 	}
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -27,8 +27,6 @@
 	coldLimit   int
 	coldRate    share.Rate
 	gone        bool
-	// lapsed is true while the target is a last resort.
-	lapsed bool
 	// avoided is true if its data centre is evacuated.
 	avoided bool
 }
@@ -71,7 +69,7 @@
 
 // usable reports whether the target may get requests.
 func (t *Target) usable(now time.Time, drainUse time.Duration) bool {
-	if t.gone || t.avoided {
+	if t.gone || t.avoided || (t.entry.Lapsed() && !now.Before(t.entry.LapsesAt)) {
 		return false
 	}
 	return !t.entry.Draining || now.Sub(t.entry.DrainingSince) < drainUse
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -27,6 +27,7 @@
 const (
 	RoleGateway Role = "gateway"
 	RoleRelay   Role = "relay"
+	RoleEntry   Role = "entry" // faces callers and targets
 )
 
 // Process identifies one run of one process on a VM.
@@ -63,6 +64,11 @@
 	ViewOffer      *ViewOffer       `cbor:"18,keyasint,omitempty"`
 	ViewAsk        *ViewAsk         `cbor:"19,keyasint,omitempty"`
 	ViewAnswer     *ViewAnswer      `cbor:"20,keyasint,omitempty"`
+	FeedAsks       []FeedAsk        `cbor:"21,keyasint,omitempty"`
+	FeedAnswers    []FeedAnswer     `cbor:"22,keyasint,omitempty"`
+	GroupAsks      []GroupAsk       `cbor:"23,keyasint,omitempty"`
+	GroupAnswers   []GroupAnswer    `cbor:"24,keyasint,omitempty"`
+	GroupCancels   []uint64         `cbor:"25,keyasint,omitempty"` // ids of asks
 }
 
 // Hello opens a link in both directions and negotiates the protocol version.
