--- a/forward/engine.go
+++ b/forward/engine.go
@@ -296,7 +296,7 @@
 		}
 		if extra && !r.allowed(now, i) {
 			r.denied++
-			r.plan.Unavailable(now, i)
+			r.plan.Denied(now, i)
 			continue
 		}
 		a := r.engine.opts.Pool.Start(r.req.Call, i, upstream.Choice{
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -121,8 +121,19 @@
 
 func (p *Plan) maxSends() int { return p.opts.MaxTargets + ExtraSends }
 
-// Unavailable records that no target of the shard could be had, or that the
-// budget did not allow the attempt; it is due again a little later.
+// Denied records that the budget did not allow another attempt. A shard with no
+// attempt in progress is given up: the budget comes back only within seconds.
+func (p *Plan) Denied(now time.Time, i int) {
+	s := &p.shards[i]
+	if s.inFlight == 0 {
+		p.lose(s)
+		return
+	}
+	p.Unavailable(now, i)
+}
+
+// Unavailable records that no target of the shard could be had; it is due again
+// a little later.
 func (p *Plan) Unavailable(now time.Time, i int) {
 	s := &p.shards[i]
 	s.next = now.Add(p.delay(s))
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -112,6 +112,29 @@
 	}
 }
 
+// A request that may not be sent again is answered at once, not at its deadline.
+func TestDeniedRequestFailsAtOnce(t *testing.T) {
+	for _, refused := range []bool{true, false} {
+		p := New(start, options(1))
+		sendDue(p, start)
+		want := NotRun
+		if refused {
+			p.Refused(at(10), 0)
+		} else {
+			p.Broken(at(10), 0)
+			want = Failed
+		}
+		i, extra, ok := p.Due(at(10))
+		if !ok || !extra {
+			t.Fatal("no retry is due")
+		}
+		p.Denied(at(10), i)
+		if v := p.Verdict(at(10)); v != want {
+			t.Fatalf("verdict %v after the budget denied the retry, want %v", v, want)
+		}
+	}
+}
+
 func TestRefusedAsNotRunOnlyIfNothingMayRun(t *testing.T) {
 	p := New(start, options(1))
 	for !p.opts.OfferBy.Before(at(25)) && p.Verdict(at(24)) == Wait {
