--- a/link/frame.go
+++ b/link/frame.go
@@ -34,12 +34,6 @@
 	for i := range f.FeedAnswers {
 		n += messageSize + len(f.FeedAnswers[i].Items)
 	}
-	for i := range f.GroupAsks {
-		n += (2+len(f.GroupAsks[i].Shards))*messageSize + len(f.GroupAsks[i].Body)
-	}
-	for i := range f.GroupAnswers {
-		n += (1+len(f.GroupAnswers[i].Seals))*messageSize + len(f.GroupAnswers[i].Records)
-	}
 	if f.FolderAnswer != nil {
 		for i := range f.FolderAnswer.Files {
 			n += messageSize + len(f.FolderAnswer.Files[i].Data)
@@ -81,9 +75,6 @@
 	out.Members = append(out.Members, f.Members...)
 	out.FeedAsks = append(out.FeedAsks, f.FeedAsks...)
 	out.FeedAnswers = append(out.FeedAnswers, f.FeedAnswers...)
-	out.GroupAsks = append(out.GroupAsks, f.GroupAsks...)
-	out.GroupAnswers = append(out.GroupAnswers, f.GroupAnswers...)
-	out.GroupCancels = append(out.GroupCancels, f.GroupCancels...)
 }
 
 func overwriteSingles(out, f *wire.Frame) {
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -66,9 +66,6 @@
 	ViewAnswer     *ViewAnswer      `cbor:"20,keyasint,omitempty"`
 	FeedAsks       []FeedAsk        `cbor:"21,keyasint,omitempty"`
 	FeedAnswers    []FeedAnswer     `cbor:"22,keyasint,omitempty"`
-	GroupAsks      []GroupAsk       `cbor:"23,keyasint,omitempty"`
-	GroupAnswers   []GroupAnswer    `cbor:"24,keyasint,omitempty"`
-	GroupCancels   []uint64         `cbor:"25,keyasint,omitempty"` // ids of asks
 }
 
 // Hello opens a link in both directions and negotiates the protocol version.
