--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -89,3 +89,29 @@
 		t.Error("extra for a search with share 0")
 	}
 }
+
+// An allowance grants whole extras of share and slack together, and no more in
+// any window.
+func TestAllowanceAddsItsSlackToTheShare(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	w := NewAllowance(0.2)
+	w.SetSlack(1.6)
+	for range 7 {
+		w.First(now)
+	}
+	granted := 0
+	for range 10 {
+		if w.TryExtra(now) {
+			granted++
+		}
+	}
+	if granted != 3 { // 0.2 * 7 + 1.6
+		t.Fatalf("%d extras granted, want 3", granted)
+	}
+	if w.TryExtra(now.Add(Span / 2)) {
+		t.Fatal("an extra was granted while the window is used up")
+	}
+	if !w.TryExtra(now.Add(Span + time.Second)) {
+		t.Fatal("no extra is granted long after")
+	}
+}
--- a/budget/window.go
+++ b/budget/window.go
@@ -25,8 +25,9 @@
 type Window struct {
 	share float64
 	floor uint32
-	// added is true if floor comes on top of the share.
-	added   bool
+	// slack is granted on top of the share; below zero if the larger of floor
+	// and share is granted.
+	slack   float64
 	head    int64 // number of the newest bucket since the Unix epoch
 	buckets [bucketCount]bucket
 	firsts  uint32
@@ -42,21 +43,19 @@
 // MaxShare. Floor is the number of extras granted in a window whatever the
 // number of first attempts; 0 grants none.
 func NewWindow(share float64, floor uint32) *Window {
-	w := &Window{floor: floor}
+	w := &Window{floor: floor, slack: -1}
 	w.SetShare(share)
 	return w
 }
 
 // NewAllowance returns an empty window that grants ratio of the first attempts
-// and slack extras more. Both are bounds that the targets' side publishes, so
-// neither is cut.
-func NewAllowance(ratio float64, slack uint32) *Window {
-	return &Window{share: ratio, floor: slack, added: true}
-}
+// and a slack beside, zero until SetSlack. Both are bounds that the targets'
+// side publishes, so neither is cut.
+func NewAllowance(ratio float64) *Window { return &Window{share: ratio} }
 
-// SetFloor changes the number of extras that is granted whatever the number of
-// first attempts.
-func (w *Window) SetFloor(floor uint32) { w.floor = floor }
+// SetSlack changes the number of extras that is granted beside the share. It
+// may be a fraction: a window grants whole extras of share and slack together.
+func (w *Window) SetSlack(slack float64) { w.slack = slack }
 
 // SetShare changes the share, cut to the range from 0 to MaxShare.
 func (w *Window) SetShare(share float64) { w.share = min(max(share, 0), MaxShare) }
@@ -75,11 +74,10 @@
 	// its first attempts no longer do.
 	oldest := w.buckets[(w.head+1)%bucketCount]
 	firsts := w.firsts - oldest.firsts
-	allowed := uint32(w.share * float64(firsts))
-	if w.added {
-		return w.extras < allowed+w.floor
+	if w.slack >= 0 {
+		return w.extras < uint32(w.share*float64(firsts)+w.slack)
 	}
-	return w.extras < max(allowed, w.floor)
+	return w.extras < max(uint32(w.share*float64(firsts)), w.floor)
 }
 
 // TryExtra counts an extra attempt and returns true, or returns false if the
--- a/forward/engine.go
+++ b/forward/engine.go
@@ -93,7 +93,7 @@
 
 // budgetUse is the part of the retry ratio that is used. The rest covers
 // differences between this process's clock and window and the targets'.
-const budgetUse = 0.8
+const budgetUse = 0.9
 
 // SetFleet takes the processes that share the slack of the retry budget.
 func (e *Engine) SetFleet(f share.Fleet) {
@@ -105,24 +105,24 @@
 // Parts of the budget's slack that are used. A process that has just started
 // does not know what it sent before; both parts together keep to the slack.
 const (
-	slackUse      = 0.8
+	slackUse      = 0.9
 	slackUseFresh = 0.25
 )
 
-// slack returns this process's part of a service's slack. The lock is held.
-func (e *Engine) slack(now time.Time, service string) uint32 {
+// slack returns this process's part of the slack of each service. The lock is held.
+func (e *Engine) slack(now time.Time) float64 {
 	use := slackUse
 	if now.Sub(e.started) < budget.Span {
 		use = slackUseFresh
 	}
-	return uint32(e.fleet.Part(use*float64(e.opts.Budget.Slack), service))
+	return e.fleet.Even(use * float64(e.opts.Budget.Slack))
 }
 
 // window returns the budget of a service. The lock is held.
 func (e *Engine) window(service string) *budget.Window {
 	w := e.services[service]
 	if w == nil {
-		w = budget.NewAllowance(budgetUse*e.opts.Budget.Ratio, 0)
+		w = budget.NewAllowance(budgetUse * e.opts.Budget.Ratio)
 		e.services[service] = w
 	}
 	return w
@@ -335,7 +335,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	w := e.window(r.services[i])
-	w.SetFloor(e.slack(now, r.services[i]))
+	w.SetSlack(e.slack(now))
 	return w.Allows(now)
 }
 
--- a/share/share.go
+++ b/share/share.go
@@ -45,6 +45,9 @@
 	return part
 }
 
+// Even returns this process's part of a limit whose parts need not be whole.
+func (f *Fleet) Even(limit float64) float64 { return limit * reserve / float64(f.Count()) }
+
 // rank returns the position of this process in the order of members that the
 // key gives.
 func (f *Fleet) rank(key string) int {
