--- a/entry/entry.go
+++ b/entry/entry.go
@@ -125,7 +125,7 @@
 var hedging = hedge.Options{
 	Quantile:    0.93, // the published budget allows one in five
 	MinDelay:    3 * time.Millisecond,
-	StartDelay:  30 * time.Millisecond,
+	StartDelay:  60 * time.Millisecond,
 	MedianRatio: 3,
 	MinSamples:  60,
 }
