--- a/entry/entry.go
+++ b/entry/entry.go
@@ -123,7 +123,7 @@
 
 // Hedging of attempts on the way to targets.
 var hedging = hedge.Options{
-	Quantile:    0.93, // the published budget allows one in five
+	Quantile:    0.95, // the published budget allows one in five
 	MinDelay:    3 * time.Millisecond,
 	StartDelay:  60 * time.Millisecond,
 	MedianRatio: 3,
--- a/forward/engine.go
+++ b/forward/engine.go
@@ -133,6 +133,9 @@
 	// answerMargin is the time between an answer's leaving here and its
 	// arrival at the caller, with the merge.
 	answerMargin = 15 * time.Millisecond
+	// lastMargin is the least time for an answer's way to a caller whose
+	// connection was open already.
+	lastMargin = 8 * time.Millisecond
 	// deadlineMargin is how long before the caller's deadline a failure is told.
 	deadlineMargin = 20 * time.Millisecond
 	// lateFactor is how long an answer that has missed its aim is held for
@@ -244,6 +247,7 @@
 		Shards: len(r.services), MaxTargets: attempts, Idempotent: route.Idempotent || route.Sharded(),
 		MinShare: 1,
 		AnswerAt: req.Arrived.Add(aim - answerMargin),
+		LastAt:   req.Arrived.Add(aim - lastMargin),
 		LateAt:   req.Arrived.Add(lateFactor * aim),
 		OfferBy:  req.Arrived.Add(time.Duration(offerShare * float64(aim))),
 		Deadline: req.Call.Deadline.Add(-deadlineMargin), HedgeAfter: min(hedgeAfter, time.Duration(hedgeAimShare*float64(aim))),
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -34,6 +34,9 @@
 	MinShare float64
 	// AnswerAt is when an answer with enough shards is given though some are missing.
 	AnswerAt time.Time
+	// LastAt is until when an answer that got enough shards only after AnswerAt
+	// still arrives in time, and is given at once.
+	LastAt time.Time
 	// LateAt is when, enough shards having come only after AnswerAt, the
 	// answer isn't held for more.
 	LateAt time.Time
@@ -264,9 +267,9 @@
 }
 
 // answerBy returns when the shards that are in are answered without the others.
-// If enough came too late for AnswerAt, the others get until LateAt.
+// If enough came too late to be in time, the others get until LateAt.
 func (p *Plan) answerBy() time.Time {
-	if p.enoughAt.After(p.opts.AnswerAt) {
+	if p.enoughAt.After(p.opts.LastAt) {
 		return p.opts.LateAt
 	}
 	return p.opts.AnswerAt
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -13,7 +13,7 @@
 func options(shards int) Options {
 	return Options{
 		Shards: shards, MaxTargets: 2, Idempotent: true, MinShare: 0.75,
-		AnswerAt: at(100), LateAt: at(200), OfferBy: at(25), Deadline: at(1000), HedgeAfter: 30 * time.Millisecond,
+		AnswerAt: at(100), LastAt: at(110), LateAt: at(200), OfferBy: at(25), Deadline: at(1000), HedgeAfter: 30 * time.Millisecond,
 	}
 }
 
@@ -76,6 +76,17 @@
 	}
 }
 
+func TestEnoughJustInTimeIsAnsweredAtOnce(t *testing.T) {
+	p := New(start, options(4))
+	sendDue(p, start)
+	for i := range 3 {
+		p.Answered(at(99+4*i), i)
+	}
+	if v := p.Verdict(at(107)); v != Partial {
+		t.Fatalf("verdict %v, want a partial answer that is still in time", v)
+	}
+}
+
 func TestHedgesAnOverdueShardOnce(t *testing.T) {
 	p := New(start, options(2))
 	sendDue(p, start)
