--- a/catalog/state.go
+++ b/catalog/state.go
@@ -42,6 +42,9 @@
 	Err      error
 }
 
+// TargetChange is what a Change of a target is called.
+const TargetChange = "target"
+
 // StateOptions configures a State.
 type StateOptions struct {
 	// LapseHold is how long a target whose entry disappeared stays a last
@@ -170,7 +173,7 @@
 	if it.Revision < s.deletedAt[it.Name] || (known != nil && it.Revision < known.Revision) {
 		return nil
 	}
-	c := Change{What: "target", Name: it.Name, Revision: it.Revision}
+	c := Change{What: TargetChange, Name: it.Name, Revision: it.Revision}
 	switch {
 	case it.Deleted:
 		s.deletedAt[it.Name] = it.Revision
@@ -251,7 +254,7 @@
 
 func (s *State) lapse(now time.Time, e *Entry, revision uint64) Change {
 	s.targets[e.ID] = s.lapsed(e, now)
-	return Change{What: "target", Name: e.ID, Outcome: "entry gone", Revision: revision}
+	return Change{What: TargetChange, Name: e.ID, Outcome: "entry gone", Revision: revision}
 }
 
 func (s *State) applyEvacuation(now time.Time, it *Item) []Change {
@@ -298,7 +301,7 @@
 			continue
 		}
 		delete(s.targets, id)
-		changes = append(changes, Change{What: "target", Name: id, Outcome: "dropped", Revision: e.Revision})
+		changes = append(changes, Change{What: TargetChange, Name: id, Outcome: "dropped", Revision: e.Revision})
 	}
 	return changes
 }
--- a/cmd/gcmux-entry/main.go
+++ b/cmd/gcmux-entry/main.go
@@ -52,6 +52,6 @@
 		Source: func(s *entry.Settings, dial entry.Dialer) follow.Source {
 			return platform.NewStore(s.StoreAddress, dial, nil)
 		},
-		Codec: platform.Codec{}, Dialect: platform.Dialect{},
+		Codec: platform.Codec{}, Dialect: platform.Dialect{}, LogDropped: log.Dropped,
 	}, slog.New(log))
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -39,6 +39,8 @@
 	Source  func(s *Settings, dial Dialer) follow.Source
 	Codec   upstream.Codec
 	Dialect ingress.Dialect
+	// LogDropped returns the number of log lines that were left out.
+	LogDropped func() int64
 }
 
 // Dialer opens a connection.
@@ -184,7 +186,7 @@
 	e.engine = forward.New(forward.Options{Pool: e.pool, Budget: s.Retry, Logger: log, Hedge: hedging, SingleHedge: singleHedging})
 	e.handler = ingress.New(ingress.Options{
 		Dialect: adapter.Dialect, Engine: e.engine, View: e.view.Load,
-		StaleAfter: staleAfter, DefaultWait: defaultWait, Observe: e.metrics.observe,
+		StaleAfter: staleAfter, DefaultWait: defaultWait, Logger: log, Observe: e.metrics.observe,
 	})
 	e.callers = ingress.NewServer(e.handler)
 	seed := uint64(time.Now().UnixNano())
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -159,9 +159,18 @@
 	return f.opts.State.Watched(r.batch.Revision, len(r.batch.Items), r.took)
 }
 
+// maxTold is the number of changes up to which each is logged. A listing or a
+// resharding changes hundreds of targets at once; those are counted.
+const maxTold = 12
+
 // note logs changes and publishes the new picture if there may be one.
 func (f *Follower) note(changes []catalog.Change, publish bool) {
+	counts := map[string]int{}
 	for _, c := range changes {
+		if c.What == catalog.TargetChange && c.Err == nil && len(changes) > maxTold {
+			counts[c.Outcome]++
+			continue
+		}
 		attrs := []any{"what", c.What, "outcome", c.Outcome, "revision", c.Revision}
 		if c.Name != "" {
 			attrs = append(attrs, "name", c.Name)
@@ -174,6 +183,9 @@
 		}
 		f.opts.Logger.Info("published state changed", attrs...)
 	}
+	if len(counts) > 0 {
+		f.opts.Logger.Info("many targets changed", "outcomes", counts)
+	}
 	if publish {
 		f.opts.Publish(f.opts.Catalog.View())
 	}
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/goldcrestmux/goldcrestmux/plan"
@@ -80,20 +81,30 @@
 	if v == plan.Complete && !late && a.Status < 500 {
 		return
 	}
-	missing := make([]string, 0, a.Missing)
-	for i, service := range r.services {
-		if r.plan.Missing(i) && len(missing) < maxLoggedShards {
-			missing = append(missing, service)
-		}
-	}
 	r.engine.opts.Logger.Info("request answered",
 		"id", r.req.Call.ID, "route", r.req.Route.Name, "version", r.req.Version,
+		"picture_age", r.req.Arrived.Sub(r.req.Confirmed),
 		"status", a.Status, "reason", a.Reason, "took", took, "late", late,
-		"shards", len(r.services), "in", r.plan.In(), "missing", missing,
+		"shards", len(r.services), "in", r.plan.In(), "missing", r.missing(),
 		"attempts", len(r.attempts), "extra", r.hedges, "denied_by_budget", r.denied,
 		"refused", r.failures[upstream.Refused], "broken", r.failures[upstream.Broken],
 		"not_sent", r.failures[upstream.NotSent], "misdirected", r.failures[upstream.Misdirected])
 }
 
+// missing names shards that are not in, each with the targets that were asked.
+func (r *run) missing() []string {
+	var out []string
+	for i, service := range r.services {
+		if !r.plan.Missing(i) {
+			continue
+		}
+		if len(out) == maxLoggedShards {
+			return append(out, "and others")
+		}
+		out = append(out, service+": "+strings.Join(r.tried[i], " "))
+	}
+	return out
+}
+
 // maxLoggedShards bounds the names in one log line.
 const maxLoggedShards = 4
--- a/forward/engine.go
+++ b/forward/engine.go
@@ -25,6 +25,8 @@
 	Route *catalog.Route
 	// Version is the configuration that named the route.
 	Version uint64
+	// Confirmed is when the store last confirmed the picture that names it.
+	Confirmed time.Time
 	// Arrived is when the request was read.
 	Arrived time.Time
 }
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -3,8 +3,8 @@
 package ingress
 
 import (
-	"context"
 	"io"
+	"log/slog"
 	"net/http"
 	"strconv"
 	"strings"
@@ -42,6 +42,7 @@
 	StaleAfter time.Duration
 	// DefaultWait is how long a caller waits that doesn't say.
 	DefaultWait time.Duration
+	Logger      *slog.Logger
 	// Observe is told each answer; it must not block.
 	Observe func(route *catalog.Route, a *forward.Answer, took time.Duration)
 }
@@ -82,46 +83,67 @@
 
 func (h *Handler) serve(r *http.Request, arrived time.Time) (*catalog.Route, forward.Answer) {
 	view := h.opts.View()
+	meta, err := h.opts.Dialect.Decode(r.Header)
+	route, call, refusal := h.admit(r, view, meta, err, arrived)
+	if refusal != nil {
+		h.logRefusal(r, view, meta.ID, refusal, arrived)
+		return route, *refusal
+	}
+	return route, h.opts.Engine.Do(r.Context(), &forward.Request{
+		Call: call, Route: route, Version: view.Version, Confirmed: view.AsOf, Arrived: arrived,
+	})
+}
+
+// admit finds the route of a request and reads its body, or refuses it.
+func (h *Handler) admit(r *http.Request, view *catalog.View, meta Meta, bad error, arrived time.Time) (*catalog.Route, *upstream.Call, *forward.Answer) {
 	if !view.Known() {
-		return nil, forward.Answer{Status: http.StatusServiceUnavailable, RetryAfter: unknownRetry, Reason: "no configuration is known"}
+		return nil, nil, &forward.Answer{Status: http.StatusServiceUnavailable, RetryAfter: unknownRetry, Reason: "no configuration is known"}
 	}
 	uri := requestURI(r)
 	path, _, _ := strings.Cut(uri, "?")
 	route := view.Route(r.Host, path)
 	if route == nil {
-		return nil, h.noRoute(view, arrived)
+		return nil, nil, h.noRoute(view, arrived)
 	}
 	if n := view.Limits.HeaderBytes; n > 0 && headerBytes(r) > n {
-		return route, forward.Answer{Status: http.StatusRequestHeaderFieldsTooLarge, Reason: "the headers are larger than allowed"}
+		return route, nil, &forward.Answer{Status: http.StatusRequestHeaderFieldsTooLarge, Reason: "the headers are larger than allowed"}
 	}
-	meta, err := h.opts.Dialect.Decode(r.Header)
-	if err != nil {
-		return route, forward.Answer{Status: http.StatusBadRequest, Reason: err.Error()}
+	if bad != nil {
+		return route, nil, &forward.Answer{Status: http.StatusBadRequest, Reason: bad.Error()}
 	}
 	body, err := readBody(r, view.Limits.BodyBytes)
 	if err != nil {
-		return route, bodyAnswer(err)
+		return route, nil, bodyAnswer(err)
 	}
 	wait := meta.Wait
 	if wait <= 0 {
 		wait = h.opts.DefaultWait
 	}
-	call := &upstream.Call{
+	return route, &upstream.Call{
 		ID: meta.ID, Method: r.Method, URI: uri, Host: r.Host, Header: forwarded(r.Header),
 		Body: body, HasBody: r.ContentLength != 0, Deadline: arrived.Add(wait),
+	}, nil
+}
+
+// logRefusal tells of a request that was not sent to any target.
+func (h *Handler) logRefusal(r *http.Request, view *catalog.View, id string, a *forward.Answer, arrived time.Time) {
+	attrs := []any{
+		"id", id, "host", r.Host, "path", r.URL.Path, "status", a.Status, "reason", a.Reason,
+		"took", time.Since(arrived),
+	}
+	if view.Known() {
+		attrs = append(attrs, "version", view.Version, "picture_age", arrived.Sub(view.AsOf))
 	}
-	ctx, cancel := context.WithCancel(r.Context())
-	defer cancel()
-	return route, h.opts.Engine.Do(ctx, &forward.Request{Call: call, Route: route, Version: view.Version, Arrived: arrived})
+	h.opts.Logger.Info("request refused", attrs...)
 }
 
 // noRoute refuses a request that no known route allows. While the picture is
 // old, the route may exist.
-func (h *Handler) noRoute(view *catalog.View, now time.Time) forward.Answer {
+func (h *Handler) noRoute(view *catalog.View, now time.Time) *forward.Answer {
 	if now.Sub(view.AsOf) > h.opts.StaleAfter {
-		return forward.Answer{Status: http.StatusServiceUnavailable, RetryAfter: unknownRetry, Reason: "no route is known, and the configuration may be old"}
+		return &forward.Answer{Status: http.StatusServiceUnavailable, RetryAfter: unknownRetry, Reason: "no route is known, and the configuration may be old"}
 	}
-	return forward.Answer{Status: http.StatusNotFound, Reason: "no route"}
+	return &forward.Answer{Status: http.StatusNotFound, Reason: "no route"}
 }
 
 // requestURI returns the path and query as they were sent.
@@ -167,11 +189,11 @@
 // defaultBodyBytes bounds bodies where the configuration doesn't.
 const defaultBodyBytes = 1 << 20
 
-func bodyAnswer(err error) forward.Answer {
+func bodyAnswer(err error) *forward.Answer {
 	if errors.Is(err, errBodyTooLarge) {
-		return forward.Answer{Status: http.StatusRequestEntityTooLarge, Reason: err.Error()}
+		return &forward.Answer{Status: http.StatusRequestEntityTooLarge, Reason: err.Error()}
 	}
-	return forward.Answer{Status: http.StatusBadRequest, Reason: err.Error()}
+	return &forward.Answer{Status: http.StatusBadRequest, Reason: err.Error()}
 }
 
 // oneConnection names the headers that concern one connection only.
