--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEED ?= 1
 BIN := bin
 
-.PHONY: build test demo bench slopes soak lint clean
+.PHONY: build test demo demo-platform bench slopes soak soak-platform lint clean
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -27,6 +27,15 @@
 demo: build
 	./scripts/demo.sh
 
+# Runs entry processes on loopback against the stand-in of the users' platform,
+# with faults, and checks every answer.
+demo-platform: build
+	$(BIN)/gcmux-soak -program $(BIN)/gcmux-entry -seed 1 -v
+
+SEEDS ?= 10
+soak-platform: build
+	$(BIN)/gcmux-soak -program $(BIN)/gcmux-entry -seed $(SEED) -seeds $(SEEDS)
+
 slopes: build
 	go run ./slopes -bin $(BIN)
 
