Avoid silent targets for longer, and list the store sooner after a start

Each VM asks a dark target once in seconds only, so its avoidance had ended each time; and after the final fault 75 VMs waited up to 1.2 s between listings of a store that was back.

--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -79,7 +79,7 @@
 		{Record: &Record{}, Slots: 2, Tried: 1},
 		{Record: &Record{}, Slots: 2, Cold: true},
 	}
-	c[2].Record.Unreachable(epoch, epoch)
+	c[2].Record.Unreachable(epoch, epoch, true)
 	if i := Choose(epoch, kind, c, 0); i != 2 {
 		t.Fatalf("chose %d, want the unreachable one before one that was tried or is leaving", i)
 	}
@@ -94,3 +94,16 @@
 		t.Fatalf("both turns chose %d", a)
 	}
 }
+
+func TestSilentTargetIsAvoidedForLonger(t *testing.T) {
+	at := epoch.Add(200 * time.Millisecond)
+	for silent, want := range map[bool]int{false: 0, true: 1} {
+		c := pair()
+		c[1].Remote = true
+		c[0].Record.Unreachable(epoch, epoch, silent)
+		c[0].Record.failing = 0
+		if i := Choose(at, kind, c, 0); i != want {
+			t.Errorf("silent %v: chose %d after 200 ms, want %d", silent, i, want)
+		}
+	}
+}
--- a/balance/record.go
+++ b/balance/record.go
@@ -74,16 +74,24 @@
 	r.failing += failureGain * (1 - r.failing)
 }
 
-// Bounds of the time for which a target that can't be reached is avoided.
+// Bounds of the time for which a target that can't be reached is avoided. One
+// that refuses may only have too many connections for the moment; one that is
+// silent costs each attempt its whole time.
 const (
-	minAvoid = 100 * time.Millisecond
-	maxAvoid = 2 * time.Second
+	minAvoidRefused = 100 * time.Millisecond
+	minAvoidSilent  = 400 * time.Millisecond
+	maxAvoid        = 4 * time.Second
 )
 
-// Unreachable records that no connection could be had.
-func (r *Record) Unreachable(now, sent time.Time) {
+// Unreachable records that no connection could be had, or that nothing came
+// back. Silent tells that it took until a time-out.
+func (r *Record) Unreachable(now, sent time.Time, silent bool) {
 	r.Failed(now, sent)
-	r.avoidUntil = now.Add(min(minAvoid<<min(r.refusals, 8), maxAvoid))
+	avoid := minAvoidRefused
+	if silent {
+		avoid = minAvoidSilent
+	}
+	r.avoidUntil = now.Add(min(avoid<<min(r.refusals, 8), maxAvoid))
 	r.refusals++
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -90,6 +90,9 @@
 	// store's return must be noticed within the time that changes may take.
 	storeMinBackoff = 100 * time.Millisecond
 	storeMaxBackoff = 1200 * time.Millisecond
+	// storeFirstBackoff bounds it until something is known: callers are refused
+	// meanwhile.
+	storeFirstBackoff = 300 * time.Millisecond
 	// lapseShare is the part of the time that a leaving target may be used for
 	// which one whose entry disappeared stays a last resort.
 	lapseShare = 0.3
@@ -201,7 +204,7 @@
 		Source: e.source, Replica: e.replica,
 		State: follow.NewState(follow.StateOptions{
 			Wait: watchWait, MinGather: minWatchGather, MaxGather: maxWatchGather,
-			ProbeWait: probeWait, MinBackoff: storeMinBackoff, MaxBackoff: storeMaxBackoff,
+			ProbeWait: probeWait, MinBackoff: storeMinBackoff, MaxBackoff: storeMaxBackoff, FirstBackoff: storeFirstBackoff,
 			Rand: rand.New(rand.NewPCG(seed, 1)),
 		}),
 		Catalog: catalog.NewState(catalog.StateOptions{
--- a/follow/state.go
+++ b/follow/state.go
@@ -43,16 +43,19 @@
 	// each watch brings changes at once.
 	MinGather time.Duration
 	MaxGather time.Duration
-	// MinBackoff and MaxBackoff bound the delay after failures.
-	MinBackoff time.Duration
-	MaxBackoff time.Duration
-	Rand       *rand.Rand
+	// MinBackoff and MaxBackoff bound the delay after failures, FirstBackoff
+	// that until the first listing: nothing is served before.
+	MinBackoff   time.Duration
+	MaxBackoff   time.Duration
+	FirstBackoff time.Duration
+	Rand         *rand.Rand
 }
 
 // State decides how a store is followed. It isn't safe for concurrent use.
 type State struct {
 	opts     StateOptions
 	listed   bool
+	ever     bool // listed at least once
 	stale    bool
 	revision uint64
 	failures int
@@ -69,7 +72,7 @@
 
 // Listed takes a complete listing.
 func (s *State) Listed(revision uint64) Step {
-	s.listed, s.revision, s.failures = true, revision, 0
+	s.listed, s.ever, s.revision, s.failures = true, true, revision, 0
 	return s.watch(0)
 }
 
@@ -124,6 +127,9 @@
 func (s *State) backoff() time.Duration {
 	d := s.opts.MinBackoff << min(s.failures-1, 10)
 	d = min(d, s.opts.MaxBackoff)
+	if !s.ever {
+		d = min(d, s.opts.FirstBackoff)
+	}
 	return d/2 + time.Duration(s.opts.Rand.Int64N(int64(d/2)+1))
 }
 
--- a/follow/state_test.go
+++ b/follow/state_test.go
@@ -11,7 +11,7 @@
 func newTestState() *State {
 	return NewState(StateOptions{
 		Wait: 4 * time.Second, MinGather: 150 * time.Millisecond, MaxGather: 800 * time.Millisecond,
-		ProbeWait: 200 * time.Millisecond, MinBackoff: 100 * time.Millisecond, MaxBackoff: time.Second, Rand: rand.New(rand.NewPCG(1, 2)),
+		ProbeWait: 200 * time.Millisecond, MinBackoff: 100 * time.Millisecond, MaxBackoff: time.Second, FirstBackoff: 300 * time.Millisecond, Rand: rand.New(rand.NewPCG(1, 2)),
 	})
 }
 
@@ -98,3 +98,12 @@
 		t.Fatalf("step %+v, want a full watch again", step)
 	}
 }
+
+func TestFirstListingIsTriedOften(t *testing.T) {
+	s := newTestState()
+	for range 12 {
+		if step := s.Failed(errors.New("timeout")); step.Op != OpList || step.Delay > 300*time.Millisecond {
+			t.Fatalf("step %+v, want a listing within 300ms", step)
+		}
+	}
+}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -64,10 +64,9 @@
 // LastRequests makes each connection end with its next answer.
 func (h *Handler) LastRequests() { h.last.Store(true) }
 
-// Answers that are refused before a route is known say when to come back.
-const (
-	unknownRetry = 200 * time.Millisecond
-)
+// unknownRetry is when a caller may come back whose route is not known: a store
+// that is away is so for seconds.
+const unknownRetry = 500 * time.Millisecond
 
 // ServeHTTP serves one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -334,7 +334,7 @@
 	p.mu.Lock()
 	t.open--
 	a.state = stateDone
-	t.record.Unreachable(now, a.SentAt)
+	t.record.Unreachable(now, a.SentAt, isTimeout(err))
 	done := []Result{}
 	if !a.abandoned {
 		done = append(done, Result{Attempt: a, Kind: NotSent, Err: errors.Annotate(err, "connect"), At: now})
@@ -349,6 +349,12 @@
 	}
 }
 
+// isTimeout reports whether nothing came back, rather than a refusal.
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
 func (p *Pool) event(e Event) {
 	if p.opts.Event != nil {
 		p.opts.Event(e)
@@ -431,9 +437,12 @@
 	if mine {
 		c.current = nil
 		a.state = stateDone
-		if a.abandoned {
+		switch {
+		case errors.Is(err, errNoAnswer) && now.After(a.Deadline):
+			c.target.record.Unreachable(now, a.SentAt, true)
+		case a.abandoned:
 			c.target.record.Canceled(a.SentAt)
-		} else {
+		default:
 			c.target.record.Failed(now, a.SentAt)
 		}
 	}
