--- a/catalog/state.go
+++ b/catalog/state.go
@@ -70,7 +70,6 @@
 	// deletedAt holds the revision of the last deletion of each key that is
 	// not there, so that a page read earlier can't bring it back.
 	deletedAt map[string]uint64
-	asOf      time.Time
 	unsteady  time.Time // until when missing entries may come back
 }
 
@@ -82,9 +81,6 @@
 	}
 }
 
-// Confirm records that the source told at the given time all that it knew.
-func (s *State) Confirm(now time.Time) { s.asOf = now }
-
 // Unsteady tells that entries may have lapsed because the store was away.
 func (s *State) Unsteady(until time.Time) { s.unsteady = until }
 
@@ -312,7 +308,7 @@
 // View returns the present picture.
 func (s *State) View() *View {
 	v := &View{
-		AsOf: s.asOf, routes: s.routes, services: s.services,
+		routes: s.routes, services: s.services,
 		targets: make(map[string][]*Entry, len(s.services)), evacuated: make(map[string]bool, len(s.evacuated)),
 	}
 	if s.config != nil {
--- a/catalog/view.go
+++ b/catalog/view.go
@@ -7,8 +7,6 @@
 	// Version is the configuration's version; zero if none is known.
 	Version uint64
 	Limits  Limits
-	// AsOf is when the source last confirmed the picture.
-	AsOf time.Time
 
 	routes    routes
 	services  map[string]*Service
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -188,7 +188,7 @@
 	})
 	e.engine = forward.New(forward.Options{Pool: e.pool, Budget: s.Retry, Logger: log, Hedge: hedging, SingleHedge: singleHedging})
 	e.handler = ingress.New(ingress.Options{
-		Dialect: adapter.Dialect, Engine: e.engine, View: e.view.Load,
+		Dialect: adapter.Dialect, Engine: e.engine, View: e.view.Load, Confirmed: func() time.Time { return e.follower.Confirmed() },
 		StaleAfter: staleAfter, DefaultWait: defaultWait, Logger: log, Observe: e.metrics.observe,
 	})
 	e.callers = ingress.NewServer(e.handler)
@@ -382,7 +382,7 @@
 	}
 	if v.Known() {
 		out["version"] = v.Version
-		out["picture_age_ms"] = time.Since(v.AsOf).Milliseconds()
+		out["picture_age_ms"] = time.Since(e.follower.Confirmed()).Milliseconds()
 	}
 	if e.peers != nil {
 		out["peers"] = e.peers.Members()
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -50,6 +50,8 @@
 	results chan result
 	down    bool
 	calls   atomic.Int64
+	// confirmed is when the store last told all that it knew; nil before.
+	confirmed atomic.Pointer[time.Time]
 }
 
 type result struct {
@@ -76,6 +78,14 @@
 	return f.tomb.Wait()
 }
 
+// Confirmed returns when the store last told all that it knew; zero before.
+func (f *Follower) Confirmed() time.Time {
+	if at := f.confirmed.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 // Calls returns the number of calls that were begun.
 func (f *Follower) Calls() int64 { return f.calls.Load() }
 
@@ -147,7 +157,7 @@
 		f.opts.Logger.Info("regained the store", "revision", r.batch.Revision)
 	}
 	asOf := now.Add(-r.batch.Age)
-	f.opts.Catalog.Confirm(asOf)
+	f.confirmed.Store(&asOf)
 	if r.step.Op == OpList {
 		f.opts.Replica.Listed(asOf, r.batch)
 		f.note(f.opts.Catalog.Replace(now, r.batch.Items, r.batch.Revision), true)
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -37,6 +37,8 @@
 	Engine  *forward.Engine
 	// View returns the picture in force; nil if none is known.
 	View func() *catalog.View
+	// Confirmed returns when the store last confirmed the picture.
+	Confirmed func() time.Time
 	// StaleAfter is the age of the picture from which on an unknown route may
 	// just not be known yet.
 	StaleAfter time.Duration
@@ -89,7 +91,7 @@
 		return route, *refusal
 	}
 	return route, h.opts.Engine.Do(r.Context(), &forward.Request{
-		Call: call, Route: route, Version: view.Version, Confirmed: view.AsOf, Arrived: arrived,
+		Call: call, Route: route, Version: view.Version, Confirmed: h.opts.Confirmed(), Arrived: arrived,
 	})
 }
 
@@ -102,7 +104,7 @@
 	path, _, _ := strings.Cut(uri, "?")
 	route := view.Route(r.Host, path)
 	if route == nil {
-		return nil, nil, h.noRoute(view, arrived)
+		return nil, nil, h.noRoute(arrived)
 	}
 	if n := view.Limits.HeaderBytes; n > 0 && headerBytes(r) > n {
 		return route, nil, &forward.Answer{Status: http.StatusRequestHeaderFieldsTooLarge, Reason: "the headers are larger than allowed"}
@@ -131,15 +133,15 @@
 		"took", time.Since(arrived),
 	}
 	if view.Known() {
-		attrs = append(attrs, "version", view.Version, "picture_age", arrived.Sub(view.AsOf))
+		attrs = append(attrs, "version", view.Version, "picture_age", arrived.Sub(h.opts.Confirmed()))
 	}
 	h.opts.Logger.Info("request refused", attrs...)
 }
 
 // noRoute refuses a request that no known route allows. While the picture is
 // old, the route may exist.
-func (h *Handler) noRoute(view *catalog.View, now time.Time) *forward.Answer {
-	if now.Sub(view.AsOf) > h.opts.StaleAfter {
+func (h *Handler) noRoute(now time.Time) *forward.Answer {
+	if now.Sub(h.opts.Confirmed()) > h.opts.StaleAfter {
 		return &forward.Answer{Status: http.StatusServiceUnavailable, RetryAfter: unknownRetry, Reason: "no route is known, and the configuration may be old"}
 	}
 	return &forward.Answer{Status: http.StatusNotFound, Reason: "no route"}
