Split the pool, the engine and the timings; forget routes that get no requests

What was known of a route or service stayed for ever: its names come and go with the configuration. Fields that nothing reads are gone. No other behaviour changes.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -59,12 +59,8 @@
 // Service is a group of targets that answer alike.
 type Service struct {
 	Name string
-	// HealthPath is where targets tell their health; empty for none.
-	HealthPath string
 	// MaxConnections bounds the connections to one target, from all callers.
 	MaxConnections int
-	// Warmup is how long a target stays cold after it starts.
-	Warmup time.Duration
 	// WarmupRate is the number of requests a second that a cold target bears;
 	// zero if it is only slow while cold.
 	WarmupRate float64
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -31,7 +31,6 @@
 	Power float64
 	// MemoryBytes is above which the process is ended.
 	MemoryBytes int64
-	OpenFiles   int
 	// DrainUse is how long after its word that it drains a target may still
 	// get requests.
 	DrainUse time.Duration
--- a/forward/engine.go
+++ b/forward/engine.go
@@ -3,18 +3,14 @@
 package forward
 
 import (
-	"cmp"
-	"context"
 	"log/slog"
 	"net/http"
 	"sync"
 	"time"
 
-	"github.com/goldcrestmux/goldcrestmux/balance"
 	"github.com/goldcrestmux/goldcrestmux/budget"
 	"github.com/goldcrestmux/goldcrestmux/catalog"
 	"github.com/goldcrestmux/goldcrestmux/hedge"
-	"github.com/goldcrestmux/goldcrestmux/plan"
 	"github.com/goldcrestmux/goldcrestmux/share"
 	"github.com/goldcrestmux/goldcrestmux/upstream"
 )
@@ -77,7 +73,7 @@
 
 	mu       sync.Mutex
 	kinds    map[string]*kind // by route name
-	services map[string]*budget.Window
+	services map[string]*spending
 	fleet    share.Fleet
 	started  time.Time
 }
@@ -88,9 +84,15 @@
 	used    time.Time
 }
 
+// spending is what the retry budget of one service has been used for.
+type spending struct {
+	*budget.Window
+	used time.Time
+}
+
 // New returns an Engine.
 func New(opts Options) *Engine {
-	return &Engine{opts: opts, kinds: map[string]*kind{}, services: map[string]*budget.Window{}, started: time.Now()}
+	return &Engine{opts: opts, kinds: map[string]*kind{}, services: map[string]*spending{}, started: time.Now()}
 }
 
 // budgetUse is the part of the retry ratio that is used. The rest covers
@@ -121,13 +123,14 @@
 }
 
 // window returns the budget of a service. The lock is held.
-func (e *Engine) window(service string) *budget.Window {
+func (e *Engine) window(now time.Time, service string) *budget.Window {
 	w := e.services[service]
 	if w == nil {
-		w = budget.NewAllowance(budgetUse * e.opts.Budget.Ratio)
+		w = &spending{Window: budget.NewAllowance(budgetUse * e.opts.Budget.Ratio)}
 		e.services[service] = w
 	}
-	return w
+	w.used = now
+	return w.Window
 }
 
 // Timings of requests.
@@ -157,257 +160,27 @@
 	// clientGoneLinger is how long attempts of a caller that has left may go on,
 	// so that their connections can be kept.
 	clientGoneLinger = 250 * time.Millisecond
-	// maxRetryAfter bounds what a refused caller is told to wait.
+	// minRetryAfter is the least that a refused caller is told to wait.
 	minRetryAfter = 50 * time.Millisecond
 )
 
-// run is one request in progress.
-type run struct {
-	engine   *Engine
-	req      *Request
-	services []string
-	plan     *plan.Plan
-	choice   balance.Kind
-	kind     *kind
-	results  chan upstream.Result
-	attempts []*upstream.Attempt
-	tried    [][]string  // target ids by shard
-	first    []time.Time // when the first attempt at each shard was made
-	parts    []upstream.Result
-	last     upstream.Result // the last failure that a target answered
-	denied   int             // attempts that the budget did not allow
-	hedges   int
-	failures map[upstream.Kind]int
-}
-
-// Do serves a request. The context ends when the caller leaves.
-func (e *Engine) Do(ctx context.Context, req *Request) Answer {
-	r := e.begin(req)
-	now := time.Now()
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		r.send(now)
-		verdict := r.plan.Verdict(now)
-		if verdict != plan.Wait {
-			r.observeMissing(now)
-			r.abandon(r.linger(now))
-			return r.answer(now, verdict)
-		}
-		timer.Reset(r.plan.Wake(now).Sub(now))
-		select {
-		case res := <-r.results:
-			r.take(res)
-		case <-timer.C:
-		case <-ctx.Done():
-			r.abandon(clientGoneLinger)
-			return r.left(time.Now())
-		}
-		r.drain()
-		now = time.Now()
-	}
-}
-
-// linger returns how long attempts that have lost may go on so that their
-// connections can be kept. The parts of a sharded request are short; a single
-// request would keep its target busy for nothing.
-func (r *run) linger(now time.Time) time.Duration {
-	if r.req.Route.Sharded() {
-		return r.req.Call.Deadline.Sub(now)
-	}
-	return 0
-}
-
-// drain takes all results that are there.
-func (r *run) drain() {
-	for {
-		select {
-		case res := <-r.results:
-			r.take(res)
-		default:
-			return
-		}
-	}
-}
-
-func (e *Engine) begin(req *Request) *run {
-	route := req.Route
-	r := &run{engine: e, req: req, services: route.Shards, failures: map[upstream.Kind]int{}}
-	if !route.Sharded() {
-		r.services = []string{route.Pick(req.Call.ID)}
-	}
-	aim := cmp.Or(route.Aim, defaultAim)
-	attempts := max(cmp.Or(route.MaxAttempts, defaultAttempts), 1)
-	now := time.Now()
-	hedgeAfter := e.expect(now, route, r)
-	if route.Timeout > 0 {
-		if at := req.Arrived.Add(route.Timeout); at.Before(req.Call.Deadline) {
-			req.Call.Deadline = at
-		}
-	}
-	opts := plan.Options{
-		Shards: len(r.services), MaxTargets: attempts, Idempotent: route.Idempotent || route.Sharded(),
-		MinShare: 1,
-		AnswerAt: req.Arrived.Add(aim - answerMargin),
-		LastAt:   req.Arrived.Add(aim - lastMargin),
-		LateAt:   req.Arrived.Add(lateFactor * aim),
-		OfferBy:  req.Arrived.Add(time.Duration(offerShare * float64(aim))),
-		Deadline: req.Call.Deadline.Add(-deadlineMargin), HedgeAfter: min(hedgeAfter, time.Duration(hedgeAimShare*float64(aim))),
-	}
-	if route.Sharded() {
-		opts.MinShare = route.MinShare
-	}
-	r.choice.Remote = time.Duration(remoteShare * float64(aim))
-	r.choice.Overdue = opts.HedgeAfter
-	e.opts.Pool.Prepare(req.Call)
-	r.plan = plan.New(now, opts)
-	r.results = make(chan upstream.Result, len(r.services)*(attempts+plan.ExtraSends))
-	r.tried = make([][]string, len(r.services))
-	r.first = make([]time.Time, len(r.services))
-	r.parts = make([]upstream.Result, len(r.services))
-	return r
-}
-
-// expect looks up what is known of the route's attempts and counts the request
-// for the budget of each service.
-func (e *Engine) expect(now time.Time, route *catalog.Route, r *run) time.Duration {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	k := e.kinds[route.Name]
-	if k == nil {
-		opts := e.opts.Hedge
-		if !route.Sharded() {
-			opts = e.opts.SingleHedge
-			opts.StartDelay = time.Duration(hedgeAimShare * float64(cmp.Or(route.Aim, defaultAim)))
-		}
-		k = &kind{latency: hedge.New(opts)}
-		e.kinds[route.Name] = k
-	}
-	k.used = now
-	r.kind = k
-	r.choice.Expected = cmp.Or(k.latency.Quantile(now, 0.5), e.opts.Hedge.StartDelay/2)
-	delay, _ := k.latency.Delay(now)
-	for _, service := range r.services {
-		e.window(service).First(now)
-	}
-	return delay
-}
-
-// send makes the attempts that are due.
-func (r *run) send(now time.Time) {
-	for {
-		i, extra, ok := r.plan.Due(now)
-		if !ok {
-			return
-		}
-		if extra && !r.allowed(now, i) {
-			r.denied++
-			r.plan.Denied(now, i)
-			continue
-		}
-		a := r.engine.opts.Pool.Start(r.req.Call, i, upstream.Choice{
-			Service: r.services[i], Kind: r.choice, Tried: r.tried[i], NewTarget: r.plan.NewTarget(i),
-			Deadline: r.attemptDeadline(now),
-		}, r.results)
-		if a == nil {
-			r.plan.Unavailable(now, i)
-			continue
-		}
-		if extra {
-			r.hedges++
-			r.spend(now, i)
-		}
-		if len(r.tried[i]) == 0 {
-			r.first[i] = now
-		}
-		r.tried[i] = append(r.tried[i], a.Target.ID)
-		r.attempts = append(r.attempts, a)
-		r.plan.Sent(now, i)
-	}
-}
+// forgetAfter is how long what is known of a route or service that gets no
+// requests is kept; it is well above the window of the budget.
+const forgetAfter = time.Minute
 
-// attemptDeadline returns when the answer to an attempt is of no use any more: a
-// sharded request is answered without it, so targets need not work on it.
-func (r *run) attemptDeadline(now time.Time) time.Time {
-	late := r.req.Arrived.Add(lateFactor * cmp.Or(r.req.Route.Aim, defaultAim))
-	if r.req.Route.Sharded() && now.Before(late) && late.Before(r.req.Call.Deadline) {
-		return late
-	}
-	return r.req.Call.Deadline
-}
-
-func (r *run) allowed(now time.Time, i int) bool {
-	e := r.engine
+// Forget drops what is known of routes and services that get no requests: names
+// come and go with the configuration.
+func (e *Engine) Forget(now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	w := e.window(r.services[i])
-	w.SetSlack(e.slack(now))
-	return w.Allows(now)
-}
-
-func (r *run) spend(now time.Time, i int) {
-	e := r.engine
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.window(r.services[i]).TryExtra(now)
-}
-
-// take takes the end of an attempt.
-func (r *run) take(res upstream.Result) {
-	i := res.Attempt.Shard
-	if res.Kind != upstream.Answered {
-		r.failures[res.Kind]++
-	}
-	switch {
-	case res.Kind == upstream.Answered && r.good(&res):
-		if r.plan.Answered(res.At, i) {
-			r.parts[i] = res
-			r.observe(res.At, i)
+	for name, k := range e.kinds {
+		if now.Sub(k.used) > forgetAfter {
+			delete(e.kinds, name)
 		}
-	case res.Kind == upstream.Answered:
-		r.last = res
-		r.plan.Broken(res.At, i)
-	case res.Kind == upstream.Broken:
-		r.plan.Broken(res.At, i)
-	default:
-		if res.Kind == upstream.Refused {
-			r.last = res
-		}
-		r.plan.Refused(res.At, i)
-	}
-}
-
-// good reports whether an answer ends its shard. A failure of a target is no
-// part, and is tried again elsewhere if the request may run more than once.
-func (r *run) good(res *upstream.Result) bool {
-	if res.Status >= 200 && res.Status < 300 {
-		return res.Seal != ""
 	}
-	return !r.req.Route.Sharded() && res.Status < 500
-}
-
-// observe records how long the first attempt at a shard took, or that it took
-// at least until now: a sample of only those that were not overtaken by another
-// attempt would make the delay of hedges shrink.
-func (r *run) observe(now time.Time, i int) {
-	e := r.engine
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	r.kind.latency.Observe(now, now.Sub(r.first[i]))
-}
-
-// observeMissing records the attempts that have not been answered.
-func (r *run) observeMissing(now time.Time) {
-	for i := range r.services {
-		if r.plan.Missing(i) && !r.first[i].IsZero() {
-			r.observe(now, i)
+	for name, s := range e.services {
+		if now.Sub(s.used) > forgetAfter {
+			delete(e.services, name)
 		}
 	}
 }
-
-// abandon gives up the attempts that are still in progress.
-func (r *run) abandon(linger time.Duration) {
-	for _, a := range r.attempts {
-		r.engine.opts.Pool.Abandon(a, linger)
-	}
-}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -22,7 +22,6 @@
 	Feed func(ctx context.Context, ask wire.FeedAsk) (wire.FeedAnswer, error)
 	// CheckInterval is the time between two liveness checks of links.
 	CheckInterval time.Duration
-	Liveness      link.LivenessOptions
 }
 
 // ErrLinkLost tells that the link to the peer was lost before it answered.
@@ -49,7 +48,7 @@
 func New(opts Options) *Mesh {
 	m := &Mesh{opts: opts, feeds: map[uint64]feedWait{}}
 	m.pool = link.NewPool(link.Options{
-		Self: opts.Self, Handler: m, Logger: opts.Logger, Liveness: opts.Liveness, CheckInterval: opts.CheckInterval,
+		Self: opts.Self, Handler: m, Logger: opts.Logger, CheckInterval: opts.CheckInterval,
 	})
 	return m
 }
--- /dev/null
+++ b/upstream/upkeep.go
@@ -0,0 +1,80 @@
+package upstream
+
+import "time"
+
+// Timings of connections.
+const (
+	// defaultIdleLimit is used until a target tells its own idle time-out.
+	defaultIdleLimit = 30 * time.Second
+	// idleUse is the part of a target's idle time-out for which a connection
+	// is kept: a request must not cross the target's close.
+	idleUse = 0.7
+	// answerSlack is how long after its deadline an answer may still arrive.
+	answerSlack = 50 * time.Millisecond
+)
+
+// Tick closes connections that have been idle or without an answer for too long.
+func (p *Pool) Tick(now time.Time) {
+	var silent []*conn
+	p.mu.Lock()
+	for _, t := range p.targets {
+		kept := t.idle[:0]
+		for _, c := range t.idle {
+			if now.Sub(c.idleSince) > time.Duration(idleUse*float64(c.idleLimit)) {
+				p.close(c)
+				continue
+			}
+			kept = append(kept, c)
+		}
+		clear(t.idle[len(kept):])
+		t.idle = kept
+	}
+	for c := range p.busy {
+		a := c.current
+		if a == nil {
+			continue
+		}
+		over := now.After(a.Deadline.Add(answerSlack)) || (a.abandoned && now.After(a.closeAt))
+		if over {
+			silent = append(silent, c)
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range silent {
+		if a := p.currentOf(c); a != nil {
+			p.ended(c, a, errNoAnswer)
+		}
+	}
+}
+
+// Stats is a summary of the pool.
+type Stats struct {
+	Targets     int `json:"targets"`
+	Connections int `json:"connections"`
+	Busy        int `json:"busy"`
+	Waiting     int `json:"waiting"`
+}
+
+// Stats returns a summary.
+func (p *Pool) Stats() Stats {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := Stats{Targets: len(p.targets), Busy: len(p.busy)}
+	for _, t := range p.targets {
+		s.Connections += t.open
+		s.Waiting += len(t.waiting)
+	}
+	return s
+}
+
+// Close closes all connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, t := range p.targets {
+		p.retire(t)
+	}
+	for c := range p.busy {
+		p.close(c)
+	}
+}
