--- a/soak/run.go
+++ b/soak/run.go
@@ -131,6 +131,7 @@
 		{"target harmed", func(_ *vm, t *target, span time.Duration) { f.harm(t.proxy, span) }},
 		{"answers lost", f.lose},
 		{"answers lost", f.lose},
+		{"shard lost", f.loseShard},
 		{"version published", func(*vm, *target, time.Duration) { f.site.configure() }},
 		{"history dropped", func(*vm, *target, time.Duration) { f.site.store.Forget() }},
 	}
@@ -224,6 +225,19 @@
 	t.SetLoss(0)
 }
 
+// loseShard cuts both targets of a shard off.
+func (f *faults) loseShard(_ *vm, t *target, span time.Duration) {
+	for _, other := range f.site.targets {
+		if other.Service == t.Service {
+			f.running.Go(func() {
+				other.proxy.Set(Reset)
+				time.Sleep(span)
+				other.proxy.Set(None)
+			})
+		}
+	}
+}
+
 // lossShare is the share of answers that a target loses.
 const lossShare = 0.3
 
