--- /dev/null
+++ b/upstream/pool_test.go
@@ -0,0 +1,211 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/goldcrestmux/goldcrestmux/balance"
+	"github.com/goldcrestmux/goldcrestmux/catalog"
+)
+
+// testCodec has headers of its own, so that the pool is tested without any platform.
+type testCodec struct{}
+
+func (testCodec) AppendCall(buf []byte, c *Call) []byte {
+	return fmt.Appendf(buf, "%s %s HTTP/1.1\r\nHost: %s\r\nTest-Id: %s\r\n", c.Method, c.URI, c.Host, c.ID)
+}
+
+func (testCodec) AppendAttempt(buf []byte, left time.Duration, id string) []byte {
+	return fmt.Appendf(buf, "Test-Left: %d\r\nTest-Target: %s\r\n\r\n", left.Milliseconds(), id)
+}
+
+func (testCodec) Reply(h http.Header, _ int) Reply {
+	return Reply{ID: h.Get("Test-Id"), Seal: h.Get("Test-Seal"), NotRun: h.Get("Test-Not-Run") != ""}
+}
+
+// serve answers each request on each connection with what answer returns, and
+// counts connections.
+func serve(t *testing.T, conns *atomic.Int32, answer func(nc net.Conn, r *http.Request) bool) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conns.Add(1)
+			go func() {
+				defer nc.Close()
+				read := bufio.NewReader(nc)
+				for {
+					r, err := http.ReadRequest(read)
+					if err != nil || !answer(nc, r) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func poolWith(t *testing.T, address string) *Pool {
+	t.Helper()
+	var d net.Dialer
+	p := New(Options{Codec: testCodec{}, DataCentre: "dc1", Dial: d.DialContext, DialTimeout: time.Second, DrainUse: time.Second})
+	t.Cleanup(p.Close)
+	s := catalog.NewState(catalog.StateOptions{})
+	s.Apply(time.Now(), []catalog.Item{
+		{Kind: catalog.KindConfig, Revision: 1, Config: &catalog.Config{Version: 1, Services: []*catalog.Service{{Name: "s1", MaxConnections: 25}}}},
+		{Kind: catalog.KindTarget, Name: "t1", Revision: 2, Target: &catalog.Target{ID: "t1", Service: "s1", Address: address, DataCentre: "dc1", Slots: 2}},
+	})
+	p.Update(s.View())
+	return p
+}
+
+// send sends one request and returns its end.
+func send(t *testing.T, p *Pool, id string, wait time.Duration) Result {
+	t.Helper()
+	call := &Call{ID: id, Method: "GET", URI: "/x", Host: "h", Deadline: time.Now().Add(wait)}
+	p.Prepare(call)
+	results := make(chan Result, 1)
+	a := p.Start(call, 0, Choice{
+		Service: "s1", NewTarget: true, Deadline: call.Deadline,
+		Kind: balance.Kind{Expected: 10 * time.Millisecond, Overdue: 50 * time.Millisecond},
+	}, results)
+	if a == nil {
+		t.Fatal("no target")
+	}
+	timeout := time.After(5 * time.Second)
+	for {
+		select {
+		case r := <-results:
+			return r
+		case now := <-time.After(20 * time.Millisecond):
+			p.Tick(now)
+		case <-timeout:
+			t.Fatal("no result")
+		}
+	}
+}
+
+func reply(nc net.Conn, id, extra string) bool {
+	_, err := fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nTest-Id: %s\r\nTest-Seal: s\r\nContent-Length: 2\r\n\r\nok%s", id, extra)
+	return err == nil
+}
+
+func TestConnectionIsUsedAgain(t *testing.T) {
+	var conns atomic.Int32
+	p := poolWith(t, serve(t, &conns, func(nc net.Conn, r *http.Request) bool {
+		return reply(nc, r.Header.Get("Test-Id"), "")
+	}))
+	for i := range 5 {
+		if r := send(t, p, fmt.Sprint(i), time.Second); r.Kind != Answered || string(r.Body) != "ok" || r.Seal != "s" {
+			t.Fatalf("result %+v", r)
+		}
+	}
+	if n := conns.Load(); n != 1 {
+		t.Fatalf("%d connections for five requests in turn, want 1", n)
+	}
+}
+
+// Bytes after a complete answer belong to no request, even if they look like
+// the answer to the next one.
+func TestSecondAnswerIsNotTakenForTheNext(t *testing.T) {
+	var conns atomic.Int32
+	p := poolWith(t, serve(t, &conns, func(nc net.Conn, r *http.Request) bool {
+		id := r.Header.Get("Test-Id")
+		return reply(nc, id, "HTTP/1.1 200 OK\r\nTest-Id: "+id+"\r\nContent-Length: 5\r\n\r\nextra")
+	}))
+	for i := range 3 {
+		if r := send(t, p, fmt.Sprint(i), time.Second); r.Kind != Answered || string(r.Body) != "ok" {
+			t.Fatalf("result %+v", r)
+		}
+	}
+	if n := conns.Load(); n != 3 {
+		t.Fatalf("%d connections, want a new one after each unasked answer", n)
+	}
+}
+
+func TestCrossedAndBrokenAnswersMayHaveRun(t *testing.T) {
+	for name, answer := range map[string]func(nc net.Conn, r *http.Request) bool{
+		"another id": func(nc net.Conn, r *http.Request) bool { return reply(nc, "other", "") },
+		"not an answer": func(nc net.Conn, r *http.Request) bool {
+			_, err := nc.Write([]byte("garbage\r\n\r\n"))
+			return err == nil
+		},
+		"cut short": func(nc net.Conn, r *http.Request) bool {
+			fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nTest-Id: 1\r\nContent-Length: 10\r\n\r\nok")
+			return false
+		},
+		"two lengths": func(nc net.Conn, r *http.Request) bool {
+			fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nTest-Id: 1\r\nContent-Length: 2\r\nContent-Length: 5\r\n\r\nok")
+			return true
+		},
+		"closed":   func(net.Conn, *http.Request) bool { return false },
+		"no words": func(net.Conn, *http.Request) bool { return true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			var conns atomic.Int32
+			p := poolWith(t, serve(t, &conns, answer))
+			if r := send(t, p, "1", 300*time.Millisecond); r.Kind != Broken {
+				t.Fatalf("result %v, error %v, want that it may have run", r.Kind, r.Err)
+			}
+		})
+	}
+}
+
+func TestUnreachableIsNotSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	l.Close()
+	if r := send(t, poolWith(t, address), "1", time.Second); r.Kind != NotSent {
+		t.Fatalf("result %v, want that nothing was sent", r.Kind)
+	}
+}
+
+// An abandoned attempt whose answer doesn't come gives its connection up.
+func TestAbandonedAttemptIsClosed(t *testing.T) {
+	var conns atomic.Int32
+	closed := make(chan struct{})
+	p := poolWith(t, serve(t, &conns, func(nc net.Conn, _ *http.Request) bool {
+		_, _ = nc.Read(make([]byte, 1)) // until the caller closes
+		close(closed)
+		return false
+	}))
+	call := &Call{ID: "1", Method: "GET", URI: "/x", Host: "h", Deadline: time.Now().Add(10 * time.Second)}
+	p.Prepare(call)
+	results := make(chan Result, 1)
+	a := p.Start(call, 0, Choice{Service: "s1", NewTarget: true, Deadline: call.Deadline}, results)
+	time.Sleep(50 * time.Millisecond)
+	p.Abandon(a, 100*time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	for {
+		select {
+		case <-closed:
+			if len(results) > 0 {
+				t.Fatal("an abandoned attempt reported its end")
+			}
+			return
+		case now := <-time.After(20 * time.Millisecond):
+			p.Tick(now)
+		case <-ctx.Done():
+			t.Fatal("the connection is still open")
+		}
+	}
+}
