Remove what nothing calls any more; take free ports from outside the outgoing range

The read-through found methods without a caller, the VM's power that only the trial with groups read, a header that was not true, and the aim's default written three times. Behaviour stays as it was. TestForwardsUnchanged failed once in a run of all packages side by side: its process could not listen on a port that was free a moment before, since an outgoing connection of another test had taken it.

--- a/catalog/state.go
+++ b/catalog/state.go
@@ -302,9 +302,6 @@
 	return changes
 }
 
-// Config returns the configuration in force, or nil.
-func (s *State) Config() *Config { return s.config }
-
 // View returns the present picture.
 func (s *State) View() *View {
 	v := &View{
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -216,7 +216,7 @@
 	state := peers.New(now, peers.Options{
 		Self: peers.Member{
 			Name: s.Name, Address: s.PeerListen, Started: now.UnixNano(),
-			DataCentre: s.DataCentre, Power: uint16(s.Power * 100),
+			DataCentre: s.DataCentre,
 		},
 		Seeds: s.Seeds, Interval: gossipInterval, Fanout: gossipFanout, Entries: gossipEntries,
 		Forget: gossipForget, Unknown: unknownPeers, Settle: gossipSettle,
@@ -268,7 +268,7 @@
 	})
 }
 
-// keepHouse closes idle and silent connections, and notices pauses.
+// keepHouse closes idle and silent connections, and takes the peers that are alive.
 func (e *Entry) keepHouse() error {
 	ticker := time.NewTicker(housekeeping)
 	defer ticker.Stop()
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -27,8 +27,6 @@
 	StoreAddress string
 	// ConfigApply is the time within which published changes must be in force.
 	ConfigApply time.Duration
-	// Power is the process's part of a core.
-	Power float64
 	// MemoryBytes is above which the process is ended.
 	MemoryBytes int64
 	// DrainUse is how long after its word that it drains a target may still
--- a/follow/state.go
+++ b/follow/state.go
@@ -132,6 +132,3 @@
 	}
 	return d/2 + time.Duration(s.opts.Rand.Int64N(int64(d/2)+1))
 }
-
-// Down reports whether the last step failed.
-func (s *State) Down() bool { return s.failures > 0 }
--- a/forward/run.go
+++ b/forward/run.go
@@ -81,13 +81,16 @@
 	}
 }
 
+// aimOf returns the aim of a route, or the default where it has none.
+func aimOf(route *catalog.Route) time.Duration { return cmp.Or(route.Aim, defaultAim) }
+
 func (e *Engine) begin(req *Request) *run {
 	route := req.Route
 	r := &run{engine: e, req: req, services: route.Shards, failures: map[upstream.Kind]int{}}
 	if !route.Sharded() {
 		r.services = []string{route.Pick(req.Call.ID)}
 	}
-	aim := cmp.Or(route.Aim, defaultAim)
+	aim := aimOf(route)
 	attempts := max(cmp.Or(route.MaxAttempts, defaultAttempts), 1)
 	now := time.Now()
 	hedgeAfter := e.expect(now, route, r)
@@ -129,7 +132,7 @@
 		opts := e.opts.Hedge
 		if !route.Sharded() {
 			opts = e.opts.SingleHedge
-			opts.StartDelay = time.Duration(hedgeAimShare * float64(cmp.Or(route.Aim, defaultAim)))
+			opts.StartDelay = time.Duration(hedgeAimShare * float64(aimOf(route)))
 		}
 		k = &kind{latency: hedge.New(opts)}
 		e.kinds[route.Name] = k
@@ -180,7 +183,7 @@
 // attemptDeadline returns when the answer to an attempt is of no use any more: a
 // sharded request is answered without it, so targets need not work on it.
 func (r *run) attemptDeadline(now time.Time) time.Time {
-	late := r.req.Arrived.Add(lateFactor * cmp.Or(r.req.Route.Aim, defaultAim))
+	late := r.req.Arrived.Add(lateFactor * aimOf(r.req.Route))
 	if r.req.Route.Sharded() && now.Before(late) && late.Before(r.req.Call.Deadline) {
 		return late
 	}
--- a/peers/node.go
+++ b/peers/node.go
@@ -138,13 +138,6 @@
 	n.state.SetSeeds(seeds)
 }
 
-// Gap tells that the process was paused.
-func (n *Node) Gap(now time.Time) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.state.Gap(now)
-}
-
 // Members returns what is known of the others.
 func (n *Node) Members() []Member {
 	n.mu.Lock()
--- a/peers/state.go
+++ b/peers/state.go
@@ -26,8 +26,6 @@
 	Beat uint64 `cbor:"4,keyasint"`
 	// DataCentre is where the process runs.
 	DataCentre string `cbor:"5,keyasint"`
-	// Power is the process's part of a core, in hundredths.
-	Power uint16 `cbor:"6,keyasint"`
 }
 
 // Message is what a process sends.
@@ -200,13 +198,6 @@
 // SetSeeds takes the addresses to begin with as they are told now.
 func (s *State) SetSeeds(seeds []string) { s.opts.Seeds = seeds }
 
-// Gap tells that this process was paused: silence in that time was its own.
-func (s *State) Gap(now time.Time) {
-	for _, r := range s.members {
-		r.heard = now
-	}
-}
-
 // Fleet returns the processes that share limits, and how many there may be for
 // all that is known.
 func (s *State) Fleet(now time.Time) share.Fleet {
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -222,9 +222,6 @@
 // Missing reports whether a shard is not in.
 func (p *Plan) Missing(i int) bool { return !p.shards[i].in }
 
-// Sends returns the number of attempts at a shard.
-func (p *Plan) Sends(i int) int { return p.shards[i].sends }
-
 // enough reports whether n shards make an answer.
 func (p *Plan) enough(n int) bool {
 	return n > 0 && float64(n) >= p.opts.MinShare*float64(len(p.shards))-1e-9
--- a/soak/site.go
+++ b/soak/site.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/binary"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -60,15 +59,6 @@
 	probesMu sync.Mutex
 }
 
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 // records returns the records of a shard; all its targets answer alike.
 func records(shard int) [][]byte {
 	out := make([][]byte, recordsPerTarget)
@@ -123,7 +113,7 @@
 			return err
 		}
 		for _, a := range []*string{&v.caller, &v.ready, &v.peers} {
-			if *a, err = freeAddress(); err != nil {
+			if *a, err = platformtest.FreeAddress(); err != nil {
 				return err
 			}
 		}
