Count the retry budget by the monotonic clock; answer earlier where the answer is large

TestClockStepGrantsNothing failed before.

Answers of 90 shards reached callers up to 19 ms after they left, past an aim that they were given 15 ms before. The margin now grows with the shards.

Results go through the channel as pointers: the channel of a request over 90 shards took 76 KB.

--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"testing"
 	"time"
+	"unsafe"
 
 	"pgregory.net/rapid"
 )
@@ -115,3 +116,41 @@
 		t.Fatal("no extra is granted long after")
 	}
 }
+
+// stepped returns the same moment as told by a machine whose time of day was set
+// by d, in whole seconds, while its monotonic clock went on.
+func stepped(t time.Time, d time.Duration) time.Time {
+	// The layout of time.Time with a monotonic reading: the seconds of the wall
+	// clock stand above 30 bits of nanoseconds.
+	raw := (*struct {
+		wall uint64
+		ext  int64
+		loc  *time.Location
+	})(unsafe.Pointer(&t))
+	raw.wall += uint64(d/time.Second) << 30
+	return t
+}
+
+// The window goes by the monotonic clock: a machine whose time of day is set
+// forward must not forget the extras that it has sent.
+func TestClockStepGrantsNothing(t *testing.T) {
+	now := time.Now()
+	if later := stepped(now, time.Minute); !later.Equal(now) && later.Sub(now) != 0 {
+		t.Fatal("the helper changed the monotonic reading")
+	}
+	w := NewAllowance(0)
+	w.SetSlack(2)
+	for range 2 {
+		if !w.TryExtra(now) {
+			t.Fatal("the slack was not granted")
+		}
+	}
+	for _, step := range []time.Duration{time.Minute, -time.Minute} {
+		if w.TryExtra(stepped(now.Add(time.Second), step)) {
+			t.Fatalf("an extra was granted after the time of day was set by %v", step)
+		}
+	}
+	if !w.TryExtra(stepped(now.Add(Span+time.Second), -time.Minute)) {
+		t.Fatal("no extra is granted once the window has passed")
+	}
+}
--- a/budget/window.go
+++ b/budget/window.go
@@ -28,7 +28,8 @@
 	// slack is granted on top of the share; below zero if the larger of floor
 	// and share is granted.
 	slack   float64
-	head    int64 // number of the newest bucket since the Unix epoch
+	origin  time.Time // start of bucket 0
+	head    int64     // number of the newest bucket
 	buckets [bucketCount]bucket
 	firsts  uint32
 	extras  uint32
@@ -100,7 +101,12 @@
 // advance drops the buckets that have left the window. A time before the last
 // one counts as the last one.
 func (w *Window) advance(now time.Time) {
-	number := now.UnixNano() / int64(bucketWidth)
+	if w.origin.IsZero() {
+		w.origin = now
+	}
+	// A difference goes by the monotonic clock, which no change of the time of
+	// day moves.
+	number := int64(now.Sub(w.origin) / bucketWidth)
 	if number <= w.head {
 		return
 	}
--- a/forward/engine.go
+++ b/forward/engine.go
@@ -136,11 +136,15 @@
 // Timings of requests.
 const (
 	// answerMargin is the time between an answer's leaving here and its
-	// arrival at the caller, with the merge.
+	// arrival at the caller, with the opening of the caller's connection.
 	answerMargin = 15 * time.Millisecond
 	// lastMargin is the least time for an answer's way to a caller whose
 	// connection was open already.
 	lastMargin = 8 * time.Millisecond
+	// partMargin is added to both for each shard: each part's signature adds to
+	// the answer, which shares the link of a small VM and its processor with the
+	// last parts.
+	partMargin = 35 * time.Microsecond
 	// deadlineMargin is how long before the caller's deadline a failure is told.
 	deadlineMargin = 20 * time.Millisecond
 	// lateFactor is how long an answer that has missed its aim is held for
@@ -153,6 +157,12 @@
 	defaultAim = 500 * time.Millisecond
 	// hedgeAimShare bounds the hedge delay to a part of the aim.
 	hedgeAimShare = 0.5
+	// hedgeRoom is the time that a hedge needs to be of use in a sharded request,
+	// in multiples of an attempt's usual time. It covers another data centre and
+	// a new connection.
+	hedgeRoom = 2.5
+	// minHedgeRatio is the least hedge delay, in multiples of an attempt's usual time.
+	minHedgeRatio = 1.5
 	// remoteShare is what staying in the own data centre is worth, as a part of the aim.
 	remoteShare = 0.12
 	// defaultAttempts is used where the route tells no number of attempts.
--- a/forward/run.go
+++ b/forward/run.go
@@ -20,7 +20,7 @@
 	plan     *plan.Plan
 	choice   balance.Kind
 	kind     *kind
-	results  chan upstream.Result
+	results  chan *upstream.Result
 	attempts []*upstream.Attempt
 	tried    [][]string  // target ids by shard
 	first    []time.Time // when the first attempt at each shard was made
@@ -99,29 +99,38 @@
 			req.Call.Deadline = at
 		}
 	}
+	parts := time.Duration(len(r.services)) * partMargin
 	opts := plan.Options{
 		Shards: len(r.services), MaxTargets: attempts, Idempotent: route.Idempotent || route.Sharded(),
 		MinShare: 1,
-		AnswerAt: req.Arrived.Add(aim - answerMargin),
-		LastAt:   req.Arrived.Add(aim - lastMargin),
+		AnswerAt: req.Arrived.Add(aim - answerMargin - parts),
+		LastAt:   req.Arrived.Add(aim - lastMargin - parts),
 		LateAt:   req.Arrived.Add(lateFactor * aim),
 		OfferBy:  req.Arrived.Add(time.Duration(offerShare * float64(aim))),
 		Deadline: req.Call.Deadline.Add(-deadlineMargin), HedgeAfter: min(hedgeAfter, time.Duration(hedgeAimShare*float64(aim))),
 	}
 	if route.Sharded() {
 		opts.MinShare = route.MinShare
+		opts.HedgeAfter = timelyHedge(opts.HedgeAfter, opts.AnswerAt.Sub(req.Arrived), r.choice.Expected)
 	}
 	r.choice.Remote = time.Duration(remoteShare * float64(aim))
 	r.choice.Overdue = opts.HedgeAfter
 	e.opts.Pool.Prepare(req.Call)
 	r.plan = plan.New(now, opts)
-	r.results = make(chan upstream.Result, len(r.services)*(attempts+plan.ExtraSends))
+	r.results = make(chan *upstream.Result, len(r.services)*(attempts+plan.ExtraSends))
 	r.tried = make([][]string, len(r.services))
 	r.first = make([]time.Time, len(r.services))
 	r.parts = make([]upstream.Result, len(r.services))
 	return r
 }
 
+// timelyHedge returns the hedge delay of a sharded request, cut so that a hedge
+// can still be answered within the time that the request has.
+func timelyHedge(delay, within, usual time.Duration) time.Duration {
+	latest := within - time.Duration(hedgeRoom*float64(usual))
+	return min(delay, max(latest, time.Duration(minHedgeRatio*float64(usual))))
+}
+
 // expect looks up what is known of the route's attempts and counts the request
 // for the budget of each service.
 func (e *Engine) expect(now time.Time, route *catalog.Route, r *run) time.Duration {
@@ -207,25 +216,25 @@
 }
 
 // take takes the end of an attempt.
-func (r *run) take(res upstream.Result) {
+func (r *run) take(res *upstream.Result) {
 	i := res.Attempt.Shard
 	if res.Kind != upstream.Answered {
 		r.failures[res.Kind]++
 	}
 	switch {
-	case res.Kind == upstream.Answered && r.good(&res):
+	case res.Kind == upstream.Answered && r.good(res):
 		if r.plan.Answered(res.At, i) {
-			r.parts[i] = res
+			r.parts[i] = *res
 			r.observe(res.At, i)
 		}
 	case res.Kind == upstream.Answered:
-		r.last = res
+		r.last = *res
 		r.plan.Broken(res.At, i)
 	case res.Kind == upstream.Broken:
 		r.plan.Broken(res.At, i)
 	default:
 		if res.Kind == upstream.Refused {
-			r.last = res
+			r.last = *res
 		}
 		r.plan.Refused(res.At, i)
 	}
--- a/upstream/call.go
+++ b/upstream/call.go
@@ -95,7 +95,7 @@
 	Deadline time.Time
 
 	expected time.Duration
-	results  chan<- Result
+	results  chan<- *Result
 	// Guarded by the pool's lock.
 	state     attemptState
 	conn      *conn
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -17,6 +17,9 @@
 	readBuffer = 2 << 10
 	// maxAnswerBytes bounds an answer that is held in memory.
 	maxAnswerBytes = 8 << 20
+	// maxTrustedLength is the length up to which memory is taken before the
+	// bytes come: a faulty target may tell any length.
+	maxTrustedLength = 64 << 10
 )
 
 // conn is one connection to a target. It carries one request at a time; its
@@ -89,7 +92,7 @@
 	if resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
 		return true // an interim answer
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	body, err := readAnswer(resp)
 	if err != nil {
 		c.pool.ended(c, a, errors.Annotate(err, "read the answer's body"))
 		return false
@@ -103,7 +106,7 @@
 		c.pool.ended(c, a, errOtherAnswer)
 		return false
 	}
-	result := Result{
+	result := &Result{
 		Attempt: a, Kind: kindOf(reply), Status: resp.StatusCode, Header: resp.Header,
 		Seal: reply.Seal, Body: body, At: time.Now(),
 	}
@@ -112,6 +115,16 @@
 	return c.pool.answered(c, result, keep, keepAlive(resp.Header))
 }
 
+// readAnswer reads an answer's body, at most one byte more than is held in memory.
+func readAnswer(resp *http.Response) ([]byte, error) {
+	if n := resp.ContentLength; n >= 0 && n <= maxTrustedLength && resp.Body != http.NoBody {
+		body := make([]byte, n)
+		_, err := io.ReadFull(resp.Body, body)
+		return body, err
+	}
+	return io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+}
+
 func kindOf(r Reply) Kind {
 	switch {
 	case r.Misdirected:
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -28,7 +28,7 @@
 		p.mu.Unlock()
 		_ = nc.Close() // nothing was sent
 		if !a.abandoned {
-			a.results <- Result{Attempt: a, Kind: NotSent, Err: errGone, At: time.Now()}
+			a.results <- &Result{Attempt: a, Kind: NotSent, Err: errGone, At: time.Now()}
 		}
 		return
 	case a.abandoned:
@@ -53,9 +53,9 @@
 	t.open--
 	a.state = stateDone
 	t.record.Unreachable(now, a.SentAt, isTimeout(err))
-	done := []Result{}
+	done := []*Result{}
 	if !a.abandoned {
-		done = append(done, Result{Attempt: a, Kind: NotSent, Err: errors.Annotate(err, "connect"), At: now})
+		done = append(done, &Result{Attempt: a, Kind: NotSent, Err: errors.Annotate(err, "connect"), At: now})
 	}
 	if t.open == 0 {
 		done = append(done, p.flush(t, err)...)
@@ -140,7 +140,7 @@
 	tell := mine && !a.abandoned
 	p.mu.Unlock()
 	if tell {
-		a.results <- Result{Attempt: a, Kind: NotSent, Err: err, At: time.Now()}
+		a.results <- &Result{Attempt: a, Kind: NotSent, Err: err, At: time.Now()}
 	}
 	p.reopen(c.target)
 }
@@ -168,7 +168,7 @@
 	p.mu.Unlock()
 	if tell {
 		p.event(Event{What: "attempt broken", Target: c.target.ID, Service: c.target.Service, Request: a.Call.ID, Err: err})
-		a.results <- Result{Attempt: a, Kind: Broken, Err: err, At: now}
+		a.results <- &Result{Attempt: a, Kind: Broken, Err: err, At: now}
 	}
 	p.reopen(c.target)
 }
@@ -189,7 +189,7 @@
 
 // answered ends an attempt with an answer and reports whether the connection
 // goes on.
-func (p *Pool) answered(c *conn, r Result, keep bool, idleLimit time.Duration) bool {
+func (p *Pool) answered(c *conn, r *Result, keep bool, idleLimit time.Duration) bool {
 	a := r.Attempt
 	p.mu.Lock()
 	if c.closed || c.current != a {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -119,7 +119,7 @@
 	}
 }
 
-func (p *Pool) update(v *catalog.View) []Result {
+func (p *Pool) update(v *catalog.View) []*Result {
 	p.view = v
 	seen := make(map[string]bool, len(p.targets))
 	services := make(map[string]*service, len(p.services))
@@ -149,7 +149,7 @@
 		p.limit(t, svc)
 	})
 	p.services = services
-	var done []Result
+	var done []*Result
 	for id, t := range p.targets {
 		if !seen[id] {
 			p.retire(t)
@@ -172,13 +172,13 @@
 }
 
 // flush ends the attempts that wait for a connection.
-func (p *Pool) flush(t *Target, why error) []Result {
-	var done []Result
+func (p *Pool) flush(t *Target, why error) []*Result {
+	var done []*Result
 	for _, a := range t.waiting {
 		a.state = stateDone
 		t.record.Canceled(a.SentAt)
 		if !a.abandoned {
-			done = append(done, Result{Attempt: a, Kind: NotSent, Err: why, At: time.Now()})
+			done = append(done, &Result{Attempt: a, Kind: NotSent, Err: why, At: time.Now()})
 		}
 	}
 	t.waiting = nil
@@ -210,7 +210,7 @@
 
 // Start sends an attempt to the best target of a service. It returns nil if
 // there is none. The result goes to results, which must have room.
-func (p *Pool) Start(call *Call, shard int, choice Choice, results chan<- Result) *Attempt {
+func (p *Pool) Start(call *Call, shard int, choice Choice, results chan<- *Result) *Attempt {
 	now := time.Now()
 	p.mu.Lock()
 	t := p.choose(now, choice)
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -79,7 +79,7 @@
 	t.Helper()
 	call := &Call{ID: id, Method: "GET", URI: "/x", Host: "h", Deadline: time.Now().Add(wait)}
 	p.Prepare(call)
-	results := make(chan Result, 1)
+	results := make(chan *Result, 1)
 	a := p.Start(call, 0, Choice{
 		Service: "s1", NewTarget: true, Deadline: call.Deadline,
 		Kind: balance.Kind{Expected: 10 * time.Millisecond, Overdue: 50 * time.Millisecond},
@@ -91,7 +91,7 @@
 	for {
 		select {
 		case r := <-results:
-			return r
+			return *r
 		case now := <-time.After(20 * time.Millisecond):
 			p.Tick(now)
 		case <-timeout:
@@ -189,7 +189,7 @@
 	}))
 	call := &Call{ID: "1", Method: "GET", URI: "/x", Host: "h", Deadline: time.Now().Add(10 * time.Second)}
 	p.Prepare(call)
-	results := make(chan Result, 1)
+	results := make(chan *Result, 1)
 	a := p.Start(call, 0, Choice{Service: "s1", NewTarget: true, Deadline: call.Deadline}, results)
 	time.Sleep(50 * time.Millisecond)
 	p.Abandon(a, 100*time.Millisecond)
