Hedge only stragglers: shards that are late beside the others of their request

A small VM (0.19 of a core) takes tens of milliseconds to send 90 attempts and to read the answers, more when its connections are new. Its hedge delay passed meanwhile, so it asked a second target for up to all 90 shards: twice the work for itself, and the retry budget gone when a target did fail. Hedges now wait until 0.7 of the shards are in, or twice the delay. TestHedgesOnlyStragglers failed before.

--- a/plan/plan.go
+++ b/plan/plan.go
@@ -5,7 +5,10 @@
 // The package is pure: time is passed in, and attempts are made by the caller.
 package plan
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Bounds of a plan.
 const (
@@ -22,6 +25,21 @@
 	repeatDelay = 300 * time.Millisecond
 )
 
+// A shard counts as a straggler beside the others of its request: as long as
+// most of them are out as well, the cause lies here or on the way, and hedges
+// would add to it.
+const (
+	// mostShards is the share of shards that must be in, and fewShards the
+	// number that may always be out.
+	mostShards = 0.7
+	fewShards  = 2
+	// stragglerFactor is how much longer a straggler takes than most shards did.
+	stragglerFactor = 1.25
+	// anywayFactor is when shards are hedged though most are out, in multiples
+	// of the hedge delay.
+	anywayFactor = 2
+)
+
 // Options describes a request.
 type Options struct {
 	// Shards is the number of shards; 1 for a request to one service.
@@ -82,11 +100,17 @@
 	ran    bool
 	// enoughAt is when enough shards were in; zero before.
 	enoughAt time.Time
+	begun    time.Time
+	// hedgeFrom is when hedges may begin.
+	hedgeFrom time.Time
 }
 
 // New returns the plan of a request whose shards are all due.
 func New(now time.Time, opts Options) *Plan {
-	p := &Plan{opts: opts, shards: make([]shard, opts.Shards)}
+	p := &Plan{opts: opts, shards: make([]shard, opts.Shards), begun: now, hedgeFrom: now}
+	if p.most() > 0 {
+		p.hedgeFrom = now.Add(anywayFactor * opts.HedgeAfter)
+	}
 	for i := range p.shards {
 		p.shards[i].next = now
 	}
@@ -98,13 +122,24 @@
 func (p *Plan) Due(now time.Time) (i int, extra, ok bool) {
 	for i := range p.shards {
 		s := &p.shards[i]
-		if !s.in && !s.lost && !s.next.IsZero() && !s.next.After(now) {
+		if at := p.due(s); !at.IsZero() && !at.After(now) {
 			return i, s.sends > 0, true
 		}
 	}
 	return 0, false, false
 }
 
+// due returns when a shard is due for another attempt; zero for never.
+func (p *Plan) due(s *shard) time.Time {
+	if s.in || s.lost || s.next.IsZero() {
+		return time.Time{}
+	}
+	if s.inFlight > 0 && s.next.Before(p.hedgeFrom) {
+		return p.hedgeFrom
+	}
+	return s.next
+}
+
 // Sent records an attempt at a shard.
 func (p *Plan) Sent(now time.Time, i int) {
 	s := &p.shards[i]
@@ -163,9 +198,19 @@
 	if p.enoughAt.IsZero() && p.enough(p.in) {
 		p.enoughAt = now
 	}
+	if p.in == p.most() {
+		from := p.begun.Add(time.Duration(stragglerFactor * float64(now.Sub(p.begun))))
+		p.hedgeFrom = earlier(p.hedgeFrom, from)
+	}
 	return true
 }
 
+// most returns the number of shards that are most of them.
+func (p *Plan) most() int {
+	n := len(p.shards)
+	return max(min(int(math.Ceil(mostShards*float64(n))), n-fewShards), 0)
+}
+
 // Refused records that an attempt did not run.
 func (p *Plan) Refused(now time.Time, i int) {
 	s := &p.shards[i]
@@ -296,14 +341,20 @@
 		wake = p.opts.OfferBy
 	}
 	for i := range p.shards {
-		s := &p.shards[i]
-		if !s.in && !s.lost && !s.next.IsZero() && s.next.Before(wake) {
-			wake = s.next
+		if at := p.due(&p.shards[i]); !at.IsZero() && at.Before(wake) {
+			wake = at
 		}
 	}
 	return wake
 }
 
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // earliest returns at if it lies between now and wake, else wake.
 func earliest(wake, now, at time.Time) time.Time {
 	if at.After(now) && at.Before(wake) {
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -105,6 +105,33 @@
 	}
 }
 
+// A process that is itself behind must not hedge every shard: that costs it and
+// its targets the work twice, and the budget of all.
+func TestHedgesOnlyStragglers(t *testing.T) {
+	p := New(start, options(10))
+	sendDue(p, start)
+	if extra := sendDue(p, at(35)); extra != 0 {
+		t.Fatalf("%d hedges while no shard is in", extra)
+	}
+	if wake := p.Wake(at(35)); !wake.After(at(35)) {
+		t.Fatalf("wakes at once, at %v", wake)
+	}
+	for i := range 7 {
+		p.Answered(at(40), i)
+	}
+	if extra := sendDue(p, at(45)); extra != 0 {
+		t.Fatalf("%d hedges right after most shards came in", extra)
+	}
+	if extra := sendDue(p, at(50)); extra != 3 {
+		t.Fatalf("%d hedges of stragglers, want 3", extra)
+	}
+	p = New(start, options(10))
+	sendDue(p, start)
+	if extra := sendDue(p, at(60)); extra != 10 {
+		t.Fatalf("%d hedges long after, want one of each shard", extra)
+	}
+}
+
 func TestNotIdempotentIsSentAgainOnlyIfRefused(t *testing.T) {
 	o := options(1)
 	o.Idempotent = false
