Fewer calls to the store and fewer new connections; silent targets avoided for longer

A new connection counts 5 ms in the choice of a target, so hedges go where a connection is free; idle ones are kept for 0.88 of the time-out that targets tell (10 s). A connection is given up as silent after 350 ms at least, above the pauses of targets, and its target is avoided for 1 s at first: with one or two requests a second a process met a dark target again each time.

Tried and not kept: peers of a data centre told of slow targets over UDP, believed once two or three agree.

--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -107,3 +107,18 @@
 		}
 	}
 }
+
+// A hedge goes where a connection is free rather than open another one.
+func TestPrefersAFreeConnection(t *testing.T) {
+	c := pair()
+	c[0].Unconnected = true
+	for turn := range uint64(4) {
+		if i := Choose(epoch, kind, c, turn); i != 1 {
+			t.Fatalf("chose %d, want the one with a free connection", i)
+		}
+	}
+	c[1].Remote = true
+	if i := Choose(epoch, kind, c, 0); i != 0 {
+		t.Fatalf("chose %d, want the one in the own data centre", i)
+	}
+}
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -25,6 +25,8 @@
 	Bounded bool
 	// Last is true for a target that is taken only if there is no other.
 	Last bool
+	// Unconnected is true if no connection to the target is free.
+	Unconnected bool
 	// Tried is the number of earlier attempts of the request at the target.
 	Tried int
 }
@@ -44,6 +46,10 @@
 	// boundedCost keeps requests from a target that bears few, unless the others
 	// are worse off.
 	boundedCost = time.Second
+	// connectCost is for a new connection: a handshake, and processor time here
+	// and there. It is below what staying in the own data centre is worth to
+	// requests with short aims.
+	connectCost = 5 * time.Millisecond
 	// lastCost is for a target that is on its way out.
 	lastCost = 10 * time.Second
 	// coldFactor is how much slower a cold target is expected to be.
@@ -88,6 +94,9 @@
 	if c.Remote {
 		cost += kind.Remote
 	}
+	if c.Unconnected {
+		cost += connectCost
+	}
 	if now.Before(r.avoidUntil) {
 		cost += avoidCost
 	}
--- a/balance/record.go
+++ b/balance/record.go
@@ -79,7 +79,7 @@
 // silent costs each attempt its whole time.
 const (
 	minAvoidRefused = 100 * time.Millisecond
-	minAvoidSilent  = 400 * time.Millisecond
+	minAvoidSilent  = 1 * time.Second
 	maxAvoid        = 4 * time.Second
 )
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -131,7 +131,7 @@
 	e.follower = follow.New(follow.Options{
 		Source: e.source, Replica: e.replica,
 		State: follow.NewState(follow.StateOptions{
-			Wait: watchWait, MinGather: minWatchGather, MaxGather: maxWatchGather,
+			Wait: watchWait, MinGather: minWatchGather, MaxGather: maxGather(s.ConfigApply),
 			ProbeWait: probeWait, MinBackoff: storeMinBackoff, MaxBackoff: storeMaxBackoff, FirstBackoff: storeFirstBackoff,
 			Rand: rand.New(rand.NewPCG(seed, 1)),
 		}),
@@ -143,6 +143,12 @@
 	return e
 }
 
+// maxGather returns the longest pause between watches while changes come in,
+// where changes must be in force within a time.
+func maxGather(apply time.Duration) time.Duration {
+	return max(maxWatchGather, time.Duration(gatherShare*float64(apply)))
+}
+
 // reader describes a process as one that may read the store for others.
 func reader(name, dataCentre string) follow.Reader {
 	return follow.Reader{Name: name, DataCentre: dataCentre, Rank: xxhash.Sum64String(name)}
--- a/entry/timings.go
+++ b/entry/timings.go
@@ -14,8 +14,10 @@
 	watchWait = 2 * time.Second
 	// minWatchGather and maxWatchGather bound the pause between watches while
 	// changes come in; they are small beside the seconds that changes may take.
+	// Where these are many the pause may be gatherShare of them.
 	minWatchGather = 150 * time.Millisecond
 	maxWatchGather = 600 * time.Millisecond
+	gatherShare    = 0.16
 	// probeWait bounds the first watch after a failed call.
 	probeWait = 200 * time.Millisecond
 	// storeMinBackoff and storeMaxBackoff bound the wait after a failed call: the
--- a/follow/route.go
+++ b/follow/route.go
@@ -17,7 +17,7 @@
 	// is quick enough: two pauses between watches and a failed call.
 	leastApply = 4 * time.Second
 	// directSpan is how long the store is read after a peer has failed.
-	directSpan = 8 * time.Second
+	directSpan = 4 * time.Second
 	// peerSpan is how long peers are asked after the store has failed.
 	peerSpan = 3 * time.Second
 	// MaxAge is the age from which on what a peer has read is too old: it is
--- a/follow/state.go
+++ b/follow/state.go
@@ -63,8 +63,14 @@
 	bursts int
 }
 
+// startBursts makes the first pauses the longest: while a fleet starts, all its
+// processes read the store, and targets come one after the other.
+const startBursts = 10
+
 // NewState returns a State that begins with a listing.
-func NewState(opts StateOptions) *State { return &State{opts: opts, stale: true} }
+func NewState(opts StateOptions) *State {
+	return &State{opts: opts, stale: true, bursts: startBursts}
+}
 
 // Begin returns the first step. A listing from a replica is enough: the watch
 // that follows brings what the replica lacked.
--- /dev/null
+++ b/forward/budget_test.go
@@ -0,0 +1,74 @@
+package forward
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/goldcrestmux/goldcrestmux/budget"
+	"github.com/goldcrestmux/goldcrestmux/share"
+)
+
+// All processes together keep to the published budget in any window, though each
+// spends whatever it is granted, callers are spread unevenly, and processes are
+// killed and restarted.
+func TestRetryBudgetHoldsInSum(t *testing.T) {
+	const service = "s"
+	for _, n := range []int{6, 9, 75} {
+		for seed := range uint64(5) {
+			rng := rand.New(rand.NewPCG(seed, uint64(n)))
+			b := RetryBudget{Ratio: 0.2, Slack: 52 + 2*n}
+			members := make([]string, n)
+			for i := range members {
+				members[i] = fmt.Sprint("front-", i)
+			}
+			begin := time.Now()
+			engines := make([]*Engine, n)
+			start := func(i int, now time.Time) {
+				engines[i] = New(Options{Budget: b})
+				engines[i].started = now
+				engines[i].SetFleet(share.Fleet{Self: members[i], Members: members})
+			}
+			weights := make([]float64, n)
+			for i := range engines {
+				start(i, begin.Add(-time.Minute))
+				weights[i] = rng.Float64() * rng.Float64()
+			}
+			var firsts, extras []time.Time
+			within := func(times []time.Time, now time.Time) (count int) {
+				for _, at := range times {
+					if now.Sub(at) < budget.Span {
+						count++
+					}
+				}
+				return count
+			}
+			for step := range 300 {
+				now := begin.Add(time.Duration(step) * 100 * time.Millisecond)
+				if step == 150 {
+					for i := range engines {
+						start(i, now)
+					}
+				}
+				for i, e := range engines {
+					e.mu.Lock()
+					w := e.window(now, service)
+					if rng.Float64() < weights[i] {
+						w.First(now)
+						firsts = append(firsts, now)
+					}
+					w.SetSlack(e.slack(now))
+					for w.TryExtra(now) {
+						extras = append(extras, now)
+					}
+					e.mu.Unlock()
+				}
+				allowed := b.Ratio*float64(within(firsts, now)) + float64(b.Slack)
+				if sum := within(extras, now); float64(sum) > allowed {
+					t.Fatalf("%d processes, seed %d, step %d: %d extra attempts in a window, allowed %.1f", n, seed, step, sum, allowed)
+				}
+			}
+		}
+	}
+}
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -31,7 +31,7 @@
 const (
 	// mostShards is the share of shards that must be in, and fewShards the
 	// number that may always be out.
-	mostShards = 0.6
+	mostShards = 0.7
 	fewShards  = 2
 	// stragglerFactor is how much longer a straggler takes than most shards did.
 	stragglerFactor = 1.25
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -276,7 +276,7 @@
 			continue
 		}
 		candidates = append(candidates, balance.Candidate{
-			Record: &t.record, Slots: t.entry.Slots, Remote: t.remote,
+			Record: &t.record, Slots: t.entry.Slots, Remote: t.remote, Unconnected: len(t.idle) == 0,
 			Cold: cold, Bounded: cold && svc.warmupRate > 0, Last: t.entry.Lapsed() || t.entry.Draining, Tried: tried,
 		})
 		targets = append(targets, t)
--- a/upstream/upkeep.go
+++ b/upstream/upkeep.go
@@ -8,9 +8,12 @@
 	defaultIdleLimit = 30 * time.Second
 	// idleUse is the part of a target's idle time-out for which a connection
 	// is kept: a request must not cross the target's close.
-	idleUse = 0.7
+	idleUse = 0.88
 	// answerSlack is how long after its deadline an answer may still arrive.
 	answerSlack = 50 * time.Millisecond
+	// silentAfter is the least time without an answer after which a connection
+	// is given up. Targets pause for 200 ms, with requests queued behind.
+	silentAfter = 350 * time.Millisecond
 )
 
 // Tick closes connections that have been idle or without an answer for too long.
@@ -34,8 +37,7 @@
 		if a == nil {
 			continue
 		}
-		over := now.After(a.Deadline.Add(answerSlack)) || (a.abandoned && now.After(a.closeAt))
-		if over {
+		if now.After(a.givenUpAt()) {
 			silent = append(silent, c)
 		}
 	}
@@ -47,6 +49,18 @@
 	}
 }
 
+// givenUpAt returns when the connection of an attempt in progress is closed.
+func (a *Attempt) givenUpAt() time.Time {
+	at := a.Deadline.Add(answerSlack)
+	if silent := a.SentAt.Add(silentAfter); silent.After(at) {
+		at = silent
+	}
+	if a.abandoned && a.closeAt.Before(at) {
+		return a.closeAt
+	}
+	return at
+}
+
 // Stats is a summary of the pool.
 type Stats struct {
 	Targets     int `json:"targets"`
