--- a/entry/entry.go
+++ b/entry/entry.go
@@ -292,9 +292,14 @@
 			e.engine.Forget(now)
 		}
 		e.pool.Tick(now)
-		if v := e.view.Load(); v.Known() && v.Limits.IdleTimeout > 0 {
-			e.callers.CloseIdle(now.Add(-v.Limits.IdleTimeout))
+		var limits catalog.Limits
+		if v := e.view.Load(); v.Known() {
+			limits = v.Limits
 		}
+		if limits.IdleTimeout > 0 {
+			e.callers.CloseIdle(now.Add(-limits.IdleTimeout))
+		}
+		e.callers.CloseSlow(now, limits.HeaderTimeout)
 	}
 }
 
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -13,9 +13,13 @@
 	net.Conn
 
 	mu sync.Mutex
-	// read is true if bytes were read since the last answer.
-	read   bool
-	closed bool
+	// read is true if bytes were read since the last answer, the first of them
+	// at begun.
+	read  bool
+	begun time.Time
+	// serving is true once a request's headers are complete.
+	serving bool
+	closed  bool
 	// idle is when the last answer was written, or the connection opened.
 	idle time.Time
 }
@@ -29,17 +33,37 @@
 	if c.closed {
 		return 0, io.EOF
 	}
-	if n > 0 {
-		c.read = true
+	if n > 0 && !c.read {
+		c.read, c.begun = true, time.Now()
 	}
 	return n, err
 }
 
+// serve records that the headers of a request are complete.
+func (c *callerConn) serve() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.serving = true
+}
+
+// closeSlow closes the connection if a request's headers began before a time and
+// are not complete.
+func (c *callerConn) closeSlow(since time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.read || c.serving || c.closed || c.begun.After(since) {
+		return false
+	}
+	c.closed = true
+	_ = c.Conn.Close() // the caller sees the end
+	return true
+}
+
 // rest records that the connection is idle.
 func (c *callerConn) rest(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.read, c.idle = false, now
+	c.read, c.serving, c.idle = false, false, now
 }
 
 // closeIdle closes the connection if it has been idle since a time and nothing
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -75,6 +75,9 @@
 	h.active.Add(1)
 	defer h.active.Add(-1)
 	arrived := time.Now()
+	if c, ok := r.Context().Value(connKey{}).(*callerConn); ok {
+		c.serve()
+	}
 	route, a := h.serve(r, arrived)
 	h.write(w, &a)
 	if h.opts.Observe != nil {
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -1,6 +1,8 @@
 package ingress
 
 import (
+	"cmp"
+	"context"
 	"io"
 	"log"
 	"net"
@@ -15,8 +17,8 @@
 const (
 	// maxHeaderBytes bounds what is read before the configured limit is known.
 	maxHeaderBytes = 64 << 10
-	// readHeaderTimeout ends connections whose request's headers don't come.
-	readHeaderTimeout = 10 * time.Second
+	// defaultHeaderTimeout is used while no configured one is known.
+	defaultHeaderTimeout = 10 * time.Second
 	// stopPoll is the interval at which a stopping server looks for work.
 	stopPoll = 20 * time.Millisecond
 )
@@ -39,14 +41,21 @@
 func NewServer(h *Handler) *Server {
 	s := &Server{handler: h, conns: map[*callerConn]struct{}{}}
 	s.http = &http.Server{
-		Handler: h, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: s.track, DisableGeneralOptionsHandler: true,
+		Handler: h, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: s.track, ConnContext: withConn, DisableGeneralOptionsHandler: true,
 		// Faults of single connections are the callers' and would flood the log.
 		ErrorLog: log.New(io.Discard, "", 0),
 	}
 	return s
 }
 
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
 // Serve accepts connections until the server is closed.
 func (s *Server) Serve(l net.Listener) error {
 	s.mu.Lock()
@@ -88,6 +97,17 @@
 	}
 }
 
+// CloseSlow closes the connections of callers whose request's headers have not
+// been complete within a limit; zero means the default.
+func (s *Server) CloseSlow(now time.Time, limit time.Duration) {
+	since := now.Add(-cmp.Or(limit, defaultHeaderTimeout))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.closeSlow(since)
+	}
+}
+
 // Drain accepts no more connections, closes idle ones, and waits for the
 // requests in progress until a time. It reports how many were left.
 func (s *Server) Drain(until time.Time) (left int, err error) {
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -46,3 +46,29 @@
 		t.Fatal("closed a connection that was idle for less than the limit")
 	}
 }
+
+// Headers that trickle in end the connection; a request that is served is left alone.
+func TestSlowHeadersAreClosed(t *testing.T) {
+	raw := &pipeConn{}
+	c := &callerConn{Conn: raw, idle: time.Now()}
+	if c.closeSlow(time.Now().Add(time.Hour)) {
+		t.Fatal("closed a connection that has sent nothing")
+	}
+	if _, err := c.Read(make([]byte, 64)); err != nil {
+		t.Fatal(err)
+	}
+	if c.closeSlow(time.Now().Add(-time.Second)) {
+		t.Fatal("closed a connection whose headers began just now")
+	}
+	c.serve()
+	if c.closeSlow(time.Now().Add(time.Hour)) {
+		t.Fatal("closed a connection whose request is served")
+	}
+	c.rest(time.Now())
+	if _, err := c.Read(make([]byte, 64)); err != nil {
+		t.Fatal(err)
+	}
+	if !c.closeSlow(time.Now().Add(time.Hour)) || !raw.closed {
+		t.Fatal("slow headers did not end the connection")
+	}
+}
--- a/peers/state.go
+++ b/peers/state.go
@@ -171,7 +171,11 @@
 }
 
 func (s *State) learn(now time.Time, m Member) (added bool) {
-	if m.Name == s.opts.Self.Name || m.Name == "" || m.Address == "" {
+	if m.Name == s.opts.Self.Name {
+		s.outlive(m)
+		return false
+	}
+	if m.Name == "" || m.Address == "" {
 		return false
 	}
 	known := s.members[m.Name]
@@ -187,6 +191,14 @@
 	return false
 }
 
+// outlive makes this process newer than what is told of a former one of the same
+// name: the time of day may have been set back between their starts.
+func (s *State) outlive(m Member) {
+	if m.Started > s.opts.Self.Started {
+		s.opts.Self.Started = m.Started + 1
+	}
+}
+
 func (s *State) forget(now time.Time) {
 	for name, r := range s.members {
 		if now.Sub(r.heard) > s.opts.Forget {
--- a/peers/state_test.go
+++ b/peers/state_test.go
@@ -146,3 +146,24 @@
 		}
 	}
 }
+
+// A process that restarts after its time of day was set back is newer all the same.
+func TestRestartWithAnEarlierClockIsHeard(t *testing.T) {
+	net := newNetwork(1, 6, "10.0.0.0:1")
+	now := net.run(epoch, 20*time.Second)
+	const address = "10.0.0.3:1"
+	net.add(3, now.Add(-time.Minute), []string{"10.0.0.0:1"})
+	now = net.run(now, 20*time.Second)
+	for other, s := range net.states {
+		if other == address {
+			continue
+		}
+		alive := false
+		for _, m := range s.Alive(now, 10*time.Second) {
+			alive = alive || m.Address == address
+		}
+		if !alive {
+			t.Fatalf("%s has not heard of the restarted process for 10 s", other)
+		}
+	}
+}
