Tell an attempt that is sent as its connection ends; fewer bytes of gossip between data centres

A connection's reader that met its end or stray bytes while no attempt held it closed it without a word; an attempt that took it in between waited for its deadline. TestAttemptSentAsItsConnectionEndsIsTold failed before.

--- a/peers/state.go
+++ b/peers/state.go
@@ -101,13 +101,18 @@
 // settled reports whether no member was found lately.
 func (s *State) settled(now time.Time) bool { return now.Sub(s.grown) >= s.opts.Settle }
 
+// far reports whether the messages of this round may go to other data centres.
+func (s *State) far(now time.Time) bool {
+	return !s.settled(now) || s.opts.Self.Beat%farRounds == 0
+}
+
 // receivers picks members at random, and a seed: mostly in the own data centre
 // once all are known.
 func (s *State) receivers(now time.Time) []string {
 	if len(s.members) == 0 {
 		return s.seeds()
 	}
-	far := !s.settled(now) || s.opts.Self.Beat%farRounds == 0
+	far := s.far(now)
 	var addresses []string
 	for _, r := range s.members {
 		if far || r.DataCentre == s.opts.Self.DataCentre {
@@ -147,6 +152,9 @@
 	entries := s.opts.Entries
 	if s.settled(now) {
 		entries /= 2 // only the beats are news, and those of the last heard are new
+		if s.far(now) {
+			entries /= 2
+		}
 		known = known[:min(len(known), max(len(known)/2, entries))]
 	}
 	s.opts.Rand.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -145,12 +145,16 @@
 	p.reopen(c.target)
 }
 
-// ended closes a connection; its attempt, if any, may have run.
+// ended closes a connection; its attempt, if any, may have run. The attempt is nil
+// if the caller saw none.
 func (p *Pool) ended(c *conn, a *Attempt, err error) {
 	now := time.Now()
 	p.mu.Lock()
 	p.close(c)
 	c.target.drop(c)
+	if a == nil {
+		a = c.current // sent after the reader looked
+	}
 	mine := a != nil && c.current == a && a.state != stateDone
 	if mine {
 		c.current = nil
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -166,6 +166,31 @@
 	}
 }
 
+// An attempt that was given the connection after its reader had looked for one
+// ends with it all the same.
+func TestAttemptSentAsItsConnectionEndsIsTold(t *testing.T) {
+	p := poolWith(t, "127.0.0.1:1")
+	near, far := net.Pipe()
+	defer far.Close()
+	results := make(chan *Result, 1)
+	target := p.targets["t1"]
+	target.open++
+	c := &conn{pool: p, target: target, net: near} // its reader is about to end
+	a := &Attempt{Call: &Call{ID: "1"}, Target: target, SentAt: time.Now(), Deadline: time.Now().Add(time.Minute), results: results}
+	p.mu.Lock()
+	p.assign(c, a)
+	p.mu.Unlock()
+	p.ended(c, nil, errUnasked)
+	select {
+	case r := <-results:
+		if r.Kind != Broken {
+			t.Fatalf("result %v, want that it may have run", r.Kind)
+		}
+	case <-time.After(time.Second):
+		t.Fatal("the attempt was not told")
+	}
+}
+
 func TestUnreachableIsNotSent(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
