Be back at the store soon after an outage: short asks of peers in its place

Asks in place of the store now end after 0.5 s, and a lost history is an answer: it is listed at once.

--- a/follow/state.go
+++ b/follow/state.go
@@ -58,7 +58,8 @@
 	ever     bool // listed at least once
 	stale    bool
 	revision uint64
-	failures int
+	failures int // in a row
+	losses   int // of the history, without a watch that was answered between
 	// bursts counts the watches in a row that brought changes at once.
 	bursts int
 }
@@ -84,7 +85,7 @@
 
 // Watched takes the answer of a watch that took a while.
 func (s *State) Watched(revision uint64, changes int, took time.Duration) Step {
-	s.failures = 0
+	s.failures, s.losses = 0, 0
 	s.stale = true
 	s.revision = max(s.revision, revision)
 	if changes == 0 {
@@ -106,18 +107,18 @@
 // Failed takes the failure of the last step.
 func (s *State) Failed(err error) Step {
 	if errors.Is(err, ErrHistoryLost) {
-		// A replica may be behind the loss as well: the second listing in a
-		// row is a full one.
+		// Who tells it answers, so that failures before it delay nothing.
 		step := Step{Op: OpList, Stale: false}
 		s.listed = false
-		s.failures++
-		if s.failures > 1 {
-			step.Delay = s.backoff()
+		s.failures = 0
+		s.losses++
+		if s.losses > 1 {
+			step.Delay = s.backoff(s.losses)
 		}
 		return step
 	}
 	s.failures++
-	step := Step{Op: OpList, Stale: s.stale, Delay: s.backoff()}
+	step := Step{Op: OpList, Stale: s.stale, Delay: s.backoff(s.failures)}
 	if s.listed {
 		step = s.watch(step.Delay)
 		step.Wait = min(step.Wait, s.opts.ProbeWait)
@@ -129,9 +130,9 @@
 	return step
 }
 
-// backoff grows with each failure, with half of it left to chance.
-func (s *State) backoff() time.Duration {
-	d := s.opts.MinBackoff << min(s.failures-1, 10)
+// backoff grows with the failures in a row, with half of it left to chance.
+func (s *State) backoff(failures int) time.Duration {
+	d := s.opts.MinBackoff << min(failures-1, 10)
 	d = min(d, s.opts.MaxBackoff)
 	if !s.ever {
 		d = min(d, s.opts.FirstBackoff)
--- a/follow/state_test.go
+++ b/follow/state_test.go
@@ -43,6 +43,22 @@
 	}
 }
 
+// After an outage the history may be lost: the listing follows at once, whatever
+// failed before.
+func TestLostHistoryAfterFailuresIsListedAtOnce(t *testing.T) {
+	s := newTestState()
+	s.Listed(40)
+	for range 6 {
+		s.Failed(errors.New("timeout"))
+	}
+	if step := s.Failed(ErrHistoryLost); step.Op != OpList || step.Delay != 0 {
+		t.Fatalf("step %+v, want a listing at once", step)
+	}
+	if step := s.Failed(errors.New("timeout")); step.Delay > 100*time.Millisecond {
+		t.Fatalf("delay %v after one failed listing, want at most 100ms", step.Delay)
+	}
+}
+
 func TestFailuresBackOffAndKeepTheRevision(t *testing.T) {
 	s := newTestState()
 	s.Listed(40)
--- a/follow/switch.go
+++ b/follow/switch.go
@@ -22,6 +22,11 @@
 	peerWait = 1500 * time.Millisecond
 	// peerSlack is how long its answer may take beyond.
 	peerSlack = 700 * time.Millisecond
+	// insteadWait and insteadSlack are the same for a process that reads the
+	// store and asks a peer only since the store has failed: the peer may be cut
+	// off or stopping, and the store back any moment.
+	insteadWait  = 200 * time.Millisecond
+	insteadSlack = 300 * time.Millisecond
 )
 
 // Switch is a Source that reads the store or asks a peer, as its Route decides.
@@ -55,10 +60,12 @@
 	return s.asks
 }
 
-// next picks whom to ask, and tells when that changes.
-func (s *Switch) next() string {
+// next picks whom to ask, and tells when that changes. Instead is true if a peer
+// is asked only since the store has failed.
+func (s *Switch) next() (peer string, instead bool) {
 	s.mu.Lock()
-	peer := s.route.Next(time.Now())
+	peer = s.route.Next(time.Now())
+	instead = peer != "" && s.route.reads()
 	name, before := peer, s.last
 	if peer == "" {
 		name = "the store"
@@ -70,7 +77,7 @@
 	if (name == "the store") != (before == "the store") {
 		s.logger.Info("published state is read elsewhere", "from", name, "before", before)
 	}
-	return peer
+	return peer, instead
 }
 
 func (s *Switch) failed(peer string) {
@@ -81,13 +88,13 @@
 
 // List reads all items from the store or a peer.
 func (s *Switch) List(ctx context.Context, stale bool) (Batch, error) {
-	peer := s.next()
+	peer, instead := s.next()
 	var b Batch
 	var err error
 	if peer == "" {
 		b, err = s.direct.List(ctx, stale)
 	} else {
-		b, err = s.ask(ctx, peer, wire.FeedAsk{List: true}, 0)
+		b, err = s.ask(ctx, peer, wire.FeedAsk{List: true}, 0, instead)
 	}
 	if err != nil {
 		s.failed(peer)
@@ -97,13 +104,13 @@
 
 // Watch waits for changes at the store or a peer.
 func (s *Switch) Watch(ctx context.Context, after uint64, wait time.Duration) (Batch, error) {
-	peer := s.next()
+	peer, instead := s.next()
 	var b Batch
 	var err error
 	if peer == "" {
 		b, err = s.direct.Watch(ctx, after, wait)
 	} else {
-		b, err = s.ask(ctx, peer, wire.FeedAsk{After: after}, min(wait, peerWait))
+		b, err = s.ask(ctx, peer, wire.FeedAsk{After: after}, wait, instead)
 	}
 	if err != nil && !errors.Is(err, ErrHistoryLost) {
 		s.failed(peer)
@@ -111,8 +118,13 @@
 	return b, err
 }
 
-func (s *Switch) ask(ctx context.Context, peer string, ask wire.FeedAsk, wait time.Duration) (Batch, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+peerSlack)
+func (s *Switch) ask(ctx context.Context, peer string, ask wire.FeedAsk, wait time.Duration, instead bool) (Batch, error) {
+	most, slack := peerWait, peerSlack
+	if instead {
+		most, slack = insteadWait, insteadSlack
+	}
+	wait = min(wait, most)
+	ctx, cancel := context.WithTimeout(ctx, wait+slack)
 	defer cancel()
 	ask.WaitMillis = uint32(wait.Milliseconds())
 	a, err := s.asker.AskFeed(ctx, peer, ask)
