Stay in the own data centre for a fifth of the aim

A target that answered late once was left for one in another data centre too easily: bytes between data centres are the largest price after machines.

--- a/forward/engine.go
+++ b/forward/engine.go
@@ -169,7 +169,7 @@
 	// minHedgeRatio is the least hedge delay, in multiples of an attempt's usual time.
 	minHedgeRatio = 1.5
 	// remoteShare is what staying in the own data centre is worth, as a part of the aim.
-	remoteShare = 0.12
+	remoteShare = 0.2
 	// defaultAttempts is used where the route tells no number of attempts.
 	defaultAttempts = 2
 	// clientGoneLinger is how long attempts of a caller that has left may go on,
