Show the state of the retry budget in the log and the state page

Cause: neither could tell a share that is too large from an attempt that is counted late or not at all: 'request finished' has the numbers of one request only.

The state page has the same, and counts extra attempts that were sent after the check although the budget had been used up meanwhile. The code of the budget is in a file of its own; what it allows is unchanged.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -324,7 +324,7 @@
 	out := map[string]any{
 		"process": p.settings.Name, "uptime_s": int(time.Since(p.startedAt).Seconds()),
 		"stopping": p.stopping.Load(), "ready": v.Configured() && !p.stopping.Load(),
-		"upstream": p.pool.Stats(), "active_requests": p.handler.Active(), "caller_connections": p.callerServer.OpenConnections(),
+		"upstream": p.pool.Stats(), "retry_budget": p.engine.BudgetState(time.Now()), "active_requests": p.handler.Active(), "caller_connections": p.callerServer.OpenConnections(),
 		"store_calls": p.follower.Calls() - p.source.PeerRequests(), "peer_asks": p.source.PeerRequests(), "links": p.mesh.LinkCount(),
 	}
 	if v.Configured() {
--- a/forward/active_request.go
+++ b/forward/active_request.go
@@ -165,7 +165,7 @@
 	r.profile.Expected = cmp.Or(stats.latency.Quantile(now, 0.5), e.opts.Hedge.InitialDelay/2)
 	delay, _ := stats.latency.Delay(now)
 	for _, service := range r.services {
-		e.window(now, service).AddFirst(now)
+		e.serviceBudget(now, service).AddFirst(now)
 	}
 	return delay
 }
@@ -214,24 +214,6 @@
 	return r.req.Call.Deadline
 }
 
-// extraAllowed reports whether the retry budget allows an extra attempt at shard i.
-func (r *activeRequest) extraAllowed(now time.Time, i int) bool {
-	e := r.engine
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	w := e.window(now, r.services[i])
-	w.SetSlack(e.slackShare(now))
-	return w.AllowsExtra(now)
-}
-
-// countExtra counts an extra attempt at shard i in the retry budget.
-func (r *activeRequest) countExtra(now time.Time, i int) {
-	e := r.engine
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.window(now, r.services[i]).TryExtra(now)
-}
-
 // handleResult records the result of an attempt.
 func (r *activeRequest) handleResult(res *upstream.Result) {
 	i := res.Attempt.Shard
--- /dev/null
+++ b/forward/budget.go
@@ -0,0 +1,144 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/goldcrestmux/goldcrestmux/budget"
+)
+
+// RetryBudget is the published bound on extra attempts.
+type RetryBudget struct {
+	// Ratio is the number of extra attempts per request.
+	Ratio float64
+	// Slack is the number of additional extra attempts in a window, for all
+	// processes together.
+	Slack int
+}
+
+// serviceBudget is the retry budget of one service.
+type serviceBudget struct {
+	*budget.Window
+	usedAt time.Time
+	// loggedAt is when it was last logged that the budget is used up.
+	loggedAt time.Time
+}
+
+// ExtraCounts counts extra attempts since the start.
+type ExtraCounts struct {
+	// Granted is the number of extra attempts that were sent.
+	Granted uint64 `json:"granted"`
+	// Denied is the number of extra attempts that the retry budget did not allow.
+	Denied uint64 `json:"denied"`
+	// Uncounted is the number of extra attempts that were sent although the budget
+	// had been used up meanwhile.
+	Uncounted uint64 `json:"uncounted"`
+}
+
+// BudgetState describes the retry budget for operators.
+type BudgetState struct {
+	ExtraCounts
+	// FleetKnown and FleetSize are the number of processes known, and the number
+	// that the slack is divided by.
+	FleetKnown int `json:"fleet_known"`
+	FleetSize  int `json:"fleet_size"`
+	// SlackShare is this process's share of the slack of each service.
+	SlackShare float64 `json:"slack_share"`
+	// Services holds the services with extra attempts in the window.
+	Services map[string]ServiceBudgetState `json:"services"`
+}
+
+// ServiceBudgetState holds the attempts at a service in the window.
+type ServiceBudgetState struct {
+	Firsts int `json:"firsts"`
+	Extras int `json:"extras"`
+}
+
+// BudgetState returns the state of the retry budget.
+func (e *Engine) BudgetState(now time.Time) BudgetState {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := BudgetState{
+		ExtraCounts: e.extras, FleetKnown: len(e.fleet.Members), FleetSize: e.fleet.Size(),
+		SlackShare: e.slackShare(now), Services: map[string]ServiceBudgetState{},
+	}
+	for name, b := range e.budgets {
+		if firsts, extras := b.Counts(now); extras > 0 {
+			s.Services[name] = ServiceBudgetState{Firsts: firsts, Extras: extras}
+		}
+	}
+	return s
+}
+
+// budgetFraction is the fraction of RetryBudget.Ratio that is used. The rest allows
+// for targets that count attempts by another clock and in other windows.
+const budgetFraction = 0.9
+
+// Fractions of the slack of the retry budget that are used, in general and during
+// the first window after the start. A process that has just started does not know
+// how many extra attempts its previous incarnation sent; the extra attempts of
+// both incarnations together stay within the slack.
+const (
+	slackFraction        = 0.9
+	startupSlackFraction = 0.25
+)
+
+// slackShare returns this process's share of the slack of each service. mu must
+// be held.
+func (e *Engine) slackShare(now time.Time) float64 {
+	fraction := slackFraction
+	if now.Sub(e.startedAt) < budget.WindowLength {
+		fraction = startupSlackFraction
+	}
+	return e.fleet.EvenShare(fraction * float64(e.opts.Budget.Slack))
+}
+
+// serviceBudget returns the retry budget of a service and marks it as used. mu must
+// be held.
+func (e *Engine) serviceBudget(now time.Time, service string) *serviceBudget {
+	b := e.budgets[service]
+	if b == nil {
+		b = &serviceBudget{Window: budget.NewWindowWithSlack(budgetFraction * e.opts.Budget.Ratio)}
+		e.budgets[service] = b
+	}
+	b.usedAt = now
+	return b
+}
+
+// extraAllowed reports whether the retry budget allows an extra attempt at shard i.
+func (r *activeRequest) extraAllowed(now time.Time, i int) bool {
+	e := r.engine
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	b := e.serviceBudget(now, r.services[i])
+	b.SetSlack(e.slackShare(now))
+	allowed := b.AllowsExtra(now)
+	if !allowed {
+		e.extras.Denied++
+		e.logUsedUp(now, r.services[i], b)
+	}
+	return allowed
+}
+
+// logUsedUp logs that the retry budget of a service is used up, at most once in a
+// window. mu must be held; the logger does not block.
+func (e *Engine) logUsedUp(now time.Time, service string, b *serviceBudget) {
+	if !b.loggedAt.IsZero() && now.Sub(b.loggedAt) < budget.WindowLength {
+		return
+	}
+	b.loggedAt = now
+	firsts, extras := b.Counts(now)
+	e.opts.Logger.Info("retry budget used up", "service", service, "firsts", firsts, "extras", extras,
+		"slack_share", e.slackShare(now), "fleet_known", len(e.fleet.Members), "fleet_size", e.fleet.Size(),
+		"uptime", now.Sub(e.startedAt))
+}
+
+// countExtra counts an extra attempt at shard i in the retry budget.
+func (r *activeRequest) countExtra(now time.Time, i int) {
+	e := r.engine
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.extras.Granted++
+	if !e.serviceBudget(now, r.services[i]).TryExtra(now) {
+		e.extras.Uncounted++
+	}
+}
--- a/forward/budget_test.go
+++ b/forward/budget_test.go
@@ -53,7 +53,7 @@
 				}
 				for i, e := range engines {
 					e.mu.Lock()
-					w := e.window(now, service)
+					w := e.serviceBudget(now, service)
 					if rng.Float64() < weights[i] {
 						w.AddFirst(now)
 						firsts = append(firsts, now)
--- a/forward/engine.go
+++ b/forward/engine.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/goldcrestmux/goldcrestmux/budget"
 	"github.com/goldcrestmux/goldcrestmux/catalog"
 	"github.com/goldcrestmux/goldcrestmux/hedge"
 	"github.com/goldcrestmux/goldcrestmux/share"
@@ -48,15 +47,6 @@
 	Reason string
 }
 
-// RetryBudget is the published bound on extra attempts.
-type RetryBudget struct {
-	// Ratio is the number of extra attempts per request.
-	Ratio float64
-	// Slack is the number of additional extra attempts in a window, for all
-	// processes together.
-	Slack int
-}
-
 // Options configures an Engine.
 type Options struct {
 	Pool   *upstream.Pool
@@ -80,6 +70,7 @@
 	budgets   map[string]*serviceBudget // by service name
 	fleet     share.Fleet
 	startedAt time.Time
+	extras    ExtraCounts
 }
 
 // routeStats holds the latency statistics of one route.
@@ -88,21 +79,11 @@
 	usedAt  time.Time
 }
 
-// serviceBudget is the retry budget of one service.
-type serviceBudget struct {
-	*budget.Window
-	usedAt time.Time
-}
-
 // New returns an Engine.
 func New(opts Options) *Engine {
 	return &Engine{opts: opts, routes: map[string]*routeStats{}, budgets: map[string]*serviceBudget{}, startedAt: time.Now()}
 }
 
-// budgetFraction is the fraction of RetryBudget.Ratio that is used. The rest allows
-// for targets that count attempts by another clock and in other windows.
-const budgetFraction = 0.9
-
 // SetFleet sets the processes that share the slack of the retry budget.
 func (e *Engine) SetFleet(f share.Fleet) {
 	e.mu.Lock()
@@ -110,37 +91,6 @@
 	e.fleet = f
 }
 
-// Fractions of the slack of the retry budget that are used, in general and during
-// the first window after the start. A process that has just started does not know
-// how many extra attempts its previous incarnation sent; the extra attempts of
-// both incarnations together stay within the slack.
-const (
-	slackFraction        = 0.9
-	startupSlackFraction = 0.25
-)
-
-// slackShare returns this process's share of the slack of each service. mu must
-// be held.
-func (e *Engine) slackShare(now time.Time) float64 {
-	fraction := slackFraction
-	if now.Sub(e.startedAt) < budget.WindowLength {
-		fraction = startupSlackFraction
-	}
-	return e.fleet.EvenShare(fraction * float64(e.opts.Budget.Slack))
-}
-
-// window returns the retry budget of a service and marks it as used. mu must be
-// held.
-func (e *Engine) window(now time.Time, service string) *budget.Window {
-	w := e.budgets[service]
-	if w == nil {
-		w = &serviceBudget{Window: budget.NewWindowWithSlack(budgetFraction * e.opts.Budget.Ratio)}
-		e.budgets[service] = w
-	}
-	w.usedAt = now
-	return w.Window
-}
-
 // Timing and attempts of requests.
 const (
 	// responseMargin is reserved for the network time between the caller and this
--- a/forward/engine_test.go
+++ b/forward/engine_test.go
@@ -13,9 +13,9 @@
 	e := New(Options{Budget: RetryBudget{Ratio: 0.2, Slack: 10}})
 	now := time.Now()
 	e.mu.Lock()
-	e.window(now, "old")
+	e.serviceBudget(now, "old")
 	e.routes["old"] = &routeStats{latency: hedge.New(hedge.Options{}), usedAt: now}
-	e.window(now.Add(idleRetention), "new")
+	e.serviceBudget(now.Add(idleRetention), "new")
 	e.mu.Unlock()
 	e.EvictIdle(now.Add(idleRetention + time.Second))
 	if len(e.routes) != 0 || len(e.budgets) != 1 || e.budgets["new"] == nil {
