Add tests that reproduce broken retry budgets; they fail

- TestRetryBudgetHoldsWithPartialMembership (window): all processes restart while messages between data centres, or all messages, are lost. 9 processes send 130 extra attempts in 10 s with 70 allowed, 75 send 374 with 288.
- TestRetryBudgetHoldsAfterRestartsInSeries (window): 75 processes that restart each second send 292 with 280 allowed, 300 that restart each 3 s send 1119 with 1002.

The simulation runs the gossip and the budgets of up to 300 processes in scripted time; each process spends all that it is granted. The existing test TestRetryBudgetHoldsAcrossProcesses gave each restarted process the whole membership at once and restarted it once, so it missed both.

--- /dev/null
+++ b/forward/fleet_test.go
@@ -0,0 +1,232 @@
+package forward
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/goldcrestmux/goldcrestmux/budget"
+	"github.com/goldcrestmux/goldcrestmux/peers"
+)
+
+// simulatedFleet runs the membership and the retry budget of n processes in
+// scripted time. Each process spends all extra attempts that it is granted at once.
+type simulatedFleet struct {
+	t       *testing.T
+	rng     *rand.Rand
+	begin   time.Time
+	budget  RetryBudget
+	seeds   []string
+	members []*simulatedProcess
+	index   map[string]int // of members, by address
+	// cut reports whether messages between two processes are lost; nil for none.
+	cut func(a, b int) bool
+	// firsts and extras are the numbers of attempts by step.
+	firsts, extras []int
+}
+
+type simulatedProcess struct {
+	state  *peers.State
+	engine *Engine
+}
+
+const (
+	simulationStep = 250 * time.Millisecond
+	stepsPerWindow = int(budget.WindowLength / simulationStep)
+	// simulatedService is the service that all requests of a simulation go to.
+	simulatedService = "s"
+	// simulatedRate is the number of requests that a process gets per second.
+	simulatedRate = 0.6
+	// warmUp is how long a simulation runs before its faults. In it, all processes
+	// find each other and have been up for longer than a window.
+	warmUp = 14 * time.Second
+	// messageLoss is the fraction of messages that are lost.
+	messageLoss = 0.05
+	// simulatedDataCentres is the number of data centres of a simulation.
+	simulatedDataCentres = 3
+)
+
+func newSimulatedFleet(t *testing.T, seed uint64, n int, b RetryBudget) *simulatedFleet {
+	f := &simulatedFleet{t: t, rng: rand.New(rand.NewPCG(seed, uint64(n))), begin: time.Unix(1_700_000_000, 0), budget: b}
+	f.seeds = []string{simulatedAddress(0), simulatedAddress(1), simulatedAddress(2)}
+	f.members = make([]*simulatedProcess, n)
+	f.index = make(map[string]int, n)
+	for i := range f.members {
+		f.index[simulatedAddress(i)] = i
+		f.restart(i, f.begin)
+	}
+	return f
+}
+
+func simulatedAddress(i int) string { return fmt.Sprintf("10.0.%d.%d:1", i/250, i%250) }
+
+// restart starts process i anew: it knows nothing of its previous incarnation.
+func (f *simulatedFleet) restart(i int, now time.Time) {
+	var dataCentres []string
+	for dc := range simulatedDataCentres {
+		dataCentres = append(dataCentres, fmt.Sprint("dc", dc))
+	}
+	p := &simulatedProcess{
+		state: peers.New(now, peers.Options{
+			Self: peers.Member{
+				Name: fmt.Sprint("front-", i), Address: simulatedAddress(i), Started: now.UnixNano(), DataCentre: dataCentres[i%simulatedDataCentres],
+			},
+			Seeds: f.seeds, Interval: time.Second, Fanout: 2, MaxMembers: 24, ForgetAfter: time.Minute,
+			AssumedFleetSize: 16, SettleTime: 5 * time.Second, Rand: rand.New(rand.NewPCG(f.rng.Uint64(), 1)),
+		}),
+		engine: New(Options{Budget: f.budget}),
+	}
+	p.engine.startedAt = now
+	f.members[i] = p
+}
+
+// run advances the time by d. Before each step it calls script with the time since
+// the start of the run and the time of the step.
+func (f *simulatedFleet) run(d time.Duration, script func(elapsed time.Duration, now time.Time)) {
+	for elapsed := time.Duration(0); elapsed < d; elapsed += simulationStep {
+		now := f.begin.Add(time.Duration(len(f.extras)) * simulationStep)
+		if script != nil {
+			script(elapsed, now)
+		}
+		f.step(now)
+	}
+}
+
+func (f *simulatedFleet) step(now time.Time) {
+	for i, p := range f.members {
+		f.deliver(now, i, p.state.Tick(now))
+	}
+	firsts, extras := 0, 0
+	for _, p := range f.members {
+		e := p.engine
+		e.SetFleet(p.state.Fleet(now))
+		e.mu.Lock()
+		b := e.serviceBudget(now, simulatedService)
+		if f.rng.Float64() < simulatedRate*simulationStep.Seconds() {
+			b.AddFirst(now)
+			firsts++
+		}
+		b.SetSlack(e.slackShare(now))
+		for b.TryExtra(now) {
+			extras++
+		}
+		e.mu.Unlock()
+	}
+	f.firsts, f.extras = append(f.firsts, firsts), append(f.extras, extras)
+	f.check()
+}
+
+func (f *simulatedFleet) deliver(now time.Time, from int, messages []peers.Outgoing) {
+	for _, m := range messages {
+		to := f.index[m.To]
+		if (f.cut != nil && f.cut(from, to)) || f.rng.Float64() < messageLoss {
+			continue
+		}
+		replies, _ := f.members[to].state.Receive(now, m.Message)
+		f.deliver(now, to, replies)
+	}
+}
+
+// check checks the published rule for the window that ends now. The basis is the
+// number of requests in that window, in the window before it, or in the one that
+// ended half a window earlier, whichever is largest.
+func (f *simulatedFleet) check() {
+	end := len(f.extras)
+	basis := max(sum(f.firsts, end), sum(f.firsts, end-stepsPerWindow/2), sum(f.firsts, end-stepsPerWindow))
+	limit := f.budget.Ratio*float64(basis) + float64(f.budget.Slack)
+	if extras := sum(f.extras, end); float64(extras) > limit {
+		f.t.Fatalf("%d processes: %d extra attempts in the window that ends after %v, want at most %.0f",
+			len(f.members), extras, time.Duration(end)*simulationStep, limit)
+	}
+}
+
+// sum returns the sum of the counts in the window that ends before index end.
+func sum(counts []int, end int) (total int) {
+	for i := max(end-stepsPerWindow, 0); i < end; i++ {
+		total += counts[i]
+	}
+	return total
+}
+
+// fleets are the simulated numbers of processes, with the slack that is published
+// for each and the number of seeds.
+var fleets = []struct{ processes, slack, seeds int }{{6, 52, 3}, {9, 58, 3}, {75, 190, 3}, {300, 640, 1}}
+
+func forEachFleet(t *testing.T, run func(f *simulatedFleet)) {
+	t.Helper()
+	for _, fleet := range fleets {
+		for seed := range fleet.seeds {
+			t.Run(fmt.Sprintf("%d-%d", fleet.processes, seed), func(t *testing.T) {
+				t.Parallel()
+				run(newSimulatedFleet(t, uint64(seed), fleet.processes, RetryBudget{Ratio: 0.2, Slack: fleet.slack}))
+			})
+		}
+	}
+}
+
+// Guards against shares of the retry budget that exceed it together while the
+// processes do not know each other yet, because all of them start at once.
+func TestRetryBudgetHoldsWhenAllProcessesStartTogether(t *testing.T) {
+	forEachFleet(t, func(f *simulatedFleet) { f.run(20*time.Second, nil) })
+}
+
+// Guards against processes that restart in series and spend a share of the retry
+// budget with each start.
+func TestRetryBudgetHoldsAfterRestartsInSeries(t *testing.T) {
+	for _, period := range []time.Duration{time.Second, 3 * time.Second, 6 * time.Second, 11 * time.Second} {
+		t.Run(period.String(), func(t *testing.T) {
+			t.Parallel()
+			forEachFleet(t, func(f *simulatedFleet) {
+				f.run(warmUp, nil)
+				f.run(22*time.Second, func(elapsed time.Duration, now time.Time) {
+					if elapsed%period == 0 {
+						for i := range f.members {
+							f.restart(i, now)
+						}
+					}
+				})
+			})
+		})
+	}
+}
+
+// Guards against a process that knows only a part of the fleet and takes it for the
+// whole: all processes restart while no message passes between data centres, or
+// between any two processes.
+func TestRetryBudgetHoldsWithPartialMembership(t *testing.T) {
+	cuts := map[string]func(a, b int) bool{
+		"data centres cut off": func(a, b int) bool { return a%simulatedDataCentres != b%simulatedDataCentres },
+		"all cut off":          func(int, int) bool { return true },
+		"half cut off":         func(a, b int) bool { return a%2 != b%2 || a%2 == 1 },
+	}
+	for name, cut := range cuts {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			forEachFleet(t, func(f *simulatedFleet) {
+				f.run(warmUp, nil)
+				f.cut = cut
+				f.run(26*time.Second, func(elapsed time.Duration, now time.Time) {
+					if elapsed == 4*time.Second {
+						for i := range f.members {
+							f.restart(i, now)
+						}
+					}
+				})
+				f.cut = nil
+				f.run(warmUp, nil)
+			})
+		})
+	}
+}
+
+// The shares are not so small that the budget goes unused: in steady state the
+// processes together may spend at least half of the slack.
+func TestRetryBudgetIsUsable(t *testing.T) {
+	forEachFleet(t, func(f *simulatedFleet) {
+		f.run(2*warmUp, nil)
+		if extras := sum(f.extras, len(f.extras)); float64(extras) < 0.5*float64(f.budget.Slack) {
+			t.Fatalf("%d processes spend %d extra attempts in a window with a slack of %d", len(f.members), extras, f.budget.Slack)
+		}
+	})
+}
