Restrict retries at the bound to targets that may have run the request

Cause: at the bound, plan allowed 'targets of earlier attempts', and a target that had refused the request is one of them though it has not run it. With max_attempts 1: A refuses, B has the attempt in progress, the hedge goes to A, and both run it. Class: a bound on distinct targets kept as a count of attempts.

Plan now keeps the targets of each shard and which of them run the request or may have run it. Once there are max_attempts of these, only they may get another attempt. Two attempts at one target count once.

TestRandomEvents now draws targets and bounds; with the former choice it fails ('3 targets of a shard may have run the request, want at most 2').

--- a/forward/active_request.go
+++ b/forward/active_request.go
@@ -183,7 +183,7 @@
 			continue
 		}
 		a := r.engine.opts.Pool.Start(r.req.Call, i, upstream.AttemptOptions{
-			Service: r.services[i], Profile: r.profile, Tried: r.tried[i], AllowNewTarget: r.plan.AllowsNewTarget(i),
+			Service: r.services[i], Profile: r.profile, Tried: r.tried[i], Only: r.plan.OnlyTargets(i),
 			Deadline: r.attemptDeadline(now),
 		}, r.results)
 		if a == nil {
@@ -199,7 +199,7 @@
 		}
 		r.tried[i] = append(r.tried[i], a.Target.ID)
 		r.attempts = append(r.attempts, a)
-		r.plan.Sent(now, i)
+		r.plan.Sent(now, i, a.Target.ID)
 	}
 }
 
@@ -216,28 +216,28 @@
 
 // handleResult records the result of an attempt.
 func (r *activeRequest) handleResult(res *upstream.Result) {
-	i := res.Attempt.Shard
+	i, target := res.Attempt.Shard, res.Attempt.Target.ID
 	if res.Outcome != upstream.Responded {
 		r.failures[res.Outcome]++
 	}
 	switch {
 	case res.Outcome == upstream.Responded && r.usable(res):
-		if r.plan.Responded(res.EndedAt, i) {
+		if r.plan.Responded(res.EndedAt, i, target) {
 			r.responses[i] = *res
 			r.observeLatency(res.EndedAt, i)
 		}
 	case res.Outcome == upstream.Responded:
 		r.lastFailure = *res
-		r.plan.Failed(res.EndedAt, i)
+		r.plan.Failed(res.EndedAt, i, target)
 	case res.Outcome == upstream.Broken:
-		r.plan.Failed(res.EndedAt, i)
+		r.plan.Failed(res.EndedAt, i, target)
 	case res.Outcome == upstream.NotSent:
-		r.plan.NotSent(res.EndedAt, i)
+		r.plan.NotSent(res.EndedAt, i, target)
 	default:
 		if res.Outcome == upstream.Refused {
 			r.lastFailure = *res
 		}
-		r.plan.Refused(res.EndedAt, i)
+		r.plan.Refused(res.EndedAt, i, target)
 	}
 }
 
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -90,12 +90,22 @@
 	failed    bool
 	attempts  int
 	reached   int // attempts that ended and that may have reached a target
-	mayRun    int // number of failed attempts that a target may have run
 	inFlight  int
 	backoffs  int       // times that the shard became due again
 	nextAt    time.Time // when another attempt is due; zero for never
+	targets   []targetUse
 }
 
+// targetUse is what is known of one shard's attempts at one target.
+type targetUse struct {
+	id         string
+	inFlight   int
+	mayHaveRun bool // whether the target may have run an attempt that failed
+}
+
+// counts reports whether the target counts against MaxTargets.
+func (u *targetUse) counts() bool { return u.inFlight > 0 || u.mayHaveRun }
+
 // Plan is the state of one request. It is not safe for concurrent use.
 type Plan struct {
 	opts      Options
@@ -112,14 +122,20 @@
 	hedgesFrom time.Time
 }
 
+// usualTargets is the number of targets for which a shard has space without another
+// allocation.
+const usualTargets = 2
+
 // New returns the plan of a request whose shards are all due.
 func New(now time.Time, opts Options) *Plan {
 	p := &Plan{opts: opts, shards: make([]shard, opts.Shards), start: now, hedgesFrom: now}
 	if p.quorum() > 0 {
 		p.hedgesFrom = now.Add(noQuorumFactor * opts.HedgeAfter)
 	}
+	uses := make([]targetUse, opts.Shards*usualTargets)
 	for i := range p.shards {
 		p.shards[i].nextAt = now
+		p.shards[i].targets, uses = uses[:0:usualTargets], uses[usualTargets:]
 	}
 	return p
 }
@@ -148,11 +164,12 @@
 	return s.nextAt
 }
 
-// Sent records an attempt at a shard.
-func (p *Plan) Sent(now time.Time, i int) {
+// Sent records an attempt at a shard, which goes to the given target.
+func (p *Plan) Sent(now time.Time, i int, target string) {
 	s := &p.shards[i]
 	s.attempts++
 	s.inFlight++
+	s.use(target).inFlight++
 	p.sent = true
 	s.nextAt = time.Time{}
 	if p.opts.HedgeAfter == 0 || !p.opts.Idempotent || s.attempts >= p.maxAttempts() {
@@ -165,6 +182,25 @@
 	s.nextAt = now.Add(delay)
 }
 
+// use returns the record of a target, which it adds if it is new.
+func (s *shard) use(target string) *targetUse {
+	for i := range s.targets {
+		if s.targets[i].id == target {
+			return &s.targets[i]
+		}
+	}
+	s.targets = append(s.targets, targetUse{id: target})
+	return &s.targets[len(s.targets)-1]
+}
+
+// ended records the end of an attempt at a target.
+func (s *shard) ended(target string, mayHaveRun bool) {
+	s.inFlight--
+	u := s.use(target)
+	u.inFlight--
+	u.mayHaveRun = u.mayHaveRun || mayHaveRun
+}
+
 func (p *Plan) maxAttempts() int { return p.opts.MaxTargets + AttemptHeadroom }
 
 // Denied records that the retry budget did not allow another attempt. A shard
@@ -190,11 +226,11 @@
 	return min(minRetryDelay<<min(s.backoffs, 8), maxRetryDelay)
 }
 
-// Responded records the response of a shard. It returns false if the shard had
-// already responded.
-func (p *Plan) Responded(now time.Time, i int) bool {
+// Responded records the response of a shard's target. It returns false if the shard
+// had already responded.
+func (p *Plan) Responded(now time.Time, i int, target string) bool {
 	s := &p.shards[i]
-	s.inFlight--
+	s.ended(target, true)
 	if s.responded {
 		return false
 	}
@@ -222,15 +258,15 @@
 }
 
 // Refused records that a target did not run an attempt.
-func (p *Plan) Refused(now time.Time, i int) {
+func (p *Plan) Refused(now time.Time, i int, target string) {
 	p.shards[i].reached++
-	p.NotSent(now, i)
+	p.NotSent(now, i, target)
 }
 
 // NotSent records that nothing of an attempt was sent.
-func (p *Plan) NotSent(now time.Time, i int) {
+func (p *Plan) NotSent(now time.Time, i int, target string) {
 	s := &p.shards[i]
-	s.inFlight--
+	s.ended(target, false)
 	if s.responded {
 		return
 	}
@@ -238,11 +274,10 @@
 }
 
 // Failed records that an attempt failed and that a target may have run it.
-func (p *Plan) Failed(now time.Time, i int) {
+func (p *Plan) Failed(now time.Time, i int, target string) {
 	s := &p.shards[i]
-	s.inFlight--
+	s.ended(target, true)
 	s.reached++
-	s.mayRun++
 	p.anyMayHaveRun = true
 	if s.responded {
 		return
@@ -338,10 +373,20 @@
 	return p.opts.PartialAt
 }
 
-// AllowsNewTarget reports whether an attempt may use another target of the
-// shard. Otherwise it may only use targets of earlier attempts.
-func (p *Plan) AllowsNewTarget(i int) bool {
-	return p.shards[i].mayRun+p.shards[i].inFlight < p.opts.MaxTargets
+// OnlyTargets returns the targets that the next attempt at a shard is restricted to:
+// if MaxTargets targets run the request or may have run it, no other one may. A target
+// that refused the request is not among them. It returns nil if any target is allowed.
+func (p *Plan) OnlyTargets(i int) []string {
+	var used []string
+	for _, u := range p.shards[i].targets {
+		if u.counts() {
+			used = append(used, u.id)
+		}
+	}
+	if len(used) < p.opts.MaxTargets {
+		return nil
+	}
+	return used
 }
 
 // failure returns d, or NotRun if no target may have run the request.
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -1,7 +1,9 @@
 package plan
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -17,6 +19,12 @@
 	}
 }
 
+// nextTarget returns a target to which no attempt at the shard was sent before.
+func nextTarget(p *Plan, i int) string { return fmt.Sprint("t", len(p.shards[i].targets)) }
+
+// firstTarget is the target that sendDue sends the first attempt at a shard to.
+const firstTarget = "t0"
+
 // sendDue makes all attempts that are due and returns the number of extra attempts.
 func sendDue(p *Plan, now time.Time) (extra int) {
 	for {
@@ -27,7 +35,7 @@
 		if more {
 			extra++
 		}
-		p.Sent(now, i)
+		p.Sent(now, i, nextTarget(p, i))
 	}
 }
 
@@ -38,7 +46,7 @@
 		if d := p.Decide(at(5)); d != Wait {
 			t.Fatalf("decision %v with %d responses, want to wait", d, i)
 		}
-		p.Responded(at(5), i)
+		p.Responded(at(5), i, firstTarget)
 	}
 	if d := p.Decide(at(5)); d != Complete {
 		t.Fatalf("decision %v, want complete", d)
@@ -49,7 +57,7 @@
 	p := New(start, options(4))
 	sendDue(p, start)
 	for i := range 3 {
-		p.Responded(at(5), i)
+		p.Responded(at(5), i, firstTarget)
 	}
 	if d := p.Decide(at(99)); d != Wait {
 		t.Fatalf("decision %v before PartialAt, want to wait", d)
@@ -62,12 +70,12 @@
 func TestWaitsForMinFraction(t *testing.T) {
 	p := New(start, options(4))
 	sendDue(p, start)
-	p.Responded(at(5), 0)
-	p.Responded(at(5), 1)
+	p.Responded(at(5), 0, firstTarget)
+	p.Responded(at(5), 1, firstTarget)
 	if d := p.Decide(at(500)); d != Wait {
 		t.Fatalf("decision %v with half of the shards, want to wait", d)
 	}
-	p.Responded(at(150), 2)
+	p.Responded(at(150), 2, firstTarget)
 	if d := p.Decide(at(150)); d != Wait {
 		t.Fatalf("decision %v, want to wait for the last shard until LatePartialAt", d)
 	}
@@ -80,7 +88,7 @@
 	p := New(start, options(4))
 	sendDue(p, start)
 	for i := range 3 {
-		p.Responded(at(99+4*i), i)
+		p.Responded(at(99+4*i), i, firstTarget)
 	}
 	if d := p.Decide(at(107)); d != Partial {
 		t.Fatalf("decision %v, want a partial response that is still on time", d)
@@ -90,7 +98,7 @@
 func TestHedgesOverdueShardOnce(t *testing.T) {
 	p := New(start, options(2))
 	sendDue(p, start)
-	p.Responded(at(5), 0)
+	p.Responded(at(5), 0, firstTarget)
 	if n := sendDue(p, at(29)); n != 0 {
 		t.Fatalf("%d hedges before the hedge delay, want none", n)
 	}
@@ -100,8 +108,8 @@
 	if n := sendDue(p, at(200)); n != 0 {
 		t.Fatalf("%d more attempts while two are in progress, want none", n)
 	}
-	if p.AllowsNewTarget(1) {
-		t.Fatal("a third target is allowed, MaxTargets is 2")
+	if only := p.OnlyTargets(1); len(only) != 2 {
+		t.Fatalf("attempts are restricted to %v, want the two targets of earlier attempts", only)
 	}
 }
 
@@ -118,7 +126,7 @@
 		t.Fatalf("wakes at once, at %v", wake)
 	}
 	for i := range 7 {
-		p.Responded(at(40), i)
+		p.Responded(at(40), i, firstTarget)
 	}
 	if extra := sendDue(p, at(45)); extra != 0 {
 		t.Fatalf("%d hedges right after most shards responded", extra)
@@ -140,11 +148,11 @@
 	if extra := sendDue(p, start); extra != 0 {
 		t.Fatal("the first attempt is extra")
 	}
-	p.NotSent(at(10), 0)
+	p.NotSent(at(10), 0, firstTarget)
 	if extra := sendDue(p, at(20)); extra != 0 {
 		t.Fatal("an attempt after one that was not sent is extra")
 	}
-	p.Refused(at(30), 0)
+	p.Refused(at(30), 0, firstTarget)
 	if extra := sendDue(p, at(100)); extra != 1 {
 		t.Fatal("an attempt after a refused one is not extra")
 	}
@@ -158,11 +166,11 @@
 	if n := sendDue(p, at(500)); n != 0 {
 		t.Fatalf("%d hedges of a request that must not run twice", n)
 	}
-	p.Refused(at(500), 0)
+	p.Refused(at(500), 0, firstTarget)
 	if n := sendDue(p, at(500)); n != 1 {
 		t.Fatalf("%d attempts after a refusal, want 1", n)
 	}
-	p.Failed(at(510), 0)
+	p.Failed(at(510), 0, firstTarget)
 	if d := p.Decide(at(510)); d != Failed {
 		t.Fatalf("decision %v after a failed attempt, want failed", d)
 	}
@@ -176,9 +184,9 @@
 		sendDue(p, start)
 		want := NotRun
 		if refused {
-			p.Refused(at(10), 0)
+			p.Refused(at(10), 0, firstTarget)
 		} else {
-			p.Failed(at(10), 0)
+			p.Failed(at(10), 0, firstTarget)
 			want = Failed
 		}
 		i, extra, ok := p.Due(at(10))
@@ -211,15 +219,21 @@
 	}
 }
 
+// replicas are the targets of each shard in TestRandomEvents.
+var replicas = []string{"a", "b", "c", "d"}
+
 // For any sequence of events, a plan ends by its deadline, decides NotRun only if
-// no target may have run the request, and responds only with enough shards.
+// no target may have run the request, responds only with enough shards, and has
+// each shard run by at most MaxTargets targets.
 func TestRandomEvents(t *testing.T) {
 	for seed := range uint64(2000) {
 		rng := rand.New(rand.NewPCG(seed, 7))
 		o := options(1 + rng.IntN(6))
 		o.Idempotent = rng.IntN(3) > 0
+		o.MaxTargets = 1 + rng.IntN(3)
 		p := New(start, o)
-		inFlight := map[int]int{}
+		inFlight := map[int][]string{}   // targets by shard
+		ran := map[int]map[string]bool{} // targets that may have run the request, by shard
 		mayHaveRun := false
 		responses := 0
 		var d Decision
@@ -235,25 +249,34 @@
 					p.Unavailable(now, i)
 					continue
 				}
-				p.Sent(now, i)
-				inFlight[i]++
+				target := replicas[rng.IntN(len(replicas))]
+				if only := p.OnlyTargets(i); only != nil {
+					target = only[rng.IntN(len(only))]
+				}
+				p.Sent(now, i, target)
+				inFlight[i] = append(inFlight[i], target)
 			}
 			for i := range o.Shards {
-				if inFlight[i] == 0 || rng.IntN(3) > 0 {
+				if len(inFlight[i]) == 0 || rng.IntN(3) > 0 {
+					continue
+				}
+				n := rng.IntN(len(inFlight[i]))
+				target := inFlight[i][n]
+				inFlight[i] = slices.Delete(inFlight[i], n, n+1)
+				outcome := rng.IntN(3)
+				if outcome == 0 {
+					p.Refused(now, i, target)
 					continue
 				}
-				inFlight[i]--
-				switch rng.IntN(3) {
-				case 0:
-					p.Refused(now, i)
-				case 1:
-					p.Failed(now, i)
-					mayHaveRun = true
-				default:
-					mayHaveRun = true
-					if p.Responded(now, i) {
-						responses++
-					}
+				mayHaveRun = true
+				if ran[i] == nil {
+					ran[i] = map[string]bool{}
+				}
+				ran[i][target] = true
+				if outcome == 1 {
+					p.Failed(now, i, target)
+				} else if p.Responded(now, i, target) {
+					responses++
 				}
 			}
 			if d = p.Decide(now); d != Wait {
@@ -268,8 +291,17 @@
 				t.Fatalf("seed %d: no decision at the deadline", seed)
 			}
 		}
-		for _, n := range inFlight {
-			mayHaveRun = mayHaveRun || n > 0
+		for i, targets := range inFlight {
+			for _, target := range targets {
+				mayHaveRun = true
+				if ran[i] == nil {
+					ran[i] = map[string]bool{}
+				}
+				ran[i][target] = true
+			}
+			if len(ran[i]) > o.MaxTargets {
+				t.Fatalf("seed %d: %d targets of a shard may have run the request, want at most %d", seed, len(ran[i]), o.MaxTargets)
+			}
 		}
 		if d == NotRun && mayHaveRun {
 			t.Fatalf("seed %d: decided NotRun although a target may have run it", seed)
@@ -278,7 +310,7 @@
 			t.Fatalf("seed %d: decision %v with %d of %d shards", seed, d, responses, o.Shards)
 		}
 		for i := range p.shards {
-			if p.shards[i].mayRun > 0 && !o.Idempotent && p.shards[i].attempts > p.shards[i].backoffs+1 {
+			if len(ran[i]) > 0 && !o.Idempotent && p.shards[i].attempts > p.shards[i].backoffs+1 {
 				t.Fatalf("seed %d: retried although it may have run", seed)
 			}
 		}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -213,8 +214,8 @@
 	Profile balance.Profile
 	// Tried holds the target ID of each earlier attempt at the same shard.
 	Tried []string
-	// AllowNewTarget is false if only targets in Tried may be chosen.
-	AllowNewTarget bool
+	// Only holds the IDs of the targets that may be chosen; nil for all.
+	Only []string
 	// Deadline is when the target may stop working on the attempt.
 	Deadline time.Time
 }
@@ -283,7 +284,7 @@
 				tried++
 			}
 		}
-		if !t.usable(now, p.opts.DrainGrace) || (tried == 0 && !opts.AllowNewTarget) {
+		if !t.usable(now, p.opts.DrainGrace) || (opts.Only != nil && !slices.Contains(opts.Only, t.ID)) {
 			continue
 		}
 		cold := t.isCold(now)
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -81,7 +81,7 @@
 	p.Prepare(call)
 	results := make(chan *Result, 1)
 	a := p.Start(call, 0, AttemptOptions{
-		Service: "s1", AllowNewTarget: true, Deadline: call.Deadline,
+		Service: "s1", Deadline: call.Deadline,
 		Profile: balance.Profile{Expected: 10 * time.Millisecond, OverdueAfter: 50 * time.Millisecond},
 	}, results)
 	if a == nil {
@@ -223,7 +223,7 @@
 	call := &Call{ID: "1", Method: "GET", URI: "/x", Host: "h", Deadline: time.Now().Add(10 * time.Second)}
 	p.Prepare(call)
 	results := make(chan *Result, 1)
-	a := p.Start(call, 0, AttemptOptions{Service: "s1", AllowNewTarget: true, Deadline: call.Deadline}, results)
+	a := p.Start(call, 0, AttemptOptions{Service: "s1", Deadline: call.Deadline}, results)
 	time.Sleep(50 * time.Millisecond)
 	p.Abandon(a, 100*time.Millisecond)
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
