Keep the shares of the retry budget within it after restarts and partitions

Cause: the slack is divided by the processes that one process knows, and that number was taken for complete five seconds after the last new member, even if no message arrived, and for 16 if nobody was known. And each start granted a quarter of a share at once, whatever its previous incarnations had spent. Class: a limit of the fleet divided by a size that is only partly known.

- A process divides what it knows by the fraction of the seeds that it knows, for a minute after its start: parts of the fleet that cannot reach each other know different seeds, so their shares add up to the whole.
- The membership settles only while messages arrive.
- A process that hears of nobody has no share; so has one whose gossip has not started (the zero value stood for a fleet of one).
- The slack grows from zero over the first window after the fleet is known.
Incarnations that end within one window together spend a quarter of a share at most.
- Two goroutines could deliver an older fleet after a newer one; now in order.

TestRetryBudgetIsUsable: at least half of the slack can be spent.

Tests changed: TestSingleProcessAssumesFleetSize expected a sixteenth of each limit for a process that hears of nobody; a whole fleet of such processes breaks the limits. TestSizeOfFleetIsUnknownWithoutPeers expects none instead. TestProcessesFindEachOtherThroughOneLiveSeed has a seed that never answers: it expects half shares for a minute, then whole ones as before. TestHedgeDoesNotUseRefusingTargetBeyondMaxAttempts sends 15 requests first, since a fresh process has no slack; it still fails with the former choice.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -236,7 +236,7 @@
 	})
 	node, err := peers.Listen(s.PeerListen, state, gossipInterval/4, p.log, func(f share.Fleet) {
 		p.pool.SetFleet(f)
-		p.engine.SetFleet(f)
+		p.engine.SetFleet(time.Now(), f)
 	})
 	if err != nil {
 		return err
--- a/forward/budget.go
+++ b/forward/budget.go
@@ -75,8 +75,11 @@
 
 // Fractions of the slack of the retry budget that are used, in general and during
 // the first window after the start. A process that has just started does not know
-// how many extra attempts its previous incarnation sent; the extra attempts of
-// both incarnations together stay within the slack.
+// how many extra attempts its previous incarnations sent, and the number of processes
+// that it knows still grows. The fraction of a start therefore grows with time: all
+// incarnations that end within one window together are granted at most
+// startupSlackFraction, however many there are. With what the incarnation before them
+// was granted, that stays within the slack.
 const (
 	slackFraction        = 0.9
 	startupSlackFraction = 0.25
@@ -86,8 +89,8 @@
 // be held.
 func (e *Engine) slackShare(now time.Time) float64 {
 	fraction := slackFraction
-	if now.Sub(e.startedAt) < budget.WindowLength {
-		fraction = startupSlackFraction
+	if known := now.Sub(e.fleetKnownAt); known < budget.WindowLength {
+		fraction = startupSlackFraction * float64(known) / float64(budget.WindowLength)
 	}
 	return e.fleet.EvenShare(fraction * float64(e.opts.Budget.Slack))
 }
@@ -129,7 +132,7 @@
 	firsts, extras := b.Counts(now)
 	e.opts.Logger.Info("retry budget used up", "service", service, "firsts", firsts, "extras", extras,
 		"slack_share", e.slackShare(now), "fleet_known", len(e.fleet.Members), "fleet_size", e.fleet.Size(),
-		"uptime", now.Sub(e.startedAt))
+		"fleet_known_for", now.Sub(e.fleetKnownAt))
 }
 
 // countExtra counts an extra attempt at shard i in the retry budget.
--- a/forward/engine.go
+++ b/forward/engine.go
@@ -65,12 +65,13 @@
 type Engine struct {
 	opts Options
 
-	mu        sync.Mutex
-	routes    map[string]*routeStats    // by route name
-	budgets   map[string]*serviceBudget // by service name
-	fleet     share.Fleet
-	startedAt time.Time
-	extras    ExtraCounts
+	mu      sync.Mutex
+	routes  map[string]*routeStats    // by route name
+	budgets map[string]*serviceBudget // by service name
+	fleet   share.Fleet
+	// fleetKnownAt is when the size of the fleet became known; zero before.
+	fleetKnownAt time.Time
+	extras       ExtraCounts
 }
 
 // routeStats holds the latency statistics of one route.
@@ -81,13 +82,19 @@
 
 // New returns an Engine.
 func New(opts Options) *Engine {
-	return &Engine{opts: opts, routes: map[string]*routeStats{}, budgets: map[string]*serviceBudget{}, startedAt: time.Now()}
+	return &Engine{opts: opts, routes: map[string]*routeStats{}, budgets: map[string]*serviceBudget{}}
 }
 
 // SetFleet sets the processes that share the slack of the retry budget.
-func (e *Engine) SetFleet(f share.Fleet) {
+func (e *Engine) SetFleet(now time.Time, f share.Fleet) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	switch {
+	case f.Size() == 0:
+		e.fleetKnownAt = time.Time{}
+	case e.fleetKnownAt.IsZero():
+		e.fleetKnownAt = now
+	}
 	e.fleet = f
 }
 
--- a/peers/node.go
+++ b/peers/node.go
@@ -16,8 +16,8 @@
 // Node exchanges the messages of a State over UDP. Methods are safe for
 // concurrent use.
 //
-// Lock order: no other lock may be held when mu is acquired, or acquired while mu is
-// held.
+// Lock order: notifyMu before mu. No other lock may be held when they are acquired,
+// and none is acquired while mu is held.
 type Node struct {
 	tomb         tomb.Tomb
 	socket       net.PacketConn
@@ -25,6 +25,9 @@
 	onChange     func(share.Fleet)
 	tickInterval time.Duration
 
+	// notifyMu orders the calls of onChange, so that an older fleet does not replace
+	// a newer one.
+	notifyMu  sync.Mutex
 	mu        sync.Mutex
 	state     *State
 	lastFleet share.Fleet // as last passed to onChange
@@ -73,6 +76,8 @@
 
 // notify calls onChange if the fleet has changed since the last call.
 func (n *Node) notify(now time.Time) {
+	n.notifyMu.Lock()
+	defer n.notifyMu.Unlock()
 	n.mu.Lock()
 	fleet := n.state.Fleet(now)
 	before := n.lastFleet
--- a/peers/state.go
+++ b/peers/state.go
@@ -56,8 +56,8 @@
 	// removed. It is long: a share must not grow because other processes are
 	// unreachable for a while.
 	ForgetAfter time.Duration
-	// AssumedFleetSize is the number of processes that is assumed until others
-	// are known.
+	// AssumedFleetSize is the smallest number of processes that is assumed until the
+	// membership has settled.
 	AssumedFleetSize int
 	// SettleTime is the time after the last new member during which more
 	// members are expected.
@@ -74,13 +74,16 @@
 type State struct {
 	opts      Options
 	members   map[string]*record // without this process
-	lastAdded time.Time          // when the last new member was added
+	startedAt time.Time
+	lastAdded time.Time // when the last new member was added
+	// received is the number of messages since lastAdded, up to settleMessages.
+	received  int
 	nextRound time.Time
 }
 
 // New returns a State that knows only its own process.
 func New(now time.Time, opts Options) *State {
-	return &State{opts: opts, members: map[string]*record{}, lastAdded: now}
+	return &State{opts: opts, members: map[string]*record{}, startedAt: now, lastAdded: now}
 }
 
 // Tick removes the members that have had no new heartbeat for ForgetAfter, and
@@ -104,8 +107,16 @@
 // cost.
 const remoteRoundInterval = 3
 
-// settled reports whether no member was added within the settle time.
-func (s *State) settled(now time.Time) bool { return now.Sub(s.lastAdded) >= s.opts.SettleTime }
+// settleMessages is the number of messages without a new member after which the
+// membership may have settled. A process that receives no messages learns of no
+// member either.
+const settleMessages = 3
+
+// settled reports whether messages arrived and no member was added within the settle
+// time.
+func (s *State) settled(now time.Time) bool {
+	return s.received >= settleMessages && now.Sub(s.lastAdded) >= s.opts.SettleTime
+}
 
 // remoteRound reports whether the messages of this round may go to remote data
 // centres.
@@ -178,6 +189,7 @@
 // Receive merges a message. It returns the reply if the sender requested one,
 // and the names of the members that are new.
 func (s *State) Receive(now time.Time, m Message) (replies []Outgoing, added []string) {
+	s.received = min(s.received+1, settleMessages)
 	for i := range m.Members {
 		if s.merge(now, m.Members[i]) {
 			added = append(added, m.Members[i].Name)
@@ -201,7 +213,7 @@
 	known := s.members[m.Name]
 	if known == nil {
 		s.members[m.Name] = &record{Member: m, heartbeatAt: now}
-		s.lastAdded = now
+		s.lastAdded, s.received = now, 0
 		return true
 	}
 	newer := m.Started > known.Started || (m.Started == known.Started && m.Heartbeat > known.Heartbeat)
@@ -230,20 +242,66 @@
 // SetSeeds replaces the seed addresses.
 func (s *State) SetSeeds(seeds []string) { s.opts.Seeds = seeds }
 
-// Fleet returns the processes that share limits. Until the membership has
-// settled it also holds the number of processes to assume.
+// Fleet returns the processes that share limits, with the number of processes to
+// assume while some may be unknown.
+//
+// Processes that cannot reach each other after a start know a part of the fleet only.
+// All processes have about the same seeds, so the fraction of the seeds that a process
+// knows as members is taken for the fraction of the fleet that it knows: the shares of
+// separate parts of the fleet add up to the whole. After ForgetAfter, seeds that are
+// still unknown are taken for stale.
 func (s *State) Fleet(now time.Time) share.Fleet {
-	f := share.Fleet{Self: s.opts.Self.Name, Members: []string{s.opts.Self.Name}}
+	f := share.Fleet{Self: s.opts.Self.Name}
+	seeds, known := s.countSeeds()
+	if known < seeds && len(s.members) == 0 {
+		return f
+	}
+	f.Members = []string{s.opts.Self.Name}
 	for name := range s.members {
 		f.Members = append(f.Members, name)
 	}
 	slices.Sort(f.Members)
+	size := len(f.Members)
+	switch {
+	case now.Sub(s.startedAt) >= s.opts.ForgetAfter:
+	case known == 0:
+		size *= staleSeedsFactor
+	case known < seeds:
+		size = (size*seeds + known - 1) / known
+	}
 	if len(s.members) == 0 || !s.settled(now) {
-		f.AssumedSize = max(s.opts.AssumedFleetSize, 2*len(f.Members))
+		size = max(s.opts.AssumedFleetSize, 2*size)
+	}
+	if size > len(f.Members) {
+		f.AssumedSize = size
 	}
 	return f
 }
 
+// staleSeedsFactor is the assumed ratio of all processes to the known ones if no seed
+// is known: either all seeds are stale, or they are in other parts of the fleet.
+const staleSeedsFactor = 6
+
+// countSeeds returns the number of seeds, and how many of them are known members or
+// this process itself.
+func (s *State) countSeeds() (seeds, known int) {
+	for _, seed := range s.opts.Seeds {
+		if seed == s.opts.Self.Address || s.hasAddress(seed) {
+			known++
+		}
+	}
+	return len(s.opts.Seeds), known
+}
+
+func (s *State) hasAddress(address string) bool {
+	for _, r := range s.members {
+		if r.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
 // Alive returns the peers whose heartbeat has increased within the given time,
 // sorted by name.
 func (s *State) Alive(now time.Time, within time.Duration) []Member {
--- a/share/share.go
+++ b/share/share.go
@@ -12,19 +12,27 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Fleet is the set of processes that share limits, as known to one of them.
+// Fleet is the set of processes that share limits, as known to one of them. The
+// zero value stands for a fleet of unknown size, in which all shares are zero.
 type Fleet struct {
 	// Self is the name of this process.
 	Self string
-	// Members are the names of all known processes, including this one.
+	// Members are the names of all known processes, including this one. It is empty
+	// if nothing indicates how many processes there are.
 	Members []string
 	// AssumedSize is the number of processes that may exist while Members may be
 	// incomplete; zero if Members is considered complete.
 	AssumedSize int
 }
 
-// Size returns the number of processes that limits are divided by.
-func (f *Fleet) Size() int { return max(len(f.Members), f.AssumedSize, 1) }
+// Size returns the number of processes that limits are divided by, or 0 if it is
+// unknown.
+func (f *Fleet) Size() int {
+	if len(f.Members) == 0 {
+		return 0
+	}
+	return max(len(f.Members), f.AssumedSize)
+}
 
 // dividedFraction is the fraction of a limit that is divided. The rest is a
 // reserve for processes that only some of the others know yet.
@@ -35,6 +43,9 @@
 // up to the limit less the reserve.
 func (f *Fleet) Share(limit float64, key string) int {
 	n := f.Size()
+	if n == 0 {
+		return 0
+	}
 	whole := int(limit * dividedFraction)
 	share := whole / n
 	if f.AssumedSize > len(f.Members) {
@@ -48,7 +59,13 @@
 
 // EvenShare returns this process's share of a limit whose shares need not be
 // whole.
-func (f *Fleet) EvenShare(limit float64) float64 { return limit * dividedFraction / float64(f.Size()) }
+func (f *Fleet) EvenShare(limit float64) float64 {
+	n := f.Size()
+	if n == 0 {
+		return 0
+	}
+	return limit * dividedFraction / float64(n)
+}
 
 // rank returns the position of this process in the rendezvous order of the
 // members for the key.
