Take an extra attempt from the retry budget in one step

What callers' targets may have seen: more extra attempts than the budget grants when many requests fail at the same moment.

Cause: the check and the count took the lock one after the other, and the write of the attempt lies between them. Requests that passed the check together all sent, and those that found the budget used up at the count were not counted. Class: check and act in two steps.

The attempt is now counted with the check, and returned if no target could be chosen. Window.Take and Window.Return do so for the window that it was counted in.

Evidence: on the former code two requests passed the check for a single extra attempt ('both requests may send the only extra attempt'); TestConcurrentRequestsDoNotShareAnExtraAttempt allows one. The counter of uncounted attempts is gone with its cause.

--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -117,6 +117,27 @@
 	}
 }
 
+// An extra attempt that was not made is granted to another request, and only once.
+func TestReturnedExtraIsGrantedAgain(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	w := NewWindowWithSlack(0)
+	w.SetSlack(1)
+	taken, ok := w.Take(now)
+	if !ok || w.TryExtra(now) {
+		t.Fatal("want one extra attempt granted")
+	}
+	w.Return(taken)
+	if !w.TryExtra(now.Add(time.Second)) || w.TryExtra(now.Add(time.Second)) {
+		t.Fatal("want the returned extra attempt granted again, once")
+	}
+	taken, ok = w.Take(now.Add(2 * WindowLength))
+	w.AddFirst(now.Add(4 * WindowLength))
+	w.Return(taken)
+	if _, extras := w.Counts(now.Add(4 * WindowLength)); !ok || extras != 0 {
+		t.Fatalf("%d extra attempts in the window after a late return, want none", extras)
+	}
+}
+
 // stepped returns t with the wall clock moved by d, in whole seconds, and the
 // monotonic clock unchanged.
 func stepped(t time.Time, d time.Duration) time.Time {
--- a/budget/window.go
+++ b/budget/window.go
@@ -87,12 +87,31 @@
 // TryExtra counts an extra attempt and returns true, or returns false if the
 // budget is used up.
 func (w *Window) TryExtra(now time.Time) bool {
+	_, ok := w.Take(now)
+	return ok
+}
+
+// Taken identifies an extra attempt that was counted.
+type Taken struct{ bucket int64 }
+
+// Take is like TryExtra, and returns what Return needs if the attempt is not made.
+func (w *Window) Take(now time.Time) (Taken, bool) {
 	if !w.AllowsExtra(now) {
-		return false
+		return Taken{}, false
 	}
 	w.buckets[w.head%bucketCount].extras++
 	w.extras++
-	return true
+	return Taken{bucket: w.head}, true
+}
+
+// Return takes back the count of an extra attempt that was not made. It must be
+// called once at most for each Taken.
+func (w *Window) Return(t Taken) {
+	if w.head-t.bucket >= bucketCount {
+		return // it has left the window
+	}
+	w.buckets[t.bucket%bucketCount].extras--
+	w.extras--
 }
 
 // Counts returns the attempts in the window, rounded up to whole buckets.
--- a/forward/active_request.go
+++ b/forward/active_request.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/goldcrestmux/goldcrestmux/balance"
+	"github.com/goldcrestmux/goldcrestmux/budget"
 	"github.com/goldcrestmux/goldcrestmux/catalog"
 	"github.com/goldcrestmux/goldcrestmux/hedge"
 	"github.com/goldcrestmux/goldcrestmux/plan"
@@ -177,22 +178,27 @@
 		if !ok {
 			return
 		}
-		if extra && !r.extraAllowed(now, i) {
-			r.denied++
-			r.plan.Denied(now, i)
-			continue
+		var taken budget.Taken
+		if extra {
+			if taken, ok = r.takeExtra(now, i); !ok {
+				r.denied++
+				r.plan.Denied(now, i)
+				continue
+			}
 		}
 		a := r.engine.opts.Pool.Start(r.req.Call, i, upstream.AttemptOptions{
 			Service: r.services[i], Profile: r.profile, Tried: r.tried[i], Only: r.plan.OnlyTargets(i),
 			Deadline: r.attemptDeadline(now),
 		}, r.results)
 		if a == nil {
+			if extra {
+				r.returnExtra(now, i, taken)
+			}
 			r.plan.Unavailable(now, i)
 			continue
 		}
 		if extra {
 			r.extraAttempts++
-			r.countExtra(now, i)
 		}
 		if len(r.tried[i]) == 0 {
 			r.firstSentAt[i] = now
--- a/forward/budget.go
+++ b/forward/budget.go
@@ -29,9 +29,6 @@
 	Granted uint64 `json:"granted"`
 	// Denied is the number of extra attempts that the retry budget did not allow.
 	Denied uint64 `json:"denied"`
-	// Uncounted is the number of extra attempts that were sent although the budget
-	// had been used up meanwhile.
-	Uncounted uint64 `json:"uncounted"`
 }
 
 // BudgetState describes the retry budget for operators.
@@ -107,19 +104,31 @@
 	return b
 }
 
-// extraAllowed reports whether the retry budget allows an extra attempt at shard i.
-func (r *activeRequest) extraAllowed(now time.Time, i int) bool {
+// takeExtra takes an extra attempt at shard i from the retry budget. It returns false
+// if the budget is used up.
+func (r *activeRequest) takeExtra(now time.Time, i int) (budget.Taken, bool) {
 	e := r.engine
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	b := e.serviceBudget(now, r.services[i])
 	b.SetSlack(e.slackShare(now))
-	allowed := b.AllowsExtra(now)
-	if !allowed {
+	taken, ok := b.Take(now)
+	if !ok {
 		e.extras.Denied++
 		e.logUsedUp(now, r.services[i], b)
+		return taken, false
 	}
-	return allowed
+	e.extras.Granted++
+	return taken, true
+}
+
+// returnExtra returns an extra attempt that could not be made to the retry budget.
+func (r *activeRequest) returnExtra(now time.Time, i int, taken budget.Taken) {
+	e := r.engine
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.extras.Granted--
+	e.serviceBudget(now, r.services[i]).Return(taken)
 }
 
 // logUsedUp logs that the retry budget of a service is used up, at most once in a
@@ -134,14 +143,3 @@
 		"slack_share", e.slackShare(now), "fleet_known", len(e.fleet.Members), "fleet_size", e.fleet.Size(),
 		"fleet_known_for", now.Sub(e.fleetKnownAt))
 }
-
-// countExtra counts an extra attempt at shard i in the retry budget.
-func (r *activeRequest) countExtra(now time.Time, i int) {
-	e := r.engine
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.extras.Granted++
-	if !e.serviceBudget(now, r.services[i]).TryExtra(now) {
-		e.extras.Uncounted++
-	}
-}
--- a/forward/budget_test.go
+++ b/forward/budget_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -71,3 +72,30 @@
 		}
 	}
 }
+
+// Guards against concurrent requests that all pass the check of the retry budget
+// before any of them is counted.
+func TestConcurrentRequestsDoNotShareAnExtraAttempt(t *testing.T) {
+	const service = "s"
+	e := New(Options{Budget: RetryBudget{Slack: 2}, Logger: slog.New(slog.DiscardHandler)}) // the share of one process is one
+	now := time.Now()
+	e.SetFleet(now.Add(-budget.WindowLength), share.Fleet{Self: "a", Members: []string{"a"}})
+	var requests [3]*activeRequest
+	for i := range requests {
+		requests[i] = &activeRequest{engine: e, services: []string{service}}
+	}
+	taken, ok := requests[0].takeExtra(now, 0)
+	if !ok {
+		t.Fatal("no extra attempt is granted, want one")
+	}
+	if _, ok := requests[1].takeExtra(now, 0); ok {
+		t.Fatal("the only extra attempt is granted to two requests")
+	}
+	requests[0].returnExtra(now, 0, taken)
+	if _, ok := requests[2].takeExtra(now, 0); !ok {
+		t.Fatal("a returned extra attempt is not granted again")
+	}
+	if s := e.BudgetState(now); s.Granted != 1 || s.Denied != 1 || s.Services[service].Extras != 1 {
+		t.Fatalf("state %+v, want one extra attempt granted and one denied", s)
+	}
+}
