Reset connections to targets whose request has no response

What targets saw: requests that arrive after their attempts have ended, all at once when a stalled target or path recovers. Extra attempts of many seconds then count in one window of the retry budget.

Cause: closing a connection does not discard the bytes in its send queue; the kernel goes on delivering them. Class: work that outlives its account.

A connection with an unanswered request is now reset when it is closed.

Evidence: TestUndeliveredRequestIsDiscardedWhenItsConnectionIsClosed read the whole request (262,219 bytes) after the close before, and meets a reset now.

--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -197,11 +197,16 @@
 	return done
 }
 
-// closeConn closes a connection, which ends its readLoop. mu must be held.
+// closeConn closes a connection, which ends its readLoop. If its request has no
+// response, the connection is reset: bytes that were not delivered yet must not reach
+// the target after the attempt has ended. mu must be held.
 func (p *Pool) closeConn(c *conn) {
 	if c.closed {
 		return
 	}
+	if tcp, ok := c.netConn.(*net.TCPConn); ok && c.current != nil {
+		_ = tcp.SetLinger(0) // fails only on a closed connection
+	}
 	c.closed = true
 	c.target.openConns--
 	delete(p.busy, c)
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -242,3 +244,55 @@
 		}
 	}
 }
+
+// Guards against requests that reach a target after their attempts have ended: the
+// bytes wait in the send queue while the target or the path to it is stalled, and
+// arrive together when it recovers.
+func TestUndeliveredRequestIsDiscardedWhenItsConnectionIsClosed(t *testing.T) {
+	const bodyBytes = 256 << 10 // more than the target's receive buffer
+	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		var err error
+		if cerr := c.Control(func(fd uintptr) { err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096) }); cerr != nil {
+			return cerr
+		}
+		return err
+	}}
+	l, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	p := poolWith(t, l.Addr().String())
+	call := &Call{
+		ID: "1", Method: "POST", URI: "/x", Host: "h", Body: make([]byte, bodyBytes), HasBody: true, Deadline: time.Now().Add(10 * time.Second),
+	}
+	p.Prepare(call)
+	a := p.Start(call, 0, AttemptOptions{Service: "s1", Deadline: call.Deadline}, make(chan *Result, 1))
+	nc, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	for !isWritten(p, a) {
+		time.Sleep(time.Millisecond)
+	}
+	p.Abandon(a, 0)
+	for p.Stats().Connections > 0 {
+		p.CloseExpired(time.Now().Add(minResponseTimeout))
+		time.Sleep(time.Millisecond)
+	}
+	if err := nc.SetReadDeadline(time.Now().Add(5 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	n, err := io.Copy(io.Discard, nc)
+	if err == nil || n >= bodyBytes {
+		t.Fatalf("the target reads %d bytes of a request whose connection was closed, and then %v; want a reset", n, err)
+	}
+}
+
+// isWritten reports whether the request of an attempt was written to the socket.
+func isWritten(p *Pool, a *Attempt) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return a.conn != nil && !a.conn.writing
+}
