Count one first attempt for a shard in the gateway's retry budget

What targets may have seen: extra attempts beyond 5% of the requests of a search, most of all while relays refuse attempts (permits that move, relays that stop), which is when retries are many.

Cause: each attempt that replaced an unsent one was counted as a first attempt again and enlarged the basis of the budget. The entry path counts each request once.

Evidence: TestRefusedAttemptsDoNotEnlargeBudget counted 4 first attempts for 2 shards before, 2 now.

--- a/query/attempt.go
+++ b/query/attempt.go
@@ -24,8 +24,9 @@
 		m.wakeBy(s.retryAt)
 		return
 	}
-	if !s.extra {
+	if !s.extra && !s.counted {
 		m.opts.Budget.AddFirst(now, route.Target)
+		s.counted = true
 	}
 	s.hedgeFrom = now
 	if c := m.send(now, i, route, false); c != code.OK {
--- a/query/query.go
+++ b/query/query.go
@@ -60,7 +60,7 @@
 
 // Budget bounds the extra attempts, which are hedges and retries.
 type Budget interface {
-	// AddFirst records a first attempt at a target.
+	// AddFirst records the first attempt for a shard, at a target.
 	AddFirst(now time.Time, target string)
 	// TryExtra takes one extra attempt at a target from the budget. It reports
 	// whether the budget allowed it.
@@ -152,6 +152,7 @@
 	routeRetries   int       // number of times that no replica was usable
 	retryAt        time.Time // zero if no retry is scheduled
 	extra          bool      // retries draw on the budget
+	counted        bool      // the budget has counted the first attempt
 	reason         code.Code
 	excluded       []replica.Exclusion
 	withoutVersion []replica.Exclusion // replicas that do not serve the pinned version
--- a/query/query_test.go
+++ b/query/query_test.go
@@ -137,6 +137,22 @@
 	}
 }
 
+// Guards against a retry budget that grows with attempts that reached no target: a
+// shard counts once, however often relays refuse its attempt.
+func TestRefusedAttemptsDoNotEnlargeBudget(t *testing.T) {
+	s := &fakeRoutes{}
+	m := newMachine(s, false)
+	first := append([]Attempt(nil), m.Start(at(0)).Send...)
+	rerouted := append([]Attempt(nil), m.Responded(at(1), first[0].ID, responseTo(first[0], code.PermitNotHeld, code.NotRun)).Send...)
+	if len(rerouted) != 1 {
+		t.Fatalf("rerouted %+v, want one attempt", rerouted)
+	}
+	m.Responded(at(2), rerouted[0].ID, responseTo(rerouted[0], code.PermitNotHeld, code.NotRun))
+	if s.firstAttempts != 2 {
+		t.Fatalf("%d first attempts for 2 shards", s.firstAttempts)
+	}
+}
+
 func TestPartialResponseNamesMissingShards(t *testing.T) {
 	m := newMachine(&fakeRoutes{}, false)
 	sent := append([]Attempt(nil), m.Start(at(0)).Send...)
