--- a/forward/fleet_test.go
+++ b/forward/fleet_test.go
@@ -22,6 +22,8 @@
 	index   map[string]int // of members, by address
 	// cut reports whether messages between two processes are lost; nil for none.
 	cut func(a, b int) bool
+	// idle is true while no process needs extra attempts.
+	idle bool
 	// firsts and extras are the numbers of attempts by step.
 	firsts, extras []int
 }
@@ -36,8 +38,8 @@
 	stepsPerWindow = int(budget.WindowLength / simulationStep)
 	// simulatedService is the service that all requests of a simulation go to.
 	simulatedService = "s"
-	// simulatedRate is the number of requests that a process gets per second.
-	simulatedRate = 0.6
+	// simulatedRate is the number of requests that all processes get per second.
+	simulatedRate = 90
 	// warmUp is how long a simulation runs before its faults. In it, all processes
 	// find each other and have been up for longer than a window.
 	warmUp = 14 * time.Second
@@ -107,12 +109,14 @@
 		e.SetFleet(now, fleet)
 		e.mu.Lock()
 		b := e.serviceBudget(now, simulatedService)
-		if f.rng.Float64() < simulatedRate*simulationStep.Seconds() {
-			b.AddFirst(now)
-			firsts++
+		for n := f.rng.Float64() * 2 * simulatedRate * simulationStep.Seconds() / float64(len(f.members)); n > 0; n-- {
+			if f.rng.Float64() < n {
+				b.AddFirst(now)
+				firsts++
+			}
 		}
 		b.SetSlack(e.slackShare(now))
-		for b.TryExtra(now) {
+		for !f.idle && b.TryExtra(now) {
 			extras++
 		}
 		e.mu.Unlock()
@@ -199,6 +203,24 @@
 	}
 }
 
+// Guards against processes that spend the budget of a whole window at once, restart,
+// and go by the requests alone that they have received since.
+func TestRetryBudgetHoldsWhenRestartsFollowBurst(t *testing.T) {
+	forEachFleet(t, func(f *simulatedFleet) {
+		f.idle = true
+		f.run(2*warmUp, nil)
+		f.idle = false
+		f.run(simulationStep, nil)
+		f.run(20*time.Second, func(elapsed time.Duration, now time.Time) {
+			if elapsed == 0 || elapsed == 3*time.Second {
+				for i := range f.members {
+					f.restart(i, now)
+				}
+			}
+		})
+	})
+}
+
 // Guards against a process that knows only a part of the fleet and takes it for the
 // whole: all processes restart while no message passes between data centres, or
 // between any two processes.
