Pace extra attempts with tokens, which a restart does not grant anew

Cause: the ratio's part of the retry budget is a fraction of the process's requests of the last 10 s, and may be spent at once. A process that does so and is killed starts with an empty window and earns the fraction of the requests that follow; one window then holds the extra attempts of two. Class: an account in memory of a limit that outlives the process.

Paced adds a token bucket to the window: requests and time add tokens, few can be kept, and a process starts with none. Whatever restarts there are, a window holds at most the fraction of its own requests, the refill, and the few tokens from before it. It replaces the ramp of the slack after a start.

--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -138,6 +138,73 @@
 	}
 }
 
+// In any window, all incarnations of a process together are granted at most the fraction
+// of the first attempts in it, the refill, and the tokens that were left before it.
+func TestPacedBoundsAllIncarnationsInAnyWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const fraction = 0.18
+		limits := SharedLimits{
+			Slack: 100, Refill: rapid.Float64Range(0, 5).Draw(t, "refill"), Depth: rapid.Float64Range(1, 5).Draw(t, "depth"),
+		}
+		now := epoch
+		p := NewPaced(now, fraction)
+		p.SetLimits(now, limits)
+		var firsts, extras []time.Time
+		in := func(times []time.Time, from, to time.Time) (count float64) {
+			for _, at := range times {
+				if at.After(from) && !at.After(to) {
+					count++
+				}
+			}
+			return count
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 4000).Draw(t, "gap")) * time.Millisecond)
+			if rapid.IntRange(0, 5).Draw(t, "restart") == 0 {
+				p = NewPaced(now, fraction)
+				p.SetLimits(now, limits)
+			}
+			for range rapid.IntRange(0, 60).Draw(t, "firsts") {
+				p.AddFirst(now)
+				firsts = append(firsts, now)
+			}
+			for range rapid.IntRange(0, 40).Draw(t, "tries") {
+				if _, ok := p.Take(now); !ok {
+					break
+				}
+				extras = append(extras, now)
+				start := now.Add(-WindowLength)
+				allowed := fraction*in(firsts, start, now) + limits.Refill + limits.Depth +
+					carryFraction*in(firsts, start.Add(-WindowLength-bucketWidth), start) + 1e-6
+				if n := in(extras, start, now); n > allowed {
+					t.Fatalf("%.0f extra attempts in a window, allowed %.2f", n, allowed)
+				}
+			}
+		}
+	})
+}
+
+// A token that was taken for an attempt that is not made can be taken again, once.
+func TestPacedReturnsTokens(t *testing.T) {
+	p := NewPaced(epoch, 0)
+	p.SetLimits(epoch, SharedLimits{Slack: 5, Refill: 1, Depth: 1})
+	if _, ok := p.Take(epoch); ok {
+		t.Fatal("an extra attempt is granted at the start")
+	}
+	now := epoch.Add(WindowLength)
+	taken, ok := p.Take(now)
+	if _, more := p.Take(now); !ok || more {
+		t.Fatal("want one extra attempt granted after a window")
+	}
+	p.Return(taken)
+	if _, ok := p.Take(now); !ok {
+		t.Fatal("a returned extra attempt is not granted again")
+	}
+	if _, ok := p.Take(now); ok {
+		t.Fatal("a returned extra attempt is granted twice")
+	}
+}
+
 // stepped returns t with the wall clock moved by d, in whole seconds, and the
 // monotonic clock unchanged.
 func stepped(t time.Time, d time.Duration) time.Time {
--- a/forward/budget.go
+++ b/forward/budget.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/goldcrestmux/goldcrestmux/budget"
+	"github.com/goldcrestmux/goldcrestmux/share"
 )
 
 // RetryBudget is the published bound on extra attempts.
@@ -17,7 +18,7 @@
 
 // serviceBudget is the retry budget of one service.
 type serviceBudget struct {
-	*budget.Window
+	*budget.Paced
 	usedAt time.Time
 	// loggedAt is when it was last logged that the budget is used up.
 	loggedAt time.Time
@@ -56,7 +57,7 @@
 	defer e.mu.Unlock()
 	s := BudgetState{
 		ExtraCounts: e.extras, FleetKnown: len(e.fleet.Members), FleetSize: e.fleet.Size(),
-		SlackShare: e.slackShare(now), Services: map[string]ServiceBudgetState{},
+		SlackShare: e.sharedLimits().Slack, Services: map[string]ServiceBudgetState{},
 	}
 	for name, b := range e.budgets {
 		if firsts, extras := b.Counts(now); extras > 0 {
@@ -70,26 +71,37 @@
 // for targets that count attempts by another clock and in other windows.
 const budgetFraction = 0.9
 
-// Fractions of the slack of the retry budget that are used, in general and during
-// the first window after the start. A process that has just started does not know
-// how many extra attempts its previous incarnations sent, and the number of processes
-// that it knows still grows. The fraction of a start therefore grows with time: all
-// incarnations that end within one window together are granted at most
-// startupSlackFraction, however many there are. With what the incarnation before them
-// was granted, that stays within the slack.
+// Fractions of the slack of the retry budget. slackFraction is what may be used in a
+// window. A process that restarts does not know what it has used, so refillFraction
+// accrues over a window, and depthFraction may be kept: together they bound what all
+// incarnations use in a window, with a reserve for a fleet that is not fully known.
 const (
-	slackFraction        = 0.9
-	startupSlackFraction = 0.25
+	slackFraction  = 0.9
+	refillFraction = 0.65
+	depthFraction  = 0.5
 )
 
-// slackShare returns this process's share of the slack of each service. mu must
-// be held.
-func (e *Engine) slackShare(now time.Time) float64 {
-	fraction := slackFraction
-	if known := now.Sub(e.fleetKnownAt); known < budget.WindowLength {
-		fraction = startupSlackFraction * float64(known) / float64(budget.WindowLength)
+// SetFleet sets the processes that share the slack of the retry budget.
+func (e *Engine) SetFleet(now time.Time, f share.Fleet) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case f.Size() == 0:
+		e.fleetKnownAt = time.Time{}
+	case e.fleetKnownAt.IsZero():
+		e.fleetKnownAt = now
+	}
+	e.fleet = f
+	for _, b := range e.budgets {
+		b.SetLimits(now, e.sharedLimits())
 	}
-	return e.fleet.EvenShare(fraction * float64(e.opts.Budget.Slack))
+}
+
+// sharedLimits returns this process's shares of the slack of each service. mu must be
+// held.
+func (e *Engine) sharedLimits() budget.SharedLimits {
+	slack := e.fleet.EvenShare(float64(e.opts.Budget.Slack))
+	return budget.SharedLimits{Slack: slackFraction * slack, Refill: refillFraction * slack, Depth: depthFraction * slack}
 }
 
 // serviceBudget returns the retry budget of a service and marks it as used. mu must
@@ -97,7 +109,14 @@
 func (e *Engine) serviceBudget(now time.Time, service string) *serviceBudget {
 	b := e.budgets[service]
 	if b == nil {
-		b = &serviceBudget{Window: budget.NewWindowWithSlack(budgetFraction * e.opts.Budget.Ratio)}
+		// Tokens accrue from when the fleet became known: the process has sent nothing to
+		// this service since, or nothing for longer than a window.
+		from := now
+		if !e.fleetKnownAt.IsZero() {
+			from = e.fleetKnownAt
+		}
+		b = &serviceBudget{Paced: budget.NewPaced(from, budgetFraction*e.opts.Budget.Ratio)}
+		b.SetLimits(from, e.sharedLimits())
 		e.budgets[service] = b
 	}
 	b.usedAt = now
@@ -111,7 +130,6 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	b := e.serviceBudget(now, r.services[i])
-	b.SetSlack(e.slackShare(now))
 	taken, ok := b.Take(now)
 	if !ok {
 		e.extras.Denied++
@@ -140,6 +158,6 @@
 	b.loggedAt = now
 	firsts, extras := b.Counts(now)
 	e.opts.Logger.Info("retry budget used up", "service", service, "firsts", firsts, "extras", extras,
-		"slack_share", e.slackShare(now), "fleet_known", len(e.fleet.Members), "fleet_size", e.fleet.Size(),
+		"slack_share", e.sharedLimits().Slack, "fleet_known", len(e.fleet.Members), "fleet_size", e.fleet.Size(),
 		"fleet_known_for", now.Sub(e.fleetKnownAt))
 }
--- a/forward/budget_test.go
+++ b/forward/budget_test.go
@@ -58,8 +58,7 @@
 						w.AddFirst(now)
 						firsts = append(firsts, now)
 					}
-					w.SetSlack(e.slackShare(now))
-					for w.TryExtra(now) {
+					for _, ok := w.Take(now); ok; _, ok = w.Take(now) {
 						extras = append(extras, now)
 					}
 					e.mu.Unlock()
@@ -79,7 +78,7 @@
 	const service = "s"
 	e := New(Options{Budget: RetryBudget{Slack: 2}, Logger: slog.New(slog.DiscardHandler)}) // the share of one process is one
 	now := time.Now()
-	e.SetFleet(now.Add(-budget.WindowLength), share.Fleet{Self: "a", Members: []string{"a"}})
+	e.SetFleet(now.Add(-2*budget.WindowLength), share.Fleet{Self: "a", Members: []string{"a"}})
 	var requests [3]*activeRequest
 	for i := range requests {
 		requests[i] = &activeRequest{engine: e, services: []string{service}}
--- a/forward/engine.go
+++ b/forward/engine.go
@@ -85,19 +85,6 @@
 	return &Engine{opts: opts, routes: map[string]*routeStats{}, budgets: map[string]*serviceBudget{}}
 }
 
-// SetFleet sets the processes that share the slack of the retry budget.
-func (e *Engine) SetFleet(now time.Time, f share.Fleet) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	switch {
-	case f.Size() == 0:
-		e.fleetKnownAt = time.Time{}
-	case e.fleetKnownAt.IsZero():
-		e.fleetKnownAt = now
-	}
-	e.fleet = f
-}
-
 // Timing and attempts of requests.
 const (
 	// responseMargin is reserved for the network time between the caller and this
--- a/forward/fleet_test.go
+++ b/forward/fleet_test.go
@@ -115,8 +115,10 @@
 				firsts++
 			}
 		}
-		b.SetSlack(e.slackShare(now))
-		for !f.idle && b.TryExtra(now) {
+		for !f.idle {
+			if _, ok := b.Take(now); !ok {
+				break
+			}
 			extras++
 		}
 		e.mu.Unlock()
