Keep the rate of cold targets across restarts, moves and unknown services

What a cold target may have seen: more requests in a second than it bears.

Causes: a process that restarts within a second grants the rate of that second anew; a target whose address changes gets a new record with an unused rate; and a target whose service is not in the configuration had no limit.

A cold target with a limited rate now gets nothing in the first second after the start of a process, keeps its record when its address changes, and gets nothing while the limits of its service are unknown.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -116,7 +116,7 @@
 	p := &process{adapter: adapter, settings: s, log: log, startedAt: time.Now(), metrics: newMetrics(), latestSettings: s}
 	p.pool = upstream.New(upstream.Options{
 		Codec: adapter.Codec, DataCentre: s.DataCentre, Dial: p.dial, DialTimeout: dialTimeout,
-		DrainGrace: s.DrainGrace / drainGraceDivisor, Cold: s.Cold, OnEvent: p.connectionEvent,
+		DrainGrace: s.DrainGrace / drainGraceDivisor, Cold: s.Cold, StartedAt: p.startedAt, OnEvent: p.connectionEvent,
 	})
 	p.engine = forward.New(forward.Options{Pool: p.pool, Budget: s.RetryBudget, Logger: log, Hedge: shardHedging, SingleHedge: singleHedging})
 	p.handler = ingress.New(ingress.Options{
--- a/share/share.go
+++ b/share/share.go
@@ -97,12 +97,12 @@
 	times []time.Time // of the events in the last second, oldest first
 }
 
-// rateWindow is the length of the sliding window.
-const rateWindow = time.Second
+// RateWindow is the length of the sliding window of a RateLimiter.
+const RateWindow = time.Second
 
 // Allows reports whether another event is within the limit.
 func (r *RateLimiter) Allows(now time.Time, limit int) bool {
-	for len(r.times) > 0 && now.Sub(r.times[0]) >= rateWindow {
+	for len(r.times) > 0 && now.Sub(r.times[0]) >= RateWindow {
 		r.times = r.times[1:]
 	}
 	return len(r.times) < limit
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -26,6 +26,10 @@
 	DrainGrace time.Duration
 	// Cold bounds the rate of requests from all processes to a cold target.
 	Cold ColdBound
+	// StartedAt is when the process started. Cold targets with a limited rate get
+	// nothing in the second after it, as an earlier incarnation of the process may have
+	// used that rate.
+	StartedAt time.Time
 	// OnEvent is called with events of connections for logs and metrics; may be nil.
 	// It must not block.
 	OnEvent func(Event)
@@ -66,8 +70,14 @@
 	// warmupRate is the number of requests per second from all processes that a
 	// cold target can serve; zero if cold targets are only slow.
 	warmupRate float64
+	// configured is false if the limits of the service are not known.
+	configured bool
 }
 
+// limitsCold reports whether cold targets of the service get requests at a limited
+// rate only. Without a configuration they may be limited.
+func (s *service) limitsCold() bool { return s.warmupRate > 0 || !s.configured }
+
 // ColdBound is the published bound on requests from all processes to a cold target:
 // in any second, Overshoot times the warm-up rate of its service plus Slack.
 type ColdBound struct {
@@ -113,7 +123,15 @@
 // setLimits sets this process's shares of the limits of a target. mu must be held.
 func (p *Pool) setLimits(t *Target, svc *service) {
 	t.maxConns = max(p.fleet.Share(float64(svc.maxConns), t.ID), minConnections)
-	t.coldRateLimit = p.fleet.Share(svc.warmupRate*p.opts.Cold.Overshoot+p.opts.Cold.Slack, t.ID)
+	t.coldRateLimit = 0
+	if svc.configured {
+		t.coldRateLimit = p.fleet.Share(svc.warmupRate*p.opts.Cold.Overshoot+p.opts.Cold.Slack, t.ID)
+	}
+}
+
+// allowsCold reports whether a cold target with a limited rate may get a request.
+func (p *Pool) allowsCold(now time.Time, t *Target) bool {
+	return now.Sub(p.opts.StartedAt) >= share.RateWindow && t.coldRate.Allows(now, t.coldRateLimit)
 }
 
 // Update replaces the view that targets and services are taken from. Attempts that
@@ -135,12 +153,14 @@
 	services := make(map[string]*service, len(p.services))
 	v.EachTarget(func(e *catalog.Entry) {
 		t := p.targets[e.ID]
+		var coldRate share.RateLimiter
 		if t != nil && (t.entry.Address != e.Address || t.entry.Incarnation != e.Incarnation || t.Service != e.Service) {
 			p.retire(t)
+			coldRate = t.coldRate
 			t = nil
 		}
 		if t == nil {
-			t = &Target{ID: e.ID, Service: e.Service, remote: e.DataCentre != p.opts.DataCentre}
+			t = &Target{ID: e.ID, Service: e.Service, remote: e.DataCentre != p.opts.DataCentre, coldRate: coldRate}
 			p.targets[e.ID] = t
 		}
 		t.entry = e
@@ -152,6 +172,7 @@
 			if s := v.Service(e.Service); s != nil {
 				svc.maxConns = s.MaxConnections
 				svc.warmupRate = s.WarmupRate
+				svc.configured = true
 			}
 			services[e.Service] = svc
 		}
@@ -293,12 +314,13 @@
 			continue
 		}
 		cold := t.isCold(now)
-		if cold && svc.warmupRate > 0 && !t.coldRate.Allows(now, t.coldRateLimit) {
+		coldLimited := cold && svc.limitsCold()
+		if coldLimited && !p.allowsCold(now, t) {
 			continue
 		}
 		candidates = append(candidates, balance.Candidate{
 			Stats: &t.stats, Slots: t.entry.Slots, Remote: t.remote, NeedsConnection: len(t.idle) == 0,
-			Cold: cold, ColdLimited: cold && svc.warmupRate > 0, LastResort: t.entry.Deregistered() || t.entry.Draining, PriorAttempts: tried,
+			Cold: cold, ColdLimited: coldLimited, LastResort: t.entry.Deregistered() || t.entry.Draining, PriorAttempts: tried,
 		})
 		targets = append(targets, t)
 	}
