Fail a request at SendBy if too many of its shards have no target

What callers saw: a request whose target had refused it or failed, with no other target to be chosen, was held until its deadline, and then told 504.

Cause: the decision not to wait for a target was made only for requests of which nothing had been sent.

A shard without an attempt in progress for which no target can be chosen now counts as missing from SendBy on, a quarter of the latency objective. If the others cannot suffice, the caller is told at once: 503 and when to come back if nothing ran, else 502. A sharded request that can still succeed goes on waiting for the shard.

Evidence: TestRequestWithoutTargetsFailsAtSendBy (decided to wait before).

--- a/plan/plan.go
+++ b/plan/plan.go
@@ -63,7 +63,8 @@
 	// LatePartialAt replaces PartialAt if enough shards have responded only
 	// after OnTimeUntil.
 	LatePartialAt time.Time
-	// SendBy is when the decision is NotRun if no attempt has been sent.
+	// SendBy is when the decision is NotRun if no attempt has been sent, and when the
+	// request fails if too many shards have no target.
 	SendBy time.Time
 	// Deadline is when the request fails.
 	Deadline time.Time
@@ -88,12 +89,15 @@
 type shard struct {
 	responded bool
 	failed    bool
-	attempts  int
-	reached   int // attempts that ended and that may have reached a target
-	inFlight  int
-	backoffs  int       // times that the shard became due again
-	nextAt    time.Time // when another attempt is due; zero for never
-	targets   []targetUse
+	// unavailable is true if no attempt is in progress and no target could be chosen
+	// for the next one.
+	unavailable bool
+	attempts    int
+	reached     int // attempts that ended and that may have reached a target
+	inFlight    int
+	backoffs    int       // times that the shard became due again
+	nextAt      time.Time // when another attempt is due; zero for never
+	targets     []targetUse
 }
 
 // targetUse is what is known of one shard's attempts at one target.
@@ -110,9 +114,12 @@
 type Plan struct {
 	opts      Options
 	shards    []shard
-	responded int  // number of shards that have responded
-	failed    int  // number of shards that have failed
-	sent      bool // whether an attempt has been sent
+	responded int // number of shards that have responded
+	failed    int // number of shards that have failed
+	// unavailable is the number of shards without a target, among those that have
+	// not failed.
+	unavailable int
+	sent        bool // whether an attempt has been sent
 	// anyMayHaveRun is true if a target may have run an attempt that failed.
 	anyMayHaveRun bool
 	// enoughAt is when enough shards had responded; zero before.
@@ -167,6 +174,7 @@
 // Sent records an attempt at a shard, which goes to the given target.
 func (p *Plan) Sent(now time.Time, i int, target string) {
 	s := &p.shards[i]
+	p.setUnavailable(s, false)
 	s.attempts++
 	s.inFlight++
 	s.use(target).inFlight++
@@ -218,10 +226,23 @@
 // due again after a backoff.
 func (p *Plan) Unavailable(now time.Time, i int) {
 	s := &p.shards[i]
+	p.setUnavailable(s, s.inFlight == 0)
 	s.nextAt = now.Add(p.backoff(s))
 	s.backoffs++
 }
 
+func (p *Plan) setUnavailable(s *shard, unavailable bool) {
+	if s.unavailable == unavailable {
+		return
+	}
+	s.unavailable = unavailable
+	if unavailable {
+		p.unavailable++
+	} else {
+		p.unavailable--
+	}
+}
+
 func (p *Plan) backoff(s *shard) time.Duration {
 	return min(minRetryDelay<<min(s.backoffs, 8), maxRetryDelay)
 }
@@ -307,6 +328,7 @@
 }
 
 func (p *Plan) fail(s *shard) {
+	p.setUnavailable(s, false)
 	if !s.failed {
 		s.failed = true
 		p.failed++
@@ -353,6 +375,8 @@
 		return p.failure(Expired)
 	case !p.sent && !now.Before(p.opts.SendBy):
 		return NotRun
+	case !p.enough(n-p.failed-p.unavailable) && !now.Before(p.opts.SendBy):
+		return p.failure(Failed)
 	}
 	return Wait
 }
@@ -407,6 +431,9 @@
 	if !p.sent && p.opts.SendBy.Before(wake) {
 		wake = p.opts.SendBy
 	}
+	if p.unavailable > 0 {
+		wake = earlierPending(wake, now, p.opts.SendBy)
+	}
 	for i := range p.shards {
 		if at := p.dueAt(&p.shards[i]); !at.IsZero() && at.Before(wake) {
 			wake = at
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -200,6 +200,50 @@
 	}
 }
 
+// Guards against callers that wait until their deadline for a response that cannot
+// come: a shard that the route requires has no attempt in progress and no target.
+func TestRequestWithoutTargetsFailsAtSendBy(t *testing.T) {
+	for name, test := range map[string]struct {
+		end  func(p *Plan)
+		want Decision
+	}{
+		"refused": {func(p *Plan) { p.Refused(at(10), 0, firstTarget) }, NotRun},
+		"failed":  {func(p *Plan) { p.Failed(at(10), 0, firstTarget) }, Failed},
+	} {
+		p := New(start, options(1))
+		sendDue(p, start)
+		test.end(p)
+		p.Unavailable(at(10), 0)
+		if d := p.Decide(at(24)); d != Wait {
+			t.Fatalf("%s: decision %v before SendBy, want to wait for a target", name, d)
+		}
+		if wake := p.WakeAt(at(24)); wake.After(at(25)) {
+			t.Fatalf("%s: wakes at %v, after SendBy", name, wake)
+		}
+		if d := p.Decide(at(25)); d != test.want {
+			t.Fatalf("%s: decision %v at SendBy without a target, want %v", name, d, test.want)
+		}
+	}
+	p := New(start, options(4))
+	sendDue(p, start)
+	p.Failed(at(10), 0, firstTarget)
+	p.Unavailable(at(10), 0)
+	if d := p.Decide(at(30)); d != Wait {
+		t.Fatalf("decision %v with one shard of four without a target, want to wait for the others", d)
+	}
+	p.Sent(at(40), 0, firstTarget)
+	p.Failed(at(41), 1, firstTarget)
+	p.Unavailable(at(41), 1)
+	if d := p.Decide(at(50)); d != Wait {
+		t.Fatalf("decision %v after the first shard was sent again, want to wait", d)
+	}
+	p.Failed(at(51), 0, firstTarget)
+	p.Unavailable(at(51), 0)
+	if d := p.Decide(at(52)); d != Failed {
+		t.Fatalf("decision %v with two shards of four without a target, want failed", d)
+	}
+}
+
 func TestNotRunOnlyIfNoAttemptMayRun(t *testing.T) {
 	p := New(start, options(1))
 	for !p.opts.SendBy.Before(at(25)) && p.Decide(at(24)) == Wait {
