Let the soak check retry budgets, and log a used-up budget once a second

The soak's targets now refuse and are slow at the same time (half of the time all of them), processes are killed in series and all at once, one route allows a single target, and the slack is small (20 for 4 VMs). At its end the soak checks the window's rule per service from the arrivals at targets, and that no probe ran on more targets than its route allows.

--- a/forward/budget.go
+++ b/forward/budget.go
@@ -20,8 +20,6 @@
 type serviceBudget struct {
 	*budget.Paced
 	usedAt time.Time
-	// loggedAt is when it was last logged that the budget is used up.
-	loggedAt time.Time
 }
 
 // ExtraCounts counts extra attempts since the start.
@@ -45,7 +43,8 @@
 	Services map[string]ServiceBudgetState `json:"services"`
 }
 
-// ServiceBudgetState holds the attempts at a service in the window.
+// ServiceBudgetState holds the numbers of first and extra attempts at a service in the
+// window.
 type ServiceBudgetState struct {
 	Firsts int `json:"firsts"`
 	Extras int `json:"extras"`
@@ -149,15 +148,19 @@
 	e.serviceBudget(now, r.services[i]).Return(taken)
 }
 
-// logUsedUp logs that the retry budget of a service is used up, at most once in a
-// window. mu must be held; the logger does not block.
+// usedUpLogInterval is the shortest time between two log lines that say that a retry
+// budget is used up: a failure of many targets uses up the budgets of many services.
+const usedUpLogInterval = time.Second
+
+// logUsedUp logs that the retry budget of a service is used up. mu must be held; the
+// logger does not block.
 func (e *Engine) logUsedUp(now time.Time, service string, b *serviceBudget) {
-	if !b.loggedAt.IsZero() && now.Sub(b.loggedAt) < budget.WindowLength {
+	if !e.usedUpLoggedAt.IsZero() && now.Sub(e.usedUpLoggedAt) < usedUpLogInterval {
 		return
 	}
-	b.loggedAt = now
+	e.usedUpLoggedAt = now
 	firsts, extras := b.Counts(now)
 	e.opts.Logger.Info("retry budget used up", "service", service, "firsts", firsts, "extras", extras,
-		"slack_share", e.sharedLimits().Slack, "fleet_known", len(e.fleet.Members), "fleet_size", e.fleet.Size(),
-		"fleet_known_for", now.Sub(e.fleetKnownAt))
+		"denied_so_far", e.extras.Denied, "slack_share", e.sharedLimits().Slack,
+		"fleet_known", len(e.fleet.Members), "fleet_size", e.fleet.Size(), "fleet_known_for", now.Sub(e.fleetKnownAt))
 }
--- a/forward/engine.go
+++ b/forward/engine.go
@@ -72,6 +72,8 @@
 	// fleetKnownAt is when the size of the fleet became known; zero before.
 	fleetKnownAt time.Time
 	extras       ExtraCounts
+	// usedUpLoggedAt is when it was last logged that a retry budget is used up.
+	usedUpLoggedAt time.Time
 }
 
 // routeStats holds the latency statistics of one route.
--- /dev/null
+++ b/soak/budget.go
@@ -0,0 +1,106 @@
+package soak
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// retryWindow is the span over which the retry budget is published.
+const retryWindow = 10 * time.Second
+
+// checkBudgets checks what targets got beyond the first arrival of each request: in any
+// window at most retryRatio of the requests for their service plus the slack, and for
+// each probe no more targets that run it than its route allows.
+func (c *checker) checkBudgets(slack int) {
+	arrivals := map[string][]time.Time{}     // by service and request ID
+	runBy := map[string]map[string]bool{}    // targets by probe
+	services := map[string][]time.Time{}     // extra arrivals by service
+	requestTimes := map[string][]time.Time{} // by service
+	for _, t := range c.testbed.targets {
+		requestTimes[t.Service] = nil
+		for _, a := range t.Arrivals() {
+			key := t.Service + " " + a.ID
+			arrivals[key] = append(arrivals[key], a.At)
+		}
+		for _, e := range t.Executions() {
+			if strings.HasPrefix(e.URI, "/probe/") {
+				if runBy[e.ID] == nil {
+					runBy[e.ID] = map[string]bool{}
+				}
+				runBy[e.ID][t.Service+" "+t.ID] = true
+			}
+		}
+	}
+	for key, times := range arrivals {
+		service, _, _ := strings.Cut(key, " ")
+		slices.SortFunc(times, time.Time.Compare)
+		services[service] = append(services[service], times[1:]...)
+	}
+	c.mu.Lock()
+	for id, path := range c.sent {
+		for service := range requestTimes {
+			if serves(service, path) {
+				requestTimes[service] = append(requestTimes[service], c.sentAt[id])
+			}
+		}
+	}
+	c.mu.Unlock()
+	for service, extras := range services {
+		c.checkWindows(service, extras, requestTimes[service], slack)
+	}
+	overrun := 0
+	for _, targets := range runBy {
+		if len(targets) > probeMaxAttempts {
+			overrun++
+		}
+	}
+	if overrun > 0 {
+		c.addViolation("%d probes ran on more targets than the %d that their route allows", overrun, probeMaxAttempts)
+	}
+}
+
+// serves reports whether requests for the path go to the service. Probes count for both
+// of their services, of which the version in force names one.
+func serves(service, path string) bool {
+	switch {
+	case strings.HasPrefix(path, "/all/"):
+		return strings.HasPrefix(service, "shard")
+	case strings.HasPrefix(path, "/probe/"):
+		return strings.HasPrefix(service, "probe")
+	}
+	return service == "single"
+}
+
+// checkWindows checks the extra arrivals at a service in each window that ends with one.
+// The requests are those of that window, of the window before it or of the one that ended
+// half a window earlier, whichever has most.
+func (c *checker) checkWindows(service string, extras, requests []time.Time, slack int) {
+	slices.SortFunc(extras, time.Time.Compare)
+	slices.SortFunc(requests, time.Time.Compare)
+	worst, worstLimit := 0, 0.0
+	for _, end := range extras {
+		basis := max(inWindow(requests, end), inWindow(requests, end.Add(-retryWindow/2)), inWindow(requests, end.Add(-retryWindow)))
+		limit := retryRatio*float64(basis) + float64(slack)
+		if n := inWindow(extras, end); float64(n) > limit && float64(n)-limit > float64(worst)-worstLimit {
+			worst, worstLimit = n, limit
+		}
+	}
+	if worst > 0 {
+		c.addViolation("%s got %d arrivals beyond the first of their request within %v, allowed %.0f", service, worst, retryWindow, worstLimit)
+	}
+}
+
+// inWindow returns the number of the sorted times in the window that ends at end.
+func inWindow(times []time.Time, end time.Time) int {
+	after := func(t time.Time) int {
+		i, _ := slices.BinarySearchFunc(times, t, func(a, b time.Time) int {
+			if a.After(b) {
+				return 1
+			}
+			return -1
+		})
+		return i
+	}
+	return after(end) - after(end.Add(-retryWindow))
+}
--- a/soak/check.go
+++ b/soak/check.go
@@ -33,14 +33,15 @@
 	mu         sync.Mutex
 	violations []string
 	counts     map[string]int
-	sent       map[string]string // path by request ID
-	rejected   map[string]int    // status by ID of requests that must not run
-	newestSeen map[string]int    // newest version by VM and incarnation
+	sent       map[string]string    // path by request ID
+	sentAt     map[string]time.Time // by request ID
+	rejected   map[string]int       // status by ID of requests that must not run
+	newestSeen map[string]int       // newest version by VM and incarnation
 }
 
 func newChecker(b *testbed) *checker {
 	return &checker{
-		testbed: b, counts: map[string]int{}, sent: map[string]string{}, rejected: map[string]int{}, newestSeen: map[string]int{},
+		testbed: b, counts: map[string]int{}, sent: map[string]string{}, sentAt: map[string]time.Time{}, rejected: map[string]int{}, newestSeen: map[string]int{},
 	}
 }
 
@@ -71,7 +72,7 @@
 	req.Host = platformtest.Host
 	platformtest.SetRequestHeaders(req.Header, id, callerTimeout)
 	c.mu.Lock()
-	c.sent[id] = path
+	c.sent[id], c.sentAt[id] = path, time.Now()
 	c.mu.Unlock()
 	sentAt, incarnation := time.Now(), v.incarnation()
 	resp, err := client.Do(req)
--- a/soak/run.go
+++ b/soak/run.go
@@ -72,6 +72,7 @@
 	callers.Wait()
 	c.checkRecovery()
 	c.checkExecutions()
+	c.checkBudgets(retrySlack(o.VMs))
 	return &Report{Violations: c.violations, Counts: c.counts, Faults: inj.counts}, nil
 }
 
@@ -129,6 +130,8 @@
 		{"process paused", inj.pause},
 		{"process killed", func(v *vm, _ *target, _ time.Duration) { inj.restart(v, syscall.SIGKILL) }},
 		{"process terminated", func(v *vm, _ *target, _ time.Duration) { inj.restart(v, syscall.SIGTERM) }},
+		{"process killed in series", inj.killInSeries},
+		{"all processes killed", inj.killAll},
 		{"settings reloaded", inj.reload},
 		{"store connection fault of one VM", func(v *vm, _ *target, span time.Duration) { inj.injectProxyFault(v.storeProxy, span) }},
 		{"store connection fault of all VMs", inj.disruptStore},
@@ -136,6 +139,8 @@
 		{"target connection fault", func(_ *vm, t *target, span time.Duration) { inj.injectProxyFault(t.proxy, span) }},
 		{"responses lost", inj.loseResponses},
 		{"responses lost", inj.loseResponses},
+		{"requests refused", inj.refuse},
+		{"requests refused", inj.refuse},
 		{"shard disconnected", inj.disconnectShard},
 		{"version published", func(*vm, *target, time.Duration) { inj.testbed.configure() }},
 		{"store compacted", func(*vm, *target, time.Duration) { inj.testbed.store.Compact() }},
@@ -197,6 +202,40 @@
 	}
 }
 
+// killInSeries kills a process again and again, each time soon after its start.
+func (inj *injector) killInSeries(v *vm, _ *target, span time.Duration) {
+	for range 3 {
+		inj.restart(v, syscall.SIGKILL)
+		time.Sleep(span / 2)
+	}
+}
+
+// killAll kills all processes at the same time.
+func (inj *injector) killAll(*vm, *target, time.Duration) {
+	for _, v := range inj.testbed.vms {
+		inj.running.Go(func() { inj.restart(v, syscall.SIGKILL) })
+	}
+}
+
+// refuse makes the targets of a service, or half of the time all targets, refuse a part
+// of their requests for a while, and be slow with the others.
+func (inj *injector) refuse(_ *vm, t *target, span time.Duration) {
+	for _, other := range inj.testbed.targets {
+		if span%2 == 0 && other.Service != t.Service {
+			continue
+		}
+		other.SetServiceTime(slowServiceTime)
+		other.SetHandler(func(w http.ResponseWriter, r *http.Request) bool {
+			return rand.Float64() < refusalRate && platformtest.Refuse(w, r)
+		})
+		defer func() {
+			other.SetHandler(nil)
+			other.SetServiceTime(serviceTime)
+		}()
+	}
+	time.Sleep(span)
+}
+
 func (inj *injector) reload(v *vm, _ *target, _ time.Duration) {
 	if !inj.reserve(v) {
 		return
@@ -244,8 +283,15 @@
 	}
 }
 
-// responseLossRate is the fraction of responses that a target loses.
-const responseLossRate = 0.3
+// Faults of targets.
+const (
+	// responseLossRate is the fraction of responses that a target loses.
+	responseLossRate = 0.3
+	// refusalRate is the fraction of requests that a target refuses.
+	refusalRate = 0.5
+	// slowServiceTime is long enough for hedges.
+	slowServiceTime = 700 * time.Millisecond
+)
 
 // checkWithoutFaults checks guarantees whose time bounds hold only without faults:
 // a draining target gets no more requests, and a version that is published after the
--- a/soak/testbed.go
+++ b/soak/testbed.go
@@ -21,8 +21,15 @@
 	topK             = 10
 	minShardFraction = 0.75
 	stopTimeoutSecs  = 3
+	serviceTime      = 5 * time.Millisecond
+	probeMaxAttempts = 1 // of the targets of one service
+	retryRatio       = 0.2
 )
 
+// retrySlack returns the slack of the retry budget for a number of VMs. It is small, so
+// that the budget binds.
+func retrySlack(vms int) int { return 12 + 2*vms }
+
 // vm is an entry process with its proxy to the store.
 type vm struct {
 	name          string
@@ -32,6 +39,7 @@
 	peerAddress   string
 	settingsPath  string
 	program       string
+	retrySlack    int
 
 	mu      sync.Mutex
 	process *proc.Process
@@ -87,7 +95,7 @@
 			if err != nil {
 				return nil, err
 			}
-			t.SetServiceTime(5 * time.Millisecond)
+			t.SetServiceTime(serviceTime)
 			if n >= len(services) {
 				t.SetRecords(records(n - len(services))...)
 			}
@@ -108,7 +116,7 @@
 // addVMs adds the VMs and starts their entry processes.
 func (b *testbed) addVMs(o *Options, dir string) error {
 	for i := range o.VMs {
-		v := &vm{name: fmt.Sprint("front-", i), program: o.Program, settingsPath: filepath.Join(dir, fmt.Sprint("boot", i, ".toml"))}
+		v := &vm{name: fmt.Sprint("front-", i), program: o.Program, retrySlack: retrySlack(o.VMs), settingsPath: filepath.Join(dir, fmt.Sprint("boot", i, ".toml"))}
 		var err error
 		if v.storeProxy, err = NewProxy(b.store.Address()); err != nil {
 			return err
@@ -151,7 +159,7 @@
 	all, once, probe := route("/all/"), route("/once/"), route("/probe/")
 	all.Shards, all.TopK, all.MinShardFraction = b.shards, topK, minShardFraction
 	once.Service, once.NonIdempotent = "single", true
-	probe.Service = fmt.Sprint("probe", b.version%2)
+	probe.Service, probe.MaxAttempts = fmt.Sprint("probe", b.version%2), probeMaxAttempts
 	var services []string
 	for _, t := range b.targets {
 		if strings.HasSuffix(t.ID, "-a") {
@@ -166,7 +174,7 @@
 	settings := platformtest.Settings{
 		Name: v.name, DataCentre: "dc1", Seeds: seeds, CallerAddress: v.callerAddress, ReadyAddress: v.readyAddress, PeerAddress: v.peerAddress,
 		StoreAddress: v.storeProxy.Address(), GraceSecs: stopTimeoutSecs, ConfigApplyMs: int(applyTimeout.Milliseconds()),
-		DrainMs: int(drainPeriod.Milliseconds()), RetrySlack: 200, RetryRatio: 0.2, CPUFraction: 0.5, MemoryMB: 256,
+		DrainMs: int(drainPeriod.Milliseconds()), RetrySlack: v.retrySlack, RetryRatio: retryRatio, CPUFraction: 0.5, MemoryMB: 256,
 	}
 	return os.WriteFile(v.settingsPath, []byte(settings.TOML()), 0o600)
 }
