--- a/soak/run.go
+++ b/soak/run.go
@@ -70,6 +70,7 @@
 	inj.checkWithoutFaults()
 	close(stop)
 	callers.Wait()
+	c.checkProcesses()
 	c.checkRecovery()
 	c.checkExecutions()
 	c.checkBudgets(retrySlack(o.VMs))
