--- a/soak/budget.go
+++ b/soak/budget.go
@@ -13,51 +13,72 @@
 // window at most retryRatio of the requests for their service plus the slack, and for
 // each probe no more targets that run it than its route allows.
 func (c *checker) checkBudgets(slack int) {
-	arrivals := map[string][]time.Time{}     // by service and request ID
-	runBy := map[string]map[string]bool{}    // targets by probe
-	services := map[string][]time.Time{}     // extra arrivals by service
-	requestTimes := map[string][]time.Time{} // by service
+	requests := c.requestTimes()
+	for service, extras := range c.extraArrivals() {
+		c.checkWindows(service, extras, requests[service], slack)
+	}
+	overrun := 0
+	for _, targets := range c.probeTargets() {
+		if len(targets) > probeMaxAttempts {
+			overrun++
+		}
+	}
+	if overrun > 0 {
+		c.addViolation("%d probes ran on more targets than the %d that their route allows", overrun, probeMaxAttempts)
+	}
+}
+
+// extraArrivals returns by service the times of all arrivals but the first of each request.
+func (c *checker) extraArrivals() map[string][]time.Time {
+	type request struct{ service, id string }
+	arrivals := map[request][]time.Time{}
 	for _, t := range c.testbed.targets {
-		requestTimes[t.Service] = nil
 		for _, a := range t.Arrivals() {
-			key := t.Service + " " + a.ID
+			key := request{t.Service, a.ID}
 			arrivals[key] = append(arrivals[key], a.At)
 		}
-		for _, e := range t.Executions() {
-			if strings.HasPrefix(e.URI, "/probe/") {
-				if runBy[e.ID] == nil {
-					runBy[e.ID] = map[string]bool{}
-				}
-				runBy[e.ID][t.Service+" "+t.ID] = true
-			}
-		}
 	}
+	extras := map[string][]time.Time{}
 	for key, times := range arrivals {
-		service, _, _ := strings.Cut(key, " ")
 		slices.SortFunc(times, time.Time.Compare)
-		services[service] = append(services[service], times[1:]...)
+		extras[key.service] = append(extras[key.service], times[1:]...)
+	}
+	return extras
+}
+
+// requestTimes returns by service when callers sent the requests for it.
+func (c *checker) requestTimes() map[string][]time.Time {
+	times := map[string][]time.Time{}
+	for _, t := range c.testbed.targets {
+		times[t.Service] = nil
 	}
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	for id, path := range c.sent {
-		for service := range requestTimes {
+		for service := range times {
 			if serves(service, path) {
-				requestTimes[service] = append(requestTimes[service], c.sentAt[id])
+				times[service] = append(times[service], c.sentAt[id])
 			}
 		}
 	}
-	c.mu.Unlock()
-	for service, extras := range services {
-		c.checkWindows(service, extras, requestTimes[service], slack)
-	}
-	overrun := 0
-	for _, targets := range runBy {
-		if len(targets) > probeMaxAttempts {
-			overrun++
+	return times
+}
+
+// probeTargets returns by probe the IDs of the targets that ran it.
+func (c *checker) probeTargets() map[string]map[string]bool {
+	ran := map[string]map[string]bool{}
+	for _, t := range c.testbed.targets {
+		for _, e := range t.Executions() {
+			if !strings.HasPrefix(e.URI, "/probe/") {
+				continue
+			}
+			if ran[e.ID] == nil {
+				ran[e.ID] = map[string]bool{}
+			}
+			ran[e.ID][t.ID] = true
 		}
 	}
-	if overrun > 0 {
-		c.addViolation("%d probes ran on more targets than the %d that their route allows", overrun, probeMaxAttempts)
-	}
+	return ran
 }
 
 // serves reports whether requests for the path go to the service. Probes count for both
