Let processes keep a whole share of the slack, and accrue a quarter

A whole share may be kept now and a quarter accrues over a window. The window allows their sum, as the tokens bound what all incarnations use.

TestConcurrentRequestsDoNotShareAnExtraAttempt knows its fleet for a minute instead of two windows, so that one token has accrued.

--- a/forward/budget.go
+++ b/forward/budget.go
@@ -70,14 +70,12 @@
 // for targets that count attempts by another clock and in other windows.
 const budgetFraction = 0.9
 
-// Fractions of the slack of the retry budget. slackFraction is what may be used in a
-// window. A process that restarts does not know what it has used, so refillFraction
-// accrues over a window, and depthFraction may be kept: together they bound what all
-// incarnations use in a window, with a reserve for a fleet that is not fully known.
+// Fractions of a process's share of the slack of the retry budget. A process that
+// restarts does not know what it has used. refillFraction accrues over a window, and
+// depthFraction may be kept: their sum bounds what all incarnations use in a window.
 const (
-	slackFraction  = 0.9
-	refillFraction = 0.65
-	depthFraction  = 0.5
+	refillFraction = 0.25
+	depthFraction  = 1.0
 )
 
 // SetFleet sets the processes that share the slack of the retry budget.
@@ -100,7 +98,7 @@
 // held.
 func (e *Engine) sharedLimits() budget.SharedLimits {
 	slack := e.fleet.EvenShare(float64(e.opts.Budget.Slack))
-	return budget.SharedLimits{Slack: slackFraction * slack, Refill: refillFraction * slack, Depth: depthFraction * slack}
+	return budget.SharedLimits{Slack: (refillFraction + depthFraction) * slack, Refill: refillFraction * slack, Depth: depthFraction * slack}
 }
 
 // serviceBudget returns the retry budget of a service and marks it as used. mu must
--- a/forward/budget_test.go
+++ b/forward/budget_test.go
@@ -78,7 +78,7 @@
 	const service = "s"
 	e := New(Options{Budget: RetryBudget{Slack: 2}, Logger: slog.New(slog.DiscardHandler)}) // the share of one process is one
 	now := time.Now()
-	e.SetFleet(now.Add(-2*budget.WindowLength), share.Fleet{Self: "a", Members: []string{"a"}})
+	e.SetFleet(now.Add(-time.Minute), share.Fleet{Self: "a", Members: []string{"a"}})
 	var requests [3]*activeRequest
 	for i := range requests {
 		requests[i] = &activeRequest{engine: e, services: []string{service}}
