--- a/soak/check.go
+++ b/soak/check.go
@@ -180,18 +180,6 @@
 	}
 }
 
-// checkProcesses checks that all processes run: each one that ended was started again.
-func (c *checker) checkProcesses() {
-	for _, v := range c.testbed.vms {
-		v.mu.Lock()
-		p := v.process
-		v.mu.Unlock()
-		if !p.Running() {
-			c.addViolation("%s does not run; its last lines: %s", v.name, strings.Join(p.Tail(), "; "))
-		}
-	}
-}
-
 // checkExecutions checks the requests that targets recorded as executed: each was
 // sent by a caller, and a non-idempotent one was executed at most once, and not at
 // all if it was rejected.
--- a/soak/run.go
+++ b/soak/run.go
@@ -70,11 +70,11 @@
 	inj.checkWithoutFaults()
 	close(stop)
 	callers.Wait()
-	c.checkProcesses()
+	stopped := b.stoppedProcesses()
 	c.checkRecovery()
 	c.checkExecutions()
 	c.checkBudgets(retrySlack(o.VMs))
-	return &Report{Violations: c.violations, Counts: c.counts, Faults: inj.counts}, nil
+	return &Report{Violations: append(stopped, c.violations...), Counts: c.counts, Faults: inj.counts}, nil
 }
 
 // runCaller sends requests over persistent connections until stop is closed.
--- a/soak/testbed.go
+++ b/soak/testbed.go
@@ -241,6 +241,20 @@
 	return v.starts
 }
 
+// stoppedProcesses returns a violation for each process that does not run, though each
+// one that ended was started again.
+func (b *testbed) stoppedProcesses() (violations []string) {
+	for _, v := range b.vms {
+		v.mu.Lock()
+		p := v.process
+		v.mu.Unlock()
+		if !p.Running() {
+			violations = append(violations, fmt.Sprintf("%s does not run; its last lines: %s", v.name, strings.Join(p.Tail(), "; ")))
+		}
+	}
+	return violations
+}
+
 func (b *testbed) close() {
 	for _, v := range b.vms {
 		v.mu.Lock()
