--- a/forward/budget.go
+++ b/forward/budget.go
@@ -66,13 +66,14 @@
 	return s
 }
 
-// budgetFraction is the fraction of RetryBudget.Ratio that is used. The rest allows
-// for targets that count attempts by another clock and in other windows.
+// budgetFraction is the fraction of RetryBudget.Ratio that is used. The rest is left for
+// tokens that are kept from one window to the next.
 const budgetFraction = 0.9
 
 // Fractions of a process's share of the slack of the retry budget. A process that
 // restarts does not know what it has used. refillFraction accrues over a window, and
-// depthFraction may be kept: their sum bounds what all incarnations use in a window.
+// depthFraction may be kept: their sum bounds what all incarnations use in a window. It
+// uses the whole slack, as a share is 0.8 of an equal part.
 const (
 	refillFraction = 0.25
 	depthFraction  = 1.0
