Refuse requests at once that have too few targets

Cause: after a start of all VMs the store may be back while most targets have not registered again.

Change: before an attempt, the shards that have a registered target are counted; if they are too few, the answer is 503 with a Retry-After of half a second, spread by a quarter by the request's ID.

--- a/forward/active_request.go
+++ b/forward/active_request.go
@@ -38,6 +38,9 @@
 func (e *Engine) Do(ctx context.Context, req *Request) Response {
 	r := e.newActiveRequest(req)
 	now := time.Now()
+	if !r.plan.CanServe(e.opts.Pool.Served(r.services)) {
+		return r.refuseUnserved(now)
+	}
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
--- a/forward/engine.go
+++ b/forward/engine.go
@@ -135,6 +135,9 @@
 	disconnectLinger = 250 * time.Millisecond
 	// minRetryAfter is the shortest RetryAfter of a refused request.
 	minRetryAfter = 50 * time.Millisecond
+	// unservedRetryAfter is the mean RetryAfter of a request that is refused because
+	// its services have no targets: targets register again within about two seconds.
+	unservedRetryAfter = 500 * time.Millisecond
 )
 
 // idleRetention is how long the state of a route or service that gets no requests
--- a/forward/response.go
+++ b/forward/response.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/goldcrestmux/goldcrestmux/plan"
 	"github.com/goldcrestmux/goldcrestmux/upstream"
 )
@@ -13,6 +14,10 @@
 // the caller has disconnected.
 const ReasonCallerDisconnected = "the caller left"
 
+// ReasonUnserved is the reason of a response to a request that was refused because
+// too few of its shards, or not its only service, have a registered target.
+const ReasonUnserved = "too few shards have a target"
+
 // statusCallerDisconnected is the status that is logged if the caller
 // disconnected; it is never sent.
 const statusCallerDisconnected = 499
@@ -32,6 +37,24 @@
 	return resp
 }
 
+// refuseUnserved returns the response to a request that no attempt can make succeed,
+// because too few of its shards have a target. It has been sent to none.
+func (r *activeRequest) refuseUnserved(now time.Time) Response {
+	resp := Response{
+		Status: http.StatusServiceUnavailable, RetryAfter: spread(unservedRetryAfter, r.req.Call.ID),
+		Reason: ReasonUnserved,
+	}
+	r.logResponse(now, plan.NotRun, &resp)
+	return resp
+}
+
+// spread returns d changed by up to a quarter either way, by a hash of the request ID,
+// so that callers that are refused together do not return together.
+func spread(d time.Duration, id string) time.Duration {
+	fraction := float64(xxhash.Sum64String(id)>>11) / (1 << 53) // 0 to 1
+	return time.Duration((0.75 + 0.5*fraction) * float64(d))
+}
+
 // successResponse returns the response of the target, or the merged records of
 // the shards that have responded.
 func (r *activeRequest) successResponse() Response {
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -342,6 +342,10 @@
 // Missing reports whether a shard has not responded.
 func (p *Plan) Missing(i int) bool { return !p.shards[i].responded }
 
+// CanServe reports whether the request can succeed if only the given number of
+// shards have a target.
+func (p *Plan) CanServe(served int) bool { return p.enough(served) }
+
 // enough reports whether n shards suffice for a response.
 func (p *Plan) enough(n int) bool {
 	return n > 0 && float64(n) >= p.opts.MinFraction*float64(len(p.shards))-1e-9
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -284,6 +284,25 @@
 	return a
 }
 
+// Served returns how many of the services have a target that may receive requests. A
+// target that is only busy, cold or limited counts.
+func (p *Pool) Served(services []string) int {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, name := range services {
+		if svc := p.services[name]; svc != nil && svc.hasUsable(now, p.opts.DrainGrace) {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *service) hasUsable(now time.Time, drainGrace time.Duration) bool {
+	return slices.ContainsFunc(s.targets, func(t *Target) bool { return t.usable(now, drainGrace) })
+}
+
 // assign assigns a connection to an attempt. mu must be held.
 func (p *Pool) assign(c *conn, a *Attempt) {
 	c.current = a
