Do not pass on statuses that promise that a request has not run

Cause: a target's own 408, 429 or 503 without the header that says so was passed on, and told the caller that its request had not run and never would. The target may have run it.

Change: such a response counts as a failure that may have run; a request that has no other ends with 502 without a signature.

--- a/forward/active_request.go
+++ b/forward/active_request.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/goldcrestmux/goldcrestmux/balance"
@@ -257,7 +258,17 @@
 	if res.Status >= 200 && res.Status < 300 {
 		return res.Signature != ""
 	}
-	return !r.req.Route.Sharded() && res.Status < 500
+	return !r.req.Route.Sharded() && res.Status < 500 && !promisesNotRun(res.Status)
+}
+
+// promisesNotRun reports whether the status tells a caller that its request has not run
+// and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
 }
 
 // observeLatency records the latency of the first attempt at a shard, or its
--- a/forward/response.go
+++ b/forward/response.go
@@ -78,7 +78,7 @@
 // failureResponse returns the error response of a target to an unsharded
 // request, or else a response that says how the request failed.
 func (r *activeRequest) failureResponse(decision plan.Decision) Response {
-	if !r.req.Route.Sharded() && r.lastFailure.Outcome == upstream.Responded && r.lastFailure.Status >= 500 {
+	if !r.req.Route.Sharded() && r.lastFailure.Outcome == upstream.Responded && r.lastFailure.Status >= 500 && !promisesNotRun(r.lastFailure.Status) {
 		return Response{Status: r.lastFailure.Status, Header: r.lastFailure.Header, Signature: r.lastFailure.Signature, Body: r.lastFailure.Body, Reason: "the target failed"}
 	}
 	if decision == plan.Expired {
