Bound what a target's response may take

Cause: bytes that are no answer may come without end.

Change: head and interim responses take at most 64 KB, a body 8 MB, and the parts of bodies beyond 64 KB together an eighth of the process's memory. What exceeds it closes the connection and ends the attempt as one that may have run. A panic while a response is read ends its attempt only.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -89,6 +89,10 @@
 // before garbage is collected more often.
 const memoryFraction = 0.6
 
+// bufferedDivisor is the divisor of Settings.MemoryLimit that yields the memory for large
+// responses of targets that are being received.
+const bufferedDivisor = 8
+
 // RunUntil is like Run, but takes the signals from a channel.
 func RunUntil(adapter Adapter, log *slog.Logger, signals <-chan os.Signal) int {
 	s, err := adapter.LoadSettings()
@@ -117,6 +121,7 @@
 	p.pool = upstream.New(upstream.Options{
 		Codec: adapter.Codec, DataCentre: s.DataCentre, Dial: p.dial, DialTimeout: dialTimeout,
 		DrainGrace: s.DrainGrace / drainGraceDivisor, Cold: s.Cold, StartedAt: p.startedAt, OnEvent: p.connectionEvent,
+		MaxBufferedBytes: s.MemoryLimit / bufferedDivisor,
 	})
 	p.engine = forward.New(forward.Options{Pool: p.pool, Budget: s.RetryBudget, Logger: log, Hedge: shardHedging, SingleHedge: singleHedging})
 	p.handler = ingress.New(ingress.Options{
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -17,9 +17,15 @@
 	readBufferBytes = 2 << 10
 	// maxResponseBytes bounds the size of a response body, which is held in memory.
 	maxResponseBytes = 8 << 20
+	// maxHeadBytes bounds the status line and headers of a response, with those of
+	// the interim responses before it.
+	maxHeadBytes = 64 << 10
 	// maxPreallocatedBytes is the largest Content-Length for which the body is
 	// allocated before it is received. A faulty target may send any length.
 	maxPreallocatedBytes = 64 << 10
+	// maxTrailerBytes bounds what may follow the chunks of a body, and the sizes of
+	// the chunks.
+	maxTrailerBytes = 64 << 10
 )
 
 // conn is one connection to a target. It carries one request at a time. The
@@ -29,9 +35,11 @@
 	target  *Target
 	netConn net.Conn
 	reader  *bufio.Reader
+	// source is what reader reads from. Only the reading goroutine uses it.
+	source *boundedReader
 	// The fields below are guarded by Pool.mu.
 	current *Attempt
-	closed  bool
+	closed bool
 	// writing is true while a request is being written.
 	writing bool
 	// respondedEarly is true if the response arrived before the request was
@@ -65,9 +73,34 @@
 // writeTimeout bounds the writing of a request. Targets read it within milliseconds.
 const writeTimeout = 2 * time.Second
 
+// boundedReader reads from a connection at most the number of bytes that is allowed.
+type boundedReader struct {
+	conn    net.Conn
+	allowed int64
+}
+
+// Read implements io.Reader. It returns errTooLarge once no more bytes are allowed.
+func (r *boundedReader) Read(p []byte) (int, error) {
+	if r.allowed <= 0 {
+		return 0, errTooLarge
+	}
+	n, err := r.conn.Read(p[:min(int64(len(p)), r.allowed)])
+	r.allowed -= int64(n)
+	return n, err
+}
+
+func newConn(p *Pool, t *Target, nc net.Conn) *conn {
+	source := &boundedReader{conn: nc}
+	return &conn{
+		pool: p, target: t, netConn: nc, source: source, reader: bufio.NewReaderSize(source, readBufferBytes),
+		idleTimeout: defaultIdleTimeout,
+	}
+}
+
 // readLoop reads responses until the connection is closed or fails.
 func (c *conn) readLoop() {
 	for {
+		c.source.allowed = maxHeadBytes
 		_, err := c.reader.Peek(1)
 		a := c.pool.currentAttempt(c)
 		if err != nil {
@@ -84,48 +117,115 @@
 	}
 }
 
-// readResponse reads one response and reports whether the connection stays open.
+// readResponse reads the response to an attempt and reports whether the connection
+// stays open.
 func (c *conn) readResponse(a *Attempt) bool {
-	resp, err := http.ReadResponse(c.reader, &http.Request{Method: a.Call.Method})
+	result, keep, err := c.decodeResponse(a)
 	if err != nil {
-		c.pool.failConn(c, a, errors.Annotate(err, "read response"))
+		c.pool.failConn(c, a, err)
 		return false
 	}
-	if resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
-		return true // an interim response
-	}
-	body, err := readBody(resp)
+	return c.pool.completeAttempt(c, result, keep, keepAliveTimeout(result.Header))
+}
+
+// decodeResponse reads and checks the response to an attempt. keep is true if the
+// connection can be used again. A panic is returned as an error: whatever a target
+// sends, only its attempt may fail.
+func (c *conn) decodeResponse(a *Attempt) (result *Result, keep bool, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = errors.Errorf("panic while reading the response: %v", cause)
+		}
+	}()
+	resp, err := c.readHead(a)
 	if err != nil {
-		c.pool.failConn(c, a, errors.Annotate(err, "read response body"))
-		return false
+		return nil, false, errors.Annotate(err, "read response")
 	}
-	if len(body) > maxResponseBytes {
-		c.pool.failConn(c, a, errors.Errorf("response body is larger than %d bytes", maxResponseBytes))
-		return false
+	body, err := c.readBody(resp)
+	if err != nil {
+		return nil, false, errors.Annotate(err, "read response body")
 	}
 	decoded := c.pool.opts.Codec.DecodeResponse(resp.Header, resp.StatusCode)
 	if decoded.ID != "" && decoded.ID != a.Call.ID {
-		c.pool.failConn(c, a, errIDMismatch)
-		return false
+		return nil, false, errIDMismatch
 	}
-	result := &Result{
+	delimited := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	return &Result{
 		Attempt: a, Outcome: outcomeOf(decoded), Status: resp.StatusCode, Header: resp.Header,
 		Signature: decoded.Signature, Body: body, EndedAt: time.Now(),
+	}, delimited && !resp.Close && c.reader.Buffered() == 0, nil
+}
+
+// readHead reads the status line and headers of a response. It skips interim responses.
+func (c *conn) readHead(a *Attempt) (*http.Response, error) {
+	for {
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: a.Call.Method})
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
+			return resp, nil
+		}
 	}
-	delimited := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	keep := delimited && !resp.Close && c.reader.Buffered() == 0
-	return c.pool.completeAttempt(c, result, keep, keepAliveTimeout(resp.Header))
 }
 
-// readBody reads the body of a response, at most maxResponseBytes and one byte
-// more, which shows that it is too long.
-func readBody(resp *http.Response) ([]byte, error) {
-	if n := resp.ContentLength; n >= 0 && n <= maxPreallocatedBytes && resp.Body != http.NoBody {
+// readBody reads the body of a response of at most maxResponseBytes.
+func (c *conn) readBody(resp *http.Response) ([]byte, error) {
+	n := resp.ContentLength
+	if n > maxResponseBytes {
+		return nil, errTooLarge
+	}
+	c.source.allowed = maxResponseBytes + maxTrailerBytes
+	if n >= 0 && n <= maxPreallocatedBytes && resp.Body != http.NoBody {
 		body := make([]byte, n)
 		_, err := io.ReadFull(resp.Body, body)
 		return body, err
 	}
-	return io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	return c.readLongBody(resp.Body)
+}
+
+// readLongBody reads a body whose size is not known, or large. What exceeds
+// maxPreallocatedBytes counts against Options.MaxBufferedBytes while it is read.
+func (c *conn) readLongBody(r io.Reader) (body []byte, err error) {
+	reserved := int64(0)
+	defer func() { c.pool.buffered.Add(-reserved) }()
+	body = make([]byte, 0, 512)
+	for {
+		if len(body) == cap(body) {
+			size := 2 * cap(body)
+			if more := int64(size) - maxPreallocatedBytes - reserved; more > 0 {
+				if !c.pool.reserve(more) {
+					return nil, errBuffersFull
+				}
+				reserved += more
+			}
+			body = append(make([]byte, 0, size), body...)
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case len(body) > maxResponseBytes:
+			return nil, errTooLarge
+		case err == io.EOF:
+			return body, nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
+// reserve counts n bytes against Options.MaxBufferedBytes and reports whether they are
+// within it. If not, it counts nothing.
+func (p *Pool) reserve(n int64) bool {
+	for {
+		used := p.buffered.Load()
+		if limit := p.opts.MaxBufferedBytes; limit > 0 && used+n > limit {
+			return false
+		}
+		if p.buffered.CompareAndSwap(used, used+n) {
+			return true
+		}
+	}
 }
 
 func outcomeOf(r Response) Outcome {
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"time"
@@ -19,7 +18,7 @@
 		p.dialFailed(t, a, err)
 		return
 	}
-	c := &conn{pool: p, target: t, netConn: nc, reader: bufio.NewReaderSize(nc, readBufferBytes), idleTimeout: defaultIdleTimeout}
+	c := newConn(p, t, nc)
 	p.mu.Lock()
 	switch {
 	case t.removed || (a.abandoned && t.evacuated):
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -5,6 +5,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/goldcrestmux/goldcrestmux/balance"
@@ -26,6 +27,9 @@
 	DrainGrace time.Duration
 	// Cold bounds the rate of requests from all processes to a cold target.
 	Cold ColdBound
+	// MaxBufferedBytes bounds the memory for the bodies that are being received, of all
+	// connections together, beyond the first part of each; zero for no bound.
+	MaxBufferedBytes int64
 	// StartedAt is when the process started. Cold targets with a limited rate get
 	// nothing in the second after it, as an earlier incarnation of the process may have
 	// used that rate.
@@ -60,6 +64,8 @@
 	turn     uint64             // breaks ties between equal targets
 	busy     map[*conn]struct{} // connections that are not idle
 	buffers  sync.Pool
+	// buffered is the number of bytes that count against MaxBufferedBytes.
+	buffered atomic.Int64
 }
 
 // service holds the targets and limits of one service.
