Accept only a response to the request in progress on its connection

Cause: a second copy of a response may arrive late, when its connection is in use again. It was told from the response to the request in progress by the request ID only, so that - one without an ID (a 408 of a server that closes an idle connection, a copied refusal) was passed to the next caller, or told that its request had not run; - a copy of the refusal of an earlier attempt of the same request was taken for the second refusal, while the target ran the request.

Change: once a response on a connection has named its request, one that names none breaks the connection; a connection carries no two attempts of one request in a row.

TestLateCopyIsNotTheNextResponse (2 of 5 cases) and TestAttemptsOfOneRequestUseDifferentConnections failed before.

--- a/upstream/call.go
+++ b/upstream/call.go
@@ -122,6 +122,7 @@
 	errNoResponse    = errors.New("no response before the deadline")
 	errTargetRemoved = errors.New("target removed or data centre evacuated")
 	errIDMismatch    = errors.New("response has the ID of another request")
+	errNoID          = errors.New("response has no request ID, unlike earlier ones on its connection")
 	errTooLarge      = errors.New("response is larger than allowed")
 	errBuffersFull   = errors.New("too many bytes of responses are being received")
 	errUnsolicited   = errors.New("target sent data while no request was in progress")
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -37,8 +37,15 @@
 	reader  *bufio.Reader
 	// source is what reader reads from. Only the reading goroutine uses it.
 	source *boundedReader
+	// echoesID is true once a response on this connection has named its request. One
+	// that names none is then no response to the request in progress. Only the reading
+	// goroutine uses it.
+	echoesID bool
 	// The fields below are guarded by Pool.mu.
 	current *Attempt
+	// lastID is the ID of the last request. The connection carries no second attempt
+	// of that request: a late copy of the first response would pass for the second.
+	lastID string
 	closed bool
 	// writing is true while a request is being written.
 	writing bool
@@ -146,9 +153,13 @@
 		return nil, false, errors.Annotate(err, "read response body")
 	}
 	decoded := c.pool.opts.Codec.DecodeResponse(resp.Header, resp.StatusCode)
-	if decoded.ID != "" && decoded.ID != a.Call.ID {
+	switch {
+	case decoded.ID != "" && decoded.ID != a.Call.ID:
 		return nil, false, errIDMismatch
+	case decoded.ID == "" && c.echoesID:
+		return nil, false, errNoID
 	}
+	c.echoesID = c.echoesID || decoded.ID != ""
 	delimited := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 	return &Result{
 		Attempt: a, Outcome: outcomeOf(decoded), Status: resp.StatusCode, Header: resp.Header,
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -95,8 +95,11 @@
 		return nil
 	}
 	if len(t.waiting) > 0 && t.usable(now, p.opts.DrainGrace) {
-		a := t.waiting[0]
-		t.waiting = t.waiting[1:]
+		a := t.takeWaitingExcept(c.lastID)
+		if a == nil {
+			p.closeConn(c) // the caller opens another one for the waiting attempts
+			return nil
+		}
 		p.assign(c, a)
 		return a
 	}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -271,7 +271,10 @@
 	if t.isCold(now) {
 		t.coldRate.Add(now)
 	}
-	c := t.takeIdle()
+	c := t.takeIdle(call.ID)
+	if c == nil && t.openConns >= t.maxConns && len(t.idle) > 0 {
+		p.closeConn(t.takeIdle("")) // makes room for a connection that the request has not used
+	}
 	switch {
 	case c != nil:
 		p.assign(c, a)
@@ -312,6 +315,7 @@
 // assign assigns a connection to an attempt. mu must be held.
 func (p *Pool) assign(c *conn, a *Attempt) {
 	c.current = a
+	c.lastID = a.Call.ID
 	c.writing = true
 	a.conn = c
 	a.state = stateSent
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"slices"
 	"time"
 
 	"github.com/goldcrestmux/goldcrestmux/balance"
@@ -32,17 +33,28 @@
 	evacuated bool
 }
 
-// takeIdle removes and returns the most recently used idle connection, or returns
-// nil.
-func (t *Target) takeIdle() *conn {
-	n := len(t.idle)
-	if n == 0 {
-		return nil
+// takeIdle removes and returns the most recently used idle connection whose last request
+// had another ID, or returns nil.
+func (t *Target) takeIdle(id string) *conn {
+	for i := len(t.idle) - 1; i >= 0; i-- {
+		if c := t.idle[i]; c.lastID != id || id == "" {
+			t.idle = slices.Delete(t.idle, i, i+1)
+			return c
+		}
+	}
+	return nil
+}
+
+// takeWaitingExcept removes and returns the first waiting attempt whose request has
+// another ID, or returns nil.
+func (t *Target) takeWaitingExcept(id string) *Attempt {
+	for i, a := range t.waiting {
+		if a.Call.ID != id {
+			t.waiting = slices.Delete(t.waiting, i, i+1)
+			return a
+		}
 	}
-	c := t.idle[n-1]
-	t.idle[n-1] = nil
-	t.idle = t.idle[:n-1]
-	return c
+	return nil
 }
 
 // removeIdle removes a connection from the idle connections if it is one of them.
