Reject malformed items of peers instead of panicking

Cause: an item of a peer's response that names a kind and has no content, or has a null route or service, was dereferenced by the follower, which took the whole process down.

Change: each item is validated where it is decoded and where it is applied; a malformed one counts as unreadable.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -108,11 +108,19 @@
 	if c.Version == 0 {
 		return errors.NotValidf("configuration version 0")
 	}
-	for _, r := range c.Routes {
+	for i, r := range c.Routes {
+		if r == nil {
+			return errors.NotValidf("empty route %d", i)
+		}
 		if err := r.validate(); err != nil {
 			return errors.Annotatef(err, "route %q", r.Name)
 		}
 	}
+	for i, s := range c.Services {
+		if s == nil {
+			return errors.NotValidf("empty service %d", i)
+		}
+	}
 	return nil
 }
 
--- a/catalog/state.go
+++ b/catalog/state.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 // Kind is the type of an Item.
@@ -33,6 +35,21 @@
 	Err error
 }
 
+// Validate returns an error if the item claims to have a content that it lacks. Items
+// of peers may be malformed.
+func (it *Item) Validate() error {
+	switch {
+	case it.Deleted || it.Err != nil:
+	case it.Kind == KindConfig && it.Config == nil:
+		return errors.NotValidf("configuration without content")
+	case it.Kind == KindConfig:
+		return it.Config.validate()
+	case it.Kind == KindTarget && it.Target == nil:
+		return errors.NotValidf("target without content")
+	}
+	return nil
+}
+
 // Change describes a change of the State, or an item that was rejected, for the
 // log.
 type Change struct {
@@ -130,6 +147,11 @@
 }
 
 func (s *State) apply(now time.Time, it *Item) []Change {
+	if err := it.Validate(); err != nil {
+		invalid := *it
+		invalid.Config, invalid.Target, invalid.Err = nil, nil, err
+		it = &invalid
+	}
 	switch it.Kind {
 	case KindConfig:
 		return s.applyConfig(it)
@@ -148,14 +170,10 @@
 		c.Outcome = "ignored: deleted, the last valid version stays"
 		return []Change{c}
 	case it.Err != nil:
-		c.Outcome, c.Err = "ignored: unreadable, the last valid version stays", it.Err
+		c.Outcome, c.Err = "ignored: unreadable or invalid, the last valid version stays", it.Err
 		return []Change{c}
 	}
 	c.Version = it.Config.Version
-	if err := it.Config.validate(); err != nil {
-		c.Outcome, c.Err = "ignored: invalid, the last valid version stays", err
-		return []Change{c}
-	}
 	if s.config != nil && it.Config.Version <= s.config.Version {
 		if it.Config.Version == s.config.Version {
 			return nil
--- a/follow/feed.go
+++ b/follow/feed.go
@@ -181,7 +181,12 @@
 		if it.Err != "" {
 			item.Err = errors.New(it.Err)
 		}
-		b.Items = append(b.Items, item)
+		if err := item.Validate(); err != nil {
+			item.Config, item.Target, item.Err = nil, nil, errors.Annotate(err, "item of a peer")
+		}
+		if item.Kind <= catalog.KindEvacuation {
+			b.Items = append(b.Items, item)
+		}
 	}
 	return b, nil
 }
