Follow a store that was restored from an older copy

Cause: revisions were taken to grow for ever. After a restoration they go back and are given out again, so that what was written again under a revision already seen was ignored, a watch from an old revision could succeed and leave out what came between, and peers of different eras fed each other.

Change: each answer has the era of the store (0 if it does not tell). A watch of a later era leads to a fresh listing; an answer of a former one is ignored, and the listing after it is not stale. In a new era the catalog forgets the former revisions and keeps, for a stated time, what the copy may lack or undo: targets that are missing (2.3 s, as last resorts), targets that had left (10 s), the state of evacuations (3 s). A configuration never goes back, and peers serve the newest one.

Ruled out: a target's sequence as the sign that it registered afresh. It also grows without a change of the entry, so the copy of a target that has left may have a greater one than was known.

--- a/catalog/state.go
+++ b/catalog/state.go
@@ -53,7 +53,7 @@
 // Change describes a change of the State, or an item that was rejected, for the
 // log.
 type Change struct {
-	Resource string // "configuration", "target" or "data centre"
+	Resource string // one of the constants below
 	Name     string
 	Outcome  string // such as "applied" or "ignored: older than the current version"
 	Revision uint64
@@ -61,8 +61,13 @@
 	Err      error
 }
 
-// ResourceTarget is the Resource of a Change of a target.
-const ResourceTarget = "target"
+// Resources of changes.
+const (
+	ResourceConfig     = "configuration"
+	ResourceTarget     = "target"
+	ResourceDataCentre = "data centre"
+	ResourceStore      = "store"
+)
 
 // StateOptions configures a State.
 type StateOptions struct {
@@ -77,6 +82,17 @@
 	// ColdAfterEvacuation is how long the targets of a data centre count as cold
 	// after its evacuation ends, because the state that they publish lags.
 	ColdAfterEvacuation time.Duration
+	// EvacuationHold is how long an evacuation keeps the state that it had before the
+	// store was restored from a copy that says otherwise. What operators wrote is
+	// written again meanwhile.
+	EvacuationHold time.Duration
+	// DepartedHold is how long a target that had left before the store was restored is
+	// not used although the copy still lists it. It must exceed the time after which
+	// the store drops entries that are not renewed.
+	DepartedHold time.Duration
+	// DepartedMemory is how long departures and ended evacuations are remembered. It
+	// must exceed the age of a copy that the store may be restored from.
+	DepartedMemory time.Duration
 }
 
 // State merges published items. It is not safe for concurrent use.
@@ -93,36 +109,62 @@
 	// outageGraceUntil is the time before which OutageGrace applies to entries that
 	// disappear.
 	outageGraceUntil time.Time
+	// listed is whether a listing has been applied.
+	listed bool
+	// era is that of the last listing.
+	era uint64
+	restoration
 }
 
 // NewState returns an empty State.
 func NewState(opts StateOptions) *State {
 	return &State{
 		opts: opts, targets: map[string]*Entry{}, evacuated: map[string]uint64{},
-		deletedAt: map[string]uint64{},
+		deletedAt: map[string]uint64{}, restoration: newRestoration(),
 	}
 }
 
 // ExtendGraceUntil applies OutageGrace to entries that disappear before the
 // given time. It is meant for when the store has been unavailable, so that
 // entries may have expired because their targets could not renew them.
-func (s *State) ExtendGraceUntil(until time.Time) { s.outageGraceUntil = until }
+func (s *State) ExtendGraceUntil(until time.Time) {
+	if until.After(s.outageGraceUntil) {
+		s.outageGraceUntil = until
+	}
+}
 
-// Apply applies changes, which must be in the order of their revisions, and
-// returns what changed.
+// Apply applies changes of the current era, which must be in the order of their
+// revisions, and returns what changed.
 func (s *State) Apply(now time.Time, items []Item) []Change {
 	var changes []Change
 	for i := range items {
+		s.release(&items[i])
 		changes = append(changes, s.apply(now, &items[i])...)
 	}
 	return changes
 }
 
 // Replace applies a full listing that was begun when the store was at the given
-// revision. Known targets and evacuations that are neither listed nor newer than
-// this revision count as deleted.
-func (s *State) Replace(now time.Time, items []Item, revision uint64) []Change {
-	changes := s.Apply(now, items)
+// position. Known targets and evacuations that are neither listed nor newer than
+// this position count as deleted.
+//
+// In a new era, the store may lack what was written last, and list what was deleted
+// last, until that is written again. Evacuations keep their state for EvacuationHold,
+// targets that are missing for OutageGrace, and targets that had left stay out for
+// DepartedHold.
+func (s *State) Replace(now time.Time, items []Item, at Position) []Change {
+	var changes []Change
+	if s.listed && at.Era != s.era {
+		changes = s.enterEra(now, at, items)
+	}
+	s.listed, s.era = true, at.Era
+	revision := at.Revision
+	for i := range items {
+		if !s.withheld(&items[i]) {
+			s.release(&items[i])
+			changes = append(changes, s.apply(now, &items[i])...)
+		}
+	}
 	listed := map[string]bool{}
 	evacuated := map[string]bool{}
 	for _, it := range items {
@@ -139,7 +181,7 @@
 		}
 	}
 	for _, dc := range slices.Sorted(maps.Keys(s.evacuated)) {
-		if !evacuated[dc] && s.evacuated[dc] <= revision {
+		if _, kept := s.unconfirmed[dc]; !kept && !evacuated[dc] && s.evacuated[dc] <= revision {
 			changes = append(changes, s.endEvacuation(now, dc, revision))
 		}
 	}
@@ -164,7 +206,7 @@
 }
 
 func (s *State) applyConfig(it *Item) []Change {
-	c := Change{Resource: "configuration", Revision: it.Revision}
+	c := Change{Resource: ResourceConfig, Revision: it.Revision}
 	switch {
 	case it.Deleted:
 		c.Outcome = "ignored: deleted, the last valid version stays"
@@ -208,6 +250,7 @@
 	case it.Err != nil:
 		c.Outcome, c.Err = "not used: entry unreadable", it.Err
 		if known != nil {
+			s.rememberDeparture(now, known, it.Revision)
 			s.targets[it.Name] = s.withGrace(known, now)
 		}
 		return []Change{c}
@@ -216,6 +259,7 @@
 		return nil
 	}
 	delete(s.deletedAt, it.Name)
+	delete(s.departed, it.Name)
 	e := &Entry{Target: *it.Target, Revision: it.Revision, ColdUntil: now.Add(it.Target.WarmupRemaining)}
 	if e.Draining {
 		e.DrainingSince = now
@@ -279,6 +323,7 @@
 }
 
 func (s *State) deregister(now time.Time, e *Entry, revision uint64) Change {
+	s.rememberDeparture(now, e, revision)
 	s.targets[e.ID] = s.withGrace(e, now)
 	return Change{Resource: ResourceTarget, Name: e.ID, Outcome: "deregistered", Revision: revision}
 }
@@ -297,15 +342,17 @@
 	}
 	_, known := s.evacuated[it.Name]
 	s.evacuated[it.Name] = it.Revision
+	delete(s.ended, it.Name)
 	if known {
 		return nil
 	}
-	return []Change{{Resource: "data centre", Name: it.Name, Outcome: "evacuated", Revision: it.Revision}}
+	return []Change{{Resource: ResourceDataCentre, Name: it.Name, Outcome: "evacuated", Revision: it.Revision}}
 }
 
 // endEvacuation ends an evacuation. The data centre's targets count as cold until
 // they have had time to publish whether they are.
 func (s *State) endEvacuation(now time.Time, dc string, revision uint64) Change {
+	s.ended[dc] = ending{last: Position{Era: s.era, Revision: s.evacuated[dc]}, forgetAt: now.Add(s.opts.DepartedMemory)}
 	delete(s.evacuated, dc)
 	until := now.Add(s.opts.ColdAfterEvacuation)
 	for id, e := range s.targets {
@@ -315,13 +362,13 @@
 			s.targets[id] = &cold
 		}
 	}
-	return Change{Resource: "data centre", Name: dc, Outcome: "evacuation ended", Revision: revision}
+	return Change{Resource: ResourceDataCentre, Name: dc, Outcome: "evacuation ended", Revision: revision}
 }
 
-// Tick removes the deregistered targets whose grace period has ended, and returns
-// what changed.
+// Tick removes the deregistered targets whose grace period has ended, ends the
+// precautions after a restoration of the store that are due, and returns what changed.
 func (s *State) Tick(now time.Time) []Change {
-	var changes []Change
+	changes := s.tickRestoration(now)
 	for _, id := range slices.Sorted(maps.Keys(s.targets)) {
 		e := s.targets[id]
 		if !e.Deregistered() || now.Before(e.GraceEnd) {
@@ -336,7 +383,7 @@
 // View returns the current view.
 func (s *State) View() *View {
 	v := &View{
-		routes: s.routes, services: s.services,
+		Era: s.era, routes: s.routes, services: s.services,
 		targets: make(map[string][]*Entry, len(s.services)), evacuated: make(map[string]bool, len(s.evacuated)),
 	}
 	if s.config != nil {
--- a/catalog/state_test.go
+++ b/catalog/state_test.go
@@ -36,7 +36,7 @@
 	if v := s.View(); v.Version != 7 || v.Route("a.example", "/old/x") != nil {
 		t.Fatalf("version %d after an older configuration was applied, want 7", v.Version)
 	}
-	s.Replace(epoch, []Item{configItem(6, 12, "/old/")}, 12)
+	s.Replace(epoch, []Item{configItem(6, 12, "/old/")}, Position{Revision: 12})
 	if v := s.View(); v.Version != 7 {
 		t.Fatalf("version %d after a listing from a lagging replica, want 7", v.Version)
 	}
@@ -144,7 +144,7 @@
 	s := newState()
 	evacuation := Item{Kind: KindEvacuation, Name: "dc1", Revision: 3}
 	s.Apply(epoch, []Item{targetItem("t1", 2, nil), evacuation, targetItem("t9", 9, nil)})
-	s.Replace(epoch, []Item{targetItem("t2", 4, nil)}, 5)
+	s.Replace(epoch, []Item{targetItem("t2", 4, nil)}, Position{Revision: 5})
 	v := s.View()
 	if v.Evacuated("dc1") {
 		t.Error("an evacuation that is not listed is still active")
--- a/catalog/view.go
+++ b/catalog/view.go
@@ -8,6 +8,8 @@
 	// Version is the version of the configuration; zero if none has been applied.
 	Version uint64
 	Limits  Limits
+	// Era is the era of the store that the state was read in.
+	Era uint64
 
 	routes    routes
 	services  map[string]*Service
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -146,6 +146,7 @@
 		}),
 		Catalog: catalog.NewState(catalog.StateOptions{
 			DeregisteredGrace: time.Duration(deregisteredGraceFraction * float64(s.DrainGrace)), OutageGrace: outageGrace, ColdAfterEvacuation: coldAfterEvacuation,
+			EvacuationHold: evacuationHold, DepartedHold: departedHold, DepartedMemory: departedMemory,
 		}),
 		Logger: log, Publish: p.publish, TickInterval: 250 * time.Millisecond,
 	})
@@ -334,6 +335,7 @@
 	}
 	if v.Configured() {
 		out["version"] = v.Version
+		out["store_era"] = v.Era
 		out["picture_age_ms"] = time.Since(p.follower.ConfirmedAt()).Milliseconds()
 	}
 	if p.peers != nil {
--- a/entry/timings.go
+++ b/entry/timings.go
@@ -37,6 +37,17 @@
 	// outageGrace is how long a target that was deregistered during an outage of the
 	// store stays a last resort: such entries are back within about two seconds.
 	outageGrace = 2300 * time.Millisecond
+	// evacuationHold is how long an evacuation stays as it was after the store was
+	// restored from a copy that says otherwise: operators write again within about two
+	// seconds, and evacuations must be in force within five.
+	evacuationHold = 3 * time.Second
+	// departedHold is how long a target that has left is not used although a restored
+	// store lists it. The store drops an entry after three heartbeats, of about a
+	// second each, that are missing.
+	departedHold = 10 * time.Second
+	// departedMemory is how long departures are remembered. Copies of the store are
+	// seconds old.
+	departedMemory = time.Minute
 	// coldAfterEvacuation is how long targets count as cold after an evacuation. It
 	// covers two heartbeats of targets and the delay of the store.
 	coldAfterEvacuation = 3 * time.Second
--- a/follow/feed.go
+++ b/follow/feed.go
@@ -25,6 +25,7 @@
 	changes   []catalog.Item          // changes after compacted, oldest first
 	compacted uint64                  // revision up to which changes are no longer kept
 	revision  uint64
+	era       uint64        // of the store that the revisions belong to
 	asOf      time.Time     // when the store confirmed revision; zero before the first listing
 	updated   chan struct{} // closed and replaced on each change
 }
@@ -41,14 +42,32 @@
 func (f *Feed) Listed(asOf time.Time, b Batch) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	before := f.items
 	f.items = make(map[string]catalog.Item, len(b.Items))
 	for _, it := range b.Items {
 		f.items[itemKey(&it)] = it
 	}
-	f.changes, f.compacted, f.revision, f.asOf = nil, b.Revision, b.Revision, asOf
+	if b.Era != f.era {
+		f.keepConfig(before, b.Revision)
+	}
+	f.changes, f.compacted, f.revision, f.era, f.asOf = nil, b.Revision, b.Revision, b.Era, asOf
 	f.notify()
 }
 
+// keepConfig puts the configuration of a former era back if the restored store has an
+// older one or none: a process that starts now must not use a version that was replaced.
+func (f *Feed) keepConfig(before map[string]catalog.Item, revision uint64) {
+	for key, it := range before {
+		if it.Kind != catalog.KindConfig || it.Config == nil {
+			continue
+		}
+		if restored, ok := f.items[key]; !ok || restored.Config == nil || restored.Config.Version < it.Config.Version {
+			it.Revision = revision
+			f.items[key] = it
+		}
+	}
+}
+
 // Changed applies the result of a watch, which the store confirmed at the time
 // asOf.
 func (f *Feed) Changed(asOf time.Time, b Batch) {
@@ -106,14 +125,15 @@
 func (f *Feed) read(request wire.FeedRequest) (wire.FeedResponse, []catalog.Item, <-chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	response := wire.FeedResponse{ID: request.ID, Revision: f.revision, AgeMillis: unknownAge}
+	response := wire.FeedResponse{ID: request.ID, Era: f.era, Revision: f.revision, AgeMillis: unknownAge}
 	if !f.asOf.IsZero() {
 		response.AgeMillis = uint32(min(time.Since(f.asOf).Milliseconds(), unknownAge))
 	}
 	if request.List {
 		return response, slices.Collect(maps.Values(f.items)), f.updated
 	}
-	if request.After < f.compacted || f.asOf.IsZero() {
+	otherEra := request.Era != 0 && request.Era != f.era
+	if request.After < f.compacted || f.asOf.IsZero() || otherEra {
 		response.Compacted = true
 		return response, nil, f.updated
 	}
@@ -162,7 +182,7 @@
 
 // decodeBatch returns the content of a peer's response, or ErrCompacted.
 func decodeBatch(response *wire.FeedResponse) (Batch, error) {
-	b := Batch{Revision: response.Revision}
+	b := Batch{Era: response.Era, Revision: response.Revision}
 	if response.Compacted {
 		return b, ErrCompacted
 	}
--- a/follow/feed_test.go
+++ b/follow/feed_test.go
@@ -29,7 +29,7 @@
 	state := catalog.NewState(catalog.StateOptions{})
 	now := time.Unix(1_700_000_000, 0)
 	state.Apply(now, b.Items)
-	state.Replace(now, b.Items, b.Revision)
+	state.Replace(now, b.Items, catalog.Position{Revision: b.Revision})
 	v := state.View()
 	v.Route("a.example", "/a/")
 	v.EachTarget(func(*catalog.Entry) {})
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -147,7 +147,7 @@
 	if r.err != nil {
 		step := f.opts.Scheduler.Failed(r.err)
 		f.opts.Catalog.ExtendGraceUntil(now.Add(outageWindow))
-		if !f.down && !errors.Is(r.err, ErrCompacted) {
+		if !f.down && !errors.Is(r.err, ErrCompacted) && !errors.Is(r.err, ErrRestored) {
 			f.down = true
 			f.opts.Logger.Warn("store unavailable, retrying", "error", r.err, "took", r.took, "retry_in", step.Delay)
 		} else {
@@ -163,8 +163,8 @@
 	f.confirmed.Store(&asOf)
 	if r.step.Op == OpList {
 		f.opts.Feed.Listed(asOf, r.batch)
-		f.report(f.opts.Catalog.Replace(now, r.batch.Items, r.batch.Revision), true)
-		f.opts.Logger.Info("store listed", "revision", r.batch.Revision, "items", len(r.batch.Items), "took", r.took, "stale", r.step.Stale)
+		f.report(f.opts.Catalog.Replace(now, r.batch.Items, catalog.Position{Era: r.batch.Era, Revision: r.batch.Revision}), true)
+		f.opts.Logger.Info("store listed", "era", r.batch.Era, "revision", r.batch.Revision, "items", len(r.batch.Items), "took", r.took, "stale", r.step.Stale)
 		return f.opts.Scheduler.Listed(r.batch.Revision)
 	}
 	f.opts.Feed.Changed(asOf, r.batch)
--- a/follow/multisource.go
+++ b/follow/multisource.go
@@ -38,6 +38,7 @@
 
 	mu           sync.Mutex
 	selector     *Selector
+	eras         Eras
 	last         string // source of the last read
 	peerRequests int64
 }
@@ -99,12 +100,43 @@
 	} else {
 		b, err = s.request(ctx, peer, wire.FeedRequest{List: true}, 0, fallback)
 	}
+	if err == nil {
+		err = s.checkEra(b.Era, peer, func(now time.Time) error { return s.eras.CheckList(now, b.Era, peer == "", stale) })
+	}
 	if err != nil {
 		s.failed(peer)
 	}
 	return b, err
 }
 
+// Era returns the current era of the store; zero if it is not known.
+func (s *MultiSource) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	era, _ := s.eras.Current()
+	return era
+}
+
+// checkEra applies a check of Eras to an answer and logs one that is not of the current
+// era.
+func (s *MultiSource) checkEra(era uint64, peer string, check func(now time.Time) error) error {
+	s.mu.Lock()
+	before, known := s.eras.Current()
+	err := check(time.Now())
+	s.mu.Unlock()
+	from := peer
+	if from == "" {
+		from = "the store"
+	}
+	switch {
+	case errors.Is(err, ErrFormerEra):
+		s.logger.Warn("answer of a former era of the store ignored", "era", era, "current", before, "from", from)
+	case known && era != before:
+		s.logger.Warn("store restored from a copy", "era", era, "before", before, "from", from)
+	}
+	return err
+}
+
 // Watch waits for changes from the store or from a peer.
 func (s *MultiSource) Watch(ctx context.Context, after uint64, wait time.Duration) (Batch, error) {
 	peer, fallback := s.next()
@@ -113,12 +145,18 @@
 	if peer == "" {
 		b, err = s.store.Watch(ctx, after, wait)
 	} else {
-		b, err = s.request(ctx, peer, wire.FeedRequest{After: after}, wait, fallback)
+		b, err = s.request(ctx, peer, wire.FeedRequest{Era: s.Era(), After: after}, wait, fallback)
+	}
+	if err == nil {
+		err = s.checkEra(b.Era, peer, func(now time.Time) error { return s.eras.CheckWatch(now, b.Era, peer == "") })
 	}
-	if err != nil && !errors.Is(err, ErrCompacted) {
+	if err != nil && !errors.Is(err, ErrCompacted) && !errors.Is(err, ErrRestored) {
 		s.failed(peer)
 	}
-	return b, err
+	if err != nil {
+		return Batch{}, err
+	}
+	return b, nil
 }
 
 // request sends a request to a peer, which may wait for changes for at most wait,
--- a/follow/scheduler.go
+++ b/follow/scheduler.go
@@ -63,7 +63,7 @@
 	stale       bool // whether the next listing may be stale
 	revision    uint64
 	failures    int // consecutive
-	compactions int // reported since the last successful watch
+	compactions int // and restorations, reported since the last successful watch
 	// immediateWatches is the number of consecutive watches that returned changes
 	// immediately.
 	immediateWatches int
@@ -113,10 +113,10 @@
 
 // Failed records the failure of the last step and returns the next step.
 func (s *Scheduler) Failed(err error) Step {
-	if errors.Is(err, ErrCompacted) {
+	if errors.Is(err, ErrCompacted) || errors.Is(err, ErrRestored) {
 		// The source is reachable, so earlier failures cause no delay.
 		step := Step{Op: OpList, Stale: false}
-		s.listed = false
+		s.listed, s.stale = false, false
 		s.failures = 0
 		s.compactions++
 		if s.compactions > 1 {
@@ -124,6 +124,9 @@
 		}
 		return step
 	}
+	if errors.Is(err, ErrFormerEra) {
+		s.stale = false // the answer may be that of a replica which lags
+	}
 	s.failures++
 	step := Step{Op: OpList, Stale: s.stale, Delay: s.backoff(s.failures)}
 	if s.listed {
--- a/follow/source.go
+++ b/follow/source.go
@@ -13,6 +13,9 @@
 // Batch is the result of a call to a Source.
 type Batch struct {
 	Items []catalog.Item
+	// Era is the era of the store that the batch was read in; zero if the store has
+	// not told.
+	Era uint64
 	// Revision is the store revision that the batch reflects. The next watch
 	// continues from it.
 	Revision uint64
@@ -21,8 +24,8 @@
 	Age time.Duration
 }
 
-// Source reads published items. Its methods return ErrCompacted, a *BusyError, or
-// any other error if the store cannot be read.
+// Source reads published items. Its methods return ErrCompacted, ErrRestored,
+// ErrFormerEra, a *BusyError, or any other error if the store cannot be read.
 type Source interface {
 	// List reads all items. If stale is true, they may come from a replica of
 	// the store that lags by seconds, which costs the store less. The items need
--- a/wire/feed.go
+++ b/wire/feed.go
@@ -11,6 +11,8 @@
 	// WaitMillis is the maximum time, in milliseconds, that the peer waits for
 	// changes.
 	WaitMillis uint32 `cbor:"4,keyasint,omitempty"`
+	// Era is the era of the store that After belongs to; zero if unknown.
+	Era uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // FeedResponse is the response to a FeedRequest.
@@ -26,4 +28,6 @@
 	// AgeMillis is the time since the store confirmed the revision to the peer, in
 	// milliseconds.
 	AgeMillis uint32 `cbor:"5,keyasint,omitempty"`
+	// Era is the era of the store that the items were read in; zero if unknown.
+	Era uint64 `cbor:"6,keyasint,omitempty"`
 }
