Let the soak restore the store from copies

Cause: no run met a store that comes back from an older copy.

Change: one of the faults takes the store away for a moment, restores a copy of 0.2 to 2 s ago and writes again what was lost, in any order. In the calm at the end a target announces that it drains with a revision that was given out before.

--- a/soak/run.go
+++ b/soak/run.go
@@ -118,6 +118,8 @@
 	counts map[string]int
 	// reserved holds the names of the VMs whose process has a fault at present.
 	reserved map[string]bool
+	// restoring is held during a restoration of the store.
+	restoring sync.Mutex
 }
 
 // inject starts faults for the given duration and waits until all have ended.
@@ -144,6 +146,7 @@
 		{"requests refused", inj.refuse},
 		{"shard disconnected", inj.disconnectShard},
 		{"version published", func(*vm, *target, time.Duration) { inj.testbed.configure() }},
+		{"store restored from a copy", inj.restoreStore},
 		{"store compacted", func(*vm, *target, time.Duration) { inj.testbed.store.Compact() }},
 	}
 	end := time.Now().Add(duration)
@@ -218,6 +221,38 @@
 	}
 }
 
+// restoreStore takes the store away for a moment and replaces its content by a copy that
+// is some time old. What it lost is written again in any order.
+func (inj *injector) restoreStore(_ *vm, _ *target, span time.Duration) {
+	if !inj.restoring.TryLock() {
+		return
+	}
+	defer inj.restoring.Unlock()
+	store := inj.testbed.store
+	c := store.Copy()
+	time.Sleep(span)
+	inj.recordStoreFault()
+	store.SetMode([]platformtest.Mode{platformtest.Disconnecting, platformtest.Unresponsive}[int(span)%2])
+	rewrites := store.Restore(c)
+	time.Sleep(span / 4)
+	store.SetMode(platformtest.Serving)
+	rand.Shuffle(len(rewrites), func(i, j int) { rewrites[i], rewrites[j] = rewrites[j], rewrites[i] })
+	for _, rewrite := range rewrites {
+		time.Sleep(rewriteTime / time.Duration(len(rewrites)))
+		rewrite()
+	}
+	inj.recordStoreFault()
+}
+
+// recordStoreFault records a fault of the store that concerns all VMs.
+func (inj *injector) recordStoreFault() {
+	for _, v := range inj.testbed.vms {
+		v.mu.Lock()
+		v.lastFault = time.Now()
+		v.mu.Unlock()
+	}
+}
+
 // refuse makes the targets of a service, or half of the time all targets, refuse a part
 // of their requests for a while, and be slow with the others.
 func (inj *injector) refuse(_ *vm, t *target, span time.Duration) {
@@ -284,21 +319,35 @@
 	}
 }
 
-// Faults of targets.
+// Faults of targets and of the store.
 const (
 	// responseLossRate is the fraction of responses that a target loses.
 	responseLossRate = 0.3
 	// refusalRate is the fraction of requests that a target refuses.
 	refusalRate = 0.5
+	// rewriteTime is how long it takes until everything that a restored store lost is
+	// written again.
+	rewriteTime = 1500 * time.Millisecond
+	// followTime is longer than processes take to follow the store without faults.
+	followTime = 2 * time.Second
 	// slowServiceTime is long enough for hedges.
 	slowServiceTime = 700 * time.Millisecond
 )
 
 // checkWithoutFaults checks guarantees whose time bounds hold only without faults:
-// a draining target gets no more requests, and a version that is published after the
+// a draining target gets no more requests, though it says so with a revision that the
+// store had given out before it was restored, and a version that is published after the
 // store compacted its history takes effect.
 func (inj *injector) checkWithoutFaults() {
 	t := inj.testbed.byID["single-b"]
+	store := inj.testbed.store
+	c := store.Copy()
+	for range 10 {
+		inj.testbed.publish(t, platformtest.Ready)
+	}
+	time.Sleep(followTime)
+	store.Restore(c) // it lost only entries that are followed by the next one
+	time.Sleep(followTime)
 	inj.testbed.publish(t, platformtest.Draining)
 	since := time.Now()
 	inj.testbed.store.Compact()
--- a/soak/testbed.go
+++ b/soak/testbed.go
@@ -84,6 +84,7 @@
 		return nil, err
 	}
 	store.PageSize = 20
+	store.SetEra(1)
 	b := &testbed{store: store, byID: map[string]*target{}, publishedAt: map[int]time.Time{}}
 	services := []string{"single", "probe0", "probe1"}
 	for i := range o.Shards {
