Hand sharded requests of small VMs to large ones in large fleets

Cause: with 195 VMs each one handles 0.4 queries a second, each to 87 shards. It needs a new connection for nearly one sub-request in five, does not know which target pauses now, and has a retry budget of less than one attempt in 10 s; on a fifth of a core and 20 Mbit/s 87 responses alone take longer than the work.

Change: in a fleet of 17 or more, a VM hands each sharded request whole to one of two picked peers: those with at least twice its processor share, in its data centre, or in those with targets if its own has none. The peer gathers all shards and returns the merged response. It refuses if it stops, has another version of the configuration, was paused until just now or is full; then, or without a link, the VM gathers by itself. A request whose peer is lost may have run: it ends with 502 and is not sent again, so that its limits hold. Links between entry processes are reset when they are closed, so that no query arrives late.

--- a/catalog/view.go
+++ b/catalog/view.go
@@ -1,6 +1,9 @@
 package catalog
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // View is a consistent, immutable state of the published configuration and
 // targets.
@@ -45,6 +48,36 @@
 // Route returns the route for a host and a raw (undecoded) path, or nil.
 func (v *View) Route(host, path string) *Route { return v.routes.match(host, path) }
 
+// RouteOfURI returns the route for a host and the path of a request URI, or nil.
+func (v *View) RouteOfURI(host, uri string) *Route {
+	path, _, _ := strings.Cut(uri, "?")
+	return v.Route(host, path)
+}
+
+// ShardsServed returns, by data centre, the fraction of the shards of all routes that have a
+// registered target there. Evacuated data centres are left out.
+func (v *View) ShardsServed() map[string]float64 {
+	shards := map[string]bool{}
+	for _, byPrefix := range v.routes {
+		for _, r := range byPrefix {
+			for _, name := range r.Shards {
+				shards[name] = true
+			}
+		}
+	}
+	served := map[string]float64{}
+	for name := range shards {
+		seen := map[string]bool{}
+		for _, e := range v.targets[name] {
+			if !seen[e.DataCentre] && !e.Draining && !e.Deregistered() && !v.evacuated[e.DataCentre] {
+				seen[e.DataCentre] = true
+				served[e.DataCentre] += 1 / float64(len(shards))
+			}
+		}
+	}
+	return served
+}
+
 // Service returns the named service, or nil if the configuration does not
 // contain it.
 func (v *View) Service(name string) *Service { return v.services[name] }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -62,6 +62,7 @@
 	follower        *follow.Follower
 	peers           *peers.Node
 	mesh            *mesh.Mesh
+	gatherer        *gatherer
 	linkServer      *http.Server
 	source          *follow.MultiSource
 	feed            *follow.Feed
@@ -124,8 +125,9 @@
 		MaxBufferedBytes: s.MemoryLimit / bufferedDivisor,
 	})
 	p.engine = forward.New(forward.Options{Pool: p.pool, Budget: s.RetryBudget, Logger: log, Hedge: shardHedging, SingleHedge: singleHedging})
+	p.gatherer = newGatherer(p)
 	p.handler = ingress.New(ingress.Options{
-		HeaderCodec: adapter.HeaderCodec, Engine: p.engine, View: p.view.Load, ConfirmedAt: func() time.Time { return p.follower.ConfirmedAt() },
+		HeaderCodec: adapter.HeaderCodec, Engine: p.engine, Delegate: p.gatherer.Gather, View: p.view.Load, ConfirmedAt: func() time.Time { return p.follower.ConfirmedAt() },
 		StaleAfter: staleAfter, DefaultTimeout: defaultTimeout, Logger: log, Observe: p.metrics.observe,
 	})
 	p.callerServer = ingress.NewServer(p.handler)
@@ -133,7 +135,7 @@
 	p.feed = follow.NewFeed()
 	p.mesh = mesh.New(mesh.Options{
 		Self:   wire.Process{VM: s.Name, Role: wire.RoleEntry, DataCentre: s.DataCentre, Incarnation: incarnation},
-		Logger: log, ServeFeed: p.feed.Respond, CheckInterval: linkCheckInterval,
+		Logger: log, ServeFeed: p.feed.Respond, ServeQuery: p.gatherer.serve, CheckInterval: linkCheckInterval,
 	})
 	p.source = follow.NewMultiSource(adapter.NewSource(&s, p.dial), p.mesh,
 		follow.NewSelector(storeReader(s.Name, s.DataCentre), s.MaxConfigDelay, rand.New(rand.NewPCG(incarnation, 3))), log)
@@ -234,7 +236,7 @@
 	state := peers.New(now, peers.Options{
 		Self: peers.Member{
 			Name: s.Name, Address: s.PeerListen, Started: now.UnixNano(),
-			DataCentre: s.DataCentre,
+			DataCentre: s.DataCentre, Capacity: s.Capacity,
 		},
 		Seeds: s.Seeds, Interval: gossipInterval, Fanout: gossipFanout, MaxMembers: gossipMaxMembers,
 		ForgetAfter: gossipForgetAfter, AssumedFleetSize: assumedFleetSize, SettleTime: gossipSettleTime,
@@ -272,7 +274,7 @@
 		addresses[m.Name] = m.Address
 		readers = append(readers, storeReader(m.Name, m.DataCentre))
 	}
-	p.mesh.SetPeers(addresses)
+	p.mesh.SetPeers(addresses, p.gatherer.update(alive))
 	p.source.SetPeers(readers)
 }
 
@@ -299,6 +301,7 @@
 		case <-ticker.C:
 		}
 		now := time.Now()
+		p.gatherer.pauses.tick(now)
 		if now.Sub(lastPeerUpdate) >= peerUpdateInterval {
 			lastPeerUpdate = now
 			p.updatePeers()
@@ -324,6 +327,16 @@
 	return d.DialContext(ctx, network, address)
 }
 
+// traffic returns the bytes exchanged by purpose; "remote" is with other data centres.
+func (p *process) traffic() map[string]any {
+	linksLocal, linksRemote := p.mesh.BytesSent()
+	out := map[string]any{"targets": p.pool.Traffic(), "links_sent_local": linksLocal, "links_sent_remote": linksRemote}
+	if p.peers != nil {
+		out["gossip_sent_local"], out["gossip_sent_remote"] = p.peers.BytesSent()
+	}
+	return out
+}
+
 // state returns the content of the state page for operators.
 func (p *process) state() any {
 	v := p.view.Load()
@@ -331,7 +344,7 @@
 		"process": p.settings.Name, "uptime_s": int(time.Since(p.startedAt).Seconds()),
 		"stopping": p.stopping.Load(), "ready": v.Configured() && !p.stopping.Load(),
 		"upstream": p.pool.Stats(), "retry_budget": p.engine.BudgetState(time.Now()), "active_requests": p.handler.Active(), "caller_connections": p.callerServer.OpenConnections(),
-		"store_calls": p.follower.Calls() - p.source.PeerRequests(), "peer_asks": p.source.PeerRequests(), "links": p.mesh.LinkCount(),
+		"bytes": p.traffic(), "gathering": p.gatherer.state(), "store_calls": p.follower.Calls() - p.source.PeerRequests(), "peer_asks": p.source.PeerRequests(), "links": p.mesh.LinkCount(),
 	}
 	if v.Configured() {
 		out["version"] = v.Version
--- /dev/null
+++ b/entry/gather.go
@@ -0,0 +1,207 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/goldcrestmux/goldcrestmux/balance"
+	"github.com/goldcrestmux/goldcrestmux/catalog"
+	"github.com/goldcrestmux/goldcrestmux/delegate"
+	"github.com/goldcrestmux/goldcrestmux/forward"
+	"github.com/goldcrestmux/goldcrestmux/mesh"
+	"github.com/goldcrestmux/goldcrestmux/peers"
+	"github.com/goldcrestmux/goldcrestmux/upstream"
+	"github.com/goldcrestmux/goldcrestmux/wire"
+	"github.com/juju/errors"
+)
+
+// Limits of requests that are handed between peers.
+const (
+	// maxGathered is the number of requests of peers that are served at the same time.
+	maxGathered = 48
+	// transitTime is the assumed time that a query takes to a peer.
+	transitTime = time.Millisecond
+	// hopMargin is reserved for the way of the response back to the process that the
+	// caller is connected to, which may be small.
+	hopMargin = 4 * time.Millisecond
+	// expectedFraction and overdueFactor are the usual and the greatest time of a
+	// request at a peer, in multiples of its latency objective.
+	expectedFraction = 0.6
+	overdueFactor    = 1.3
+	// lostFactor is the time after which a request without a response counts as lost,
+	// in multiples of the latency objective. A peer that gathers waits no longer for
+	// missing shards than twice the objective.
+	lostFactor = 2.5
+)
+
+// gatherer hands sharded requests to peers, and serves those of peers. Its methods are
+// safe for concurrent use.
+//
+// Lock order: no other lock is acquired while mu is held.
+type gatherer struct {
+	p *process
+	// gathered is the number of requests of peers that are being served.
+	gathered atomic.Int64
+	pauses   *pauseDetector
+
+	mu      sync.Mutex
+	chooser *delegate.Chooser
+}
+
+func newGatherer(p *process) *gatherer {
+	s := &p.settings
+	return &gatherer{p: p, pauses: newPauseDetector(p.startedAt), chooser: delegate.New(delegate.Peer{Name: s.Name, DataCentre: s.DataCentre, Capacity: s.Capacity})}
+}
+
+// update picks the peers to hand requests to, and returns their names.
+func (g *gatherer) update(alive []peers.Member) []string {
+	known := make([]delegate.Peer, 0, len(alive))
+	for _, m := range alive {
+		if g.sameRegion(m.DataCentre) {
+			known = append(known, delegate.Peer{Name: m.Name, DataCentre: m.DataCentre, Capacity: m.Capacity})
+		}
+	}
+	var served map[string]float64
+	if v := g.p.view.Load(); v.Configured() {
+		served = v.ShardsServed()
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.chooser.Update(known, served)
+	return g.chooser.Picked()
+}
+
+// sameRegion reports whether a data centre is in the region of this process, which the
+// bodies of callers' requests must not leave.
+func (g *gatherer) sameRegion(dc string) bool {
+	s := &g.p.settings
+	return dc == s.DataCentre || (s.Region != "" && s.DataCentres[dc] == s.Region)
+}
+
+func profileOf(route *catalog.Route) balance.Profile {
+	objective := float64(forward.LatencyObjective(route))
+	return balance.Profile{Expected: time.Duration(expectedFraction * objective), OverdueAfter: time.Duration(overdueFactor * objective)}
+}
+
+// Gather hands a sharded request to a peer. It returns false if no peer has begun with it:
+// the process must then serve it itself.
+func (g *gatherer) Gather(ctx context.Context, req *forward.Request) (forward.Response, bool) {
+	if !req.Route.Sharded() {
+		return forward.Response{}, false
+	}
+	profile := profileOf(req.Route)
+	sentAt := time.Now()
+	g.mu.Lock()
+	peer := g.chooser.Choose(sentAt, profile, g.p.mesh.Reachable)
+	if peer != "" {
+		g.chooser.Sent(sentAt, peer, profile)
+	}
+	g.mu.Unlock()
+	if peer == "" {
+		return forward.Response{}, false
+	}
+	lost := time.Duration(lostFactor * float64(forward.LatencyObjective(req.Route)))
+	waitCtx, cancel := context.WithDeadline(ctx, earliest(req.ReceivedAt.Add(lost), req.Call.Deadline))
+	defer cancel()
+	response, err := g.p.mesh.Query(waitCtx, peer, wire.Query{
+		Version: req.Version, RequestID: req.Call.ID, Method: req.Call.Method, URI: req.Call.URI, Host: req.Call.Host,
+		Header: req.Call.Header, Body: req.Call.Body, HasBody: req.Call.HasBody,
+		LeftMicros:    uint64(max(req.Call.Deadline.Sub(sentAt), 0).Microseconds()),
+		ElapsedMicros: uint64(max(sentAt.Sub(req.ReceivedAt), 0).Microseconds()), NewConnection: req.NewConnection,
+	})
+	result := resultOf(ctx, response, err)
+	now := time.Now()
+	g.mu.Lock()
+	g.chooser.Ended(now, sentAt, peer, result, profile)
+	g.mu.Unlock()
+	g.p.metrics.observeDelegation(result)
+	switch result {
+	case delegate.Responded:
+		return forward.Response{
+			Status: response.Status, Sharded: response.Status == http.StatusOK, Signatures: response.Signatures, Missing: response.Missing,
+			Body: response.Body, RetryAfter: time.Duration(response.RetryAfterMicros) * time.Microsecond, Reason: response.Reason,
+		}, true
+	case delegate.Refused:
+		return forward.Response{}, false
+	case delegate.Canceled:
+		return forward.Response{Reason: forward.ReasonCallerDisconnected}, true
+	}
+	g.p.log.Warn("request lost at a peer", "id", req.Call.ID, "route", req.Route.Name, "peer", peer, "took", now.Sub(sentAt), "error", err)
+	return forward.Response{Status: http.StatusBadGateway, Reason: "the peer that gathered the shards was lost"}, true
+}
+
+// resultOf returns how a query ended.
+func resultOf(ctx context.Context, response wire.QueryResponse, err error) delegate.Result {
+	switch {
+	case err == nil && response.Refused == "":
+		return delegate.Responded
+	case err == nil || errors.Is(err, mesh.ErrNotSent):
+		return delegate.Refused
+	case ctx.Err() != nil:
+		return delegate.Canceled
+	}
+	return delegate.Lost
+}
+
+func earliest(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// serve serves a request that a peer handed to this process.
+func (g *gatherer) serve(ctx context.Context, peer string, q *wire.Query) wire.QueryResponse {
+	receivedAt := time.Now().Add(-time.Duration(q.ElapsedMicros)*time.Microsecond - transitTime)
+	if g.gathered.Add(1) > maxGathered {
+		g.gathered.Add(-1)
+		return wire.QueryResponse{Refused: "too many requests of peers"}
+	}
+	defer g.gathered.Add(-1)
+	if g.pauses.paused(time.Now()) {
+		return wire.QueryResponse{Refused: "was paused: the request may have waited"}
+	}
+	v := g.p.view.Load()
+	if g.p.stopping.Load() || !v.Configured() || v.Version != q.Version {
+		return wire.QueryResponse{Refused: "stopping, or another version of the configuration is in force"}
+	}
+	route := v.RouteOfURI(q.Host, q.URI)
+	if route == nil || !route.Sharded() {
+		return wire.QueryResponse{Refused: "no sharded route"}
+	}
+	resp := g.p.engine.Do(ctx, &forward.Request{
+		Call: &upstream.Call{
+			ID: q.RequestID, Method: q.Method, URI: q.URI, Host: q.Host, Header: q.Header, Body: q.Body, HasBody: q.HasBody,
+			Deadline: time.Now().Add(time.Duration(q.LeftMicros)*time.Microsecond - transitTime - hopMargin),
+		},
+		Route: route, Version: v.Version, ConfirmedAt: g.p.follower.ConfirmedAt(), ReceivedAt: receivedAt,
+		NewConnection: q.NewConnection, HopMargin: hopMargin, For: peer,
+	})
+	return wire.QueryResponse{
+		Status: resp.Status, Signatures: resp.Signatures, Missing: resp.Missing, Body: resp.Body,
+		RetryAfterMicros: uint64(resp.RetryAfter.Microseconds()), Reason: resp.Reason,
+	}
+}
+
+// gatheringState is the content of the state page about requests that are handed between
+// peers.
+type gatheringState struct {
+	// Peers are those to which sharded requests are handed, with whether there is a link.
+	Peers map[string]bool `json:"peers"`
+	// Serving is the number of requests of peers in progress.
+	Serving int64 `json:"serving"`
+}
+
+func (g *gatherer) state() gatheringState {
+	g.mu.Lock()
+	names := g.chooser.Picked()
+	g.mu.Unlock()
+	s := gatheringState{Peers: map[string]bool{}, Serving: g.gathered.Load()}
+	for _, name := range names {
+		s.Peers[name] = g.p.mesh.Reachable(name)
+	}
+	return s
+}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/goldcrestmux/goldcrestmux/catalog"
+	"github.com/goldcrestmux/goldcrestmux/delegate"
 	"github.com/goldcrestmux/goldcrestmux/forward"
 	"github.com/goldcrestmux/goldcrestmux/operator"
 	"github.com/juju/errors"
@@ -21,6 +22,7 @@
 	reasons     *expvar.Map // by reason
 	latency     *expvar.Map // responses by exclusive upper bound of their latency in milliseconds
 	connections *expvar.Map // by event
+	delegated   *expvar.Map // requests that were handed to peers, by result
 	partial     *expvar.Int
 	late        *expvar.Int
 }
@@ -31,7 +33,7 @@
 func newMetrics() *metrics {
 	m := &metrics{
 		responses: new(expvar.Map).Init(), reasons: new(expvar.Map).Init(), latency: new(expvar.Map).Init(),
-		connections: new(expvar.Map).Init(), partial: new(expvar.Int), late: new(expvar.Int),
+		connections: new(expvar.Map).Init(), delegated: new(expvar.Map).Init(), partial: new(expvar.Int), late: new(expvar.Int),
 	}
 	return m
 }
@@ -49,6 +51,7 @@
 	expvar.Publish("reasons", m.reasons)
 	expvar.Publish("latency_ms", m.latency)
 	expvar.Publish("connections", m.connections)
+	expvar.Publish("delegated", m.delegated)
 	expvar.Publish("partial_answers", m.partial)
 	expvar.Publish("late_answers", m.late)
 	expvar.Publish("log_lines_dropped", expvar.Func(func() any { return p.adapter.DroppedLogLines() }))
@@ -57,6 +60,14 @@
 
 func (m *metrics) observeConnection(event string) { m.connections.Add(event, 1) }
 
+var delegationNames = map[delegate.Result]string{
+	delegate.Responded: "answered", delegate.Refused: "refused", delegate.Lost: "lost", delegate.Canceled: "caller left",
+}
+
+func (m *metrics) observeDelegation(result delegate.Result) {
+	m.delegated.Add(delegationNames[result], 1)
+}
+
 func (m *metrics) observe(route *catalog.Route, resp *forward.Response, took time.Duration) {
 	m.responses.Add(strconv.Itoa(resp.Status), 1)
 	if resp.Reason != "" {
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -32,6 +32,11 @@
 	// MemoryLimit is the memory in bytes above which the process is killed; zero if
 	// there is no limit.
 	MemoryLimit int64
+	// Capacity is the processor share of the process, in thousandths of a core; zero if
+	// unknown.
+	Capacity uint32
+	// DataCentres holds the region of each data centre.
+	DataCentres map[string]string
 	// DrainGrace is the time after the start of draining during which a target may
 	// still get requests.
 	DrainGrace time.Duration
--- a/forward/active_request.go
+++ b/forward/active_request.go
@@ -89,9 +89,9 @@
 	}
 }
 
-// latencyObjective returns the latency objective of a route, or the default if
+// LatencyObjective returns the latency objective of a route, or the default if
 // it has none.
-func latencyObjective(route *catalog.Route) time.Duration {
+func LatencyObjective(route *catalog.Route) time.Duration {
 	return cmp.Or(route.LatencyObjective, defaultLatencyObjective)
 }
 
@@ -103,7 +103,7 @@
 	if !route.Sharded() {
 		r.services = []string{route.Pick(req.Call.ID)}
 	}
-	objective := latencyObjective(route)
+	objective := LatencyObjective(route)
 	maxAttempts := max(cmp.Or(route.MaxAttempts, defaultMaxAttempts), 1)
 	now := time.Now()
 	hedgeAfter := e.recordRequest(now, route, r)
@@ -113,7 +113,7 @@
 		}
 	}
 	shardMargins := time.Duration(len(r.services)) * shardMargin
-	margin := responseMargin
+	margin := responseMargin + req.HopMargin
 	if req.NewConnection {
 		margin += connectMargin
 	}
@@ -121,7 +121,7 @@
 		Shards: len(r.services), MaxTargets: maxAttempts, Idempotent: route.Idempotent || route.Sharded(),
 		MinFraction:   1,
 		PartialAt:     req.ReceivedAt.Add(objective - margin - shardMargins),
-		OnTimeUntil:   req.ReceivedAt.Add(objective - minResponseMargin - shardMargins),
+		OnTimeUntil:   req.ReceivedAt.Add(objective - minResponseMargin - req.HopMargin - shardMargins),
 		LatePartialAt: req.ReceivedAt.Add(lateFactor * objective),
 		SendBy:        req.ReceivedAt.Add(time.Duration(maxUnsentFraction * float64(objective))),
 		Deadline:      req.Call.Deadline.Add(-deadlineMargin), HedgeAfter: min(hedgeAfter, time.Duration(maxHedgeDelayFraction*float64(objective))),
@@ -160,7 +160,7 @@
 		opts := e.opts.Hedge
 		if !route.Sharded() {
 			opts = e.opts.SingleHedge
-			opts.InitialDelay = time.Duration(maxHedgeDelayFraction * float64(latencyObjective(route)))
+			opts.InitialDelay = time.Duration(maxHedgeDelayFraction * float64(LatencyObjective(route)))
 		}
 		stats = &routeStats{latency: hedge.New(opts)}
 		e.routes[route.Name] = stats
@@ -217,7 +217,7 @@
 // After that a sharded request is completed without the shard, so the target
 // need not continue to work on it.
 func (r *activeRequest) attemptDeadline(now time.Time) time.Time {
-	late := r.req.ReceivedAt.Add(lateFactor * latencyObjective(r.req.Route))
+	late := r.req.ReceivedAt.Add(lateFactor * LatencyObjective(r.req.Route))
 	if r.req.Route.Sharded() && now.Before(late) && late.Before(r.req.Call.Deadline) {
 		return late
 	}
--- a/forward/engine.go
+++ b/forward/engine.go
@@ -26,6 +26,11 @@
 	ReceivedAt time.Time
 	// NewConnection is true if the caller opened its connection for this request.
 	NewConnection bool
+	// HopMargin is reserved for the way of the response to the process that the caller
+	// is connected to; zero if that is this one.
+	HopMargin time.Duration
+	// For is the VM of that process; empty if it is this one.
+	For string
 }
 
 // Response is the response to a request of a caller.
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -3,6 +3,7 @@
 package ingress
 
 import (
+	"context"
 	"io"
 	"log/slog"
 	"net/http"
@@ -35,6 +36,9 @@
 type Options struct {
 	HeaderCodec HeaderCodec
 	Engine      *forward.Engine
+	// Delegate hands a request to a peer. It returns false if no peer has begun with it;
+	// may be nil.
+	Delegate func(ctx context.Context, req *forward.Request) (forward.Response, bool)
 	// View returns the current view; nil if there is none yet.
 	View func() *catalog.View
 	// ConfirmedAt returns when the store last confirmed the view.
@@ -94,10 +98,16 @@
 		h.logRefusal(r, view, meta.ID, refusal, receivedAt)
 		return route, *refusal
 	}
-	return route, h.opts.Engine.Do(r.Context(), &forward.Request{
+	req := &forward.Request{
 		Call: call, Route: route, Version: view.Version, ConfirmedAt: h.opts.ConfirmedAt(),
 		ReceivedAt: receivedAt, NewConnection: newConnection,
-	})
+	}
+	if h.opts.Delegate != nil {
+		if resp, ok := h.opts.Delegate(r.Context(), req); ok {
+			return route, resp
+		}
+	}
+	return route, h.opts.Engine.Do(r.Context(), req)
 }
 
 // prepareCall finds the route of a request and reads its body. If the request is
@@ -108,8 +118,7 @@
 		return nil, nil, &forward.Response{Status: http.StatusServiceUnavailable, RetryAfter: unknownRetryAfter, Reason: "no configuration is known"}
 	}
 	uri := requestURI(r)
-	path, _, _ := strings.Cut(uri, "?")
-	route := view.Route(r.Host, path)
+	route := view.RouteOfURI(r.Host, uri)
 	if route == nil {
 		return nil, nil, h.refuseUnknownRoute(receivedAt)
 	}
--- a/link/frame.go
+++ b/link/frame.go
@@ -6,9 +6,9 @@
 	"github.com/goldcrestmux/goldcrestmux/wire"
 )
 
-// countSubRequests returns the number of sub-requests in a frame.
+// countSubRequests returns the number of sub-requests and queries in a frame.
 func countSubRequests(f *wire.Frame) int {
-	n := 0
+	n := len(f.Queries)
 	for i := range f.Batches {
 		n += len(f.Batches[i].SubRequests)
 	}
@@ -34,6 +34,12 @@
 	for i := range f.FeedResponses {
 		n += messageSize + len(f.FeedResponses[i].Items)
 	}
+	for i := range f.Queries {
+		n += messageSize + len(f.Queries[i].Body) + len(f.Queries[i].URI) + len(f.Queries[i].Header)*messageSize
+	}
+	for i := range f.QueryResponses {
+		n += messageSize + len(f.QueryResponses[i].Body) + len(f.QueryResponses[i].Signatures)*recordSize
+	}
 	if f.FolderResponse != nil {
 		for i := range f.FolderResponse.Files {
 			n += messageSize + len(f.FolderResponse.Files[i].Data)
@@ -75,6 +81,9 @@
 	out.Members = append(out.Members, f.Members...)
 	out.FeedRequests = append(out.FeedRequests, f.FeedRequests...)
 	out.FeedResponses = append(out.FeedResponses, f.FeedResponses...)
+	out.Queries = append(out.Queries, f.Queries...)
+	out.QueryResponses = append(out.QueryResponses, f.QueryResponses...)
+	out.QueryCancels = append(out.QueryCancels, f.QueryCancels...)
 }
 
 func overwriteSingle(out, f *wire.Frame) {
--- a/link/link.go
+++ b/link/link.go
@@ -215,7 +215,7 @@
 	now := time.Now()
 	l.mu.Lock()
 	l.liveness.Received(now)
-	l.outstanding = max(0, l.outstanding-len(f.SubResponses))
+	l.outstanding = max(0, l.outstanding-len(f.SubResponses)-len(f.QueryResponses))
 	l.liveness.SetBusy(now, l.outstanding > 0)
 	l.mu.Unlock()
 	if f.Ping != nil {
@@ -279,6 +279,11 @@
 	}
 	metrics.framesSent.Add(1)
 	metrics.bytesSent.Add(int64(len(data)))
+	if l.peer.DataCentre == l.pool.opts.Self.DataCentre {
+		l.pool.sentLocal.Add(int64(len(data)))
+	} else {
+		l.pool.sentRemote.Add(int64(len(data)))
+	}
 	return nil
 }
 
--- a/link/pool.go
+++ b/link/pool.go
@@ -5,8 +5,10 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -45,6 +47,9 @@
 	Credit uint32
 	// Liveness bounds the time without a received frame on a link.
 	Liveness LivenessOptions
+	// ResetOnClose resets dialled connections when they are closed: what the peer has
+	// not received by then never reaches it.
+	ResetOnClose bool
 	// CheckInterval is the time between two liveness checks of all links; 0
 	// means DefaultCheckInterval.
 	CheckInterval time.Duration
@@ -62,9 +67,14 @@
 // Pool holds the links of one process. Its methods are safe for concurrent use.
 // Lock order: Pool.mu before Link.mu.
 type Pool struct {
-	opts      Options
-	tomb      tomb.Tomb
-	dialSlots chan struct{}
+	opts       Options
+	tomb       tomb.Tomb
+	dialSlots  chan struct{}
+	dialClient *http.Client
+
+	// sentLocal and sentRemote count the bytes of frames sent to peers in this data
+	// centre and in others.
+	sentLocal, sentRemote atomic.Int64
 
 	mu    sync.Mutex
 	rng   *rand.Rand
@@ -87,11 +97,15 @@
 	opts.Credit = cmp.Or(opts.Credit, DefaultCredit)
 	opts.CheckInterval = cmp.Or(opts.CheckInterval, DefaultCheckInterval)
 	p := &Pool{
-		opts:      opts,
-		dialSlots: make(chan struct{}, maxDials),
-		rng:       rand.New(rand.NewPCG(opts.Self.Incarnation, 1)),
-		peers:     make(map[string]*peerState),
-		links:     make(map[*Link]struct{}),
+		opts:       opts,
+		dialSlots:  make(chan struct{}, maxDials),
+		dialClient: http.DefaultClient,
+		rng:        rand.New(rand.NewPCG(opts.Self.Incarnation, 1)),
+		peers:      make(map[string]*peerState),
+		links:      make(map[*Link]struct{}),
+	}
+	if opts.ResetOnClose {
+		p.dialClient = &http.Client{Transport: &http.Transport{DialContext: dialReset}}
 	}
 	p.tomb.Go(p.loop)
 	return p
@@ -184,6 +198,9 @@
 // maxPending is the maximum number of frames that wait for a dial of one peer.
 const maxPending = 64
 
+// BytesSent returns the bytes of frames sent to peers in this data centre and in others.
+func (p *Pool) BytesSent() (local, remote int64) { return p.sentLocal.Load(), p.sentRemote.Load() }
+
 // Close closes all links and waits for the pool's own goroutines.
 func (p *Pool) Close() {
 	p.tomb.Kill(nil)
@@ -295,11 +312,21 @@
 	}
 }
 
+// dialReset opens a connection that is reset when it is closed.
+func dialReset(ctx context.Context, network, address string) (net.Conn, error) {
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, network, address)
+	if tcp, ok := conn.(*net.TCPConn); ok && err == nil {
+		err = tcp.SetLinger(0)
+	}
+	return conn, err
+}
+
 // open dials a peer and does the handshake. It returns nil on failure.
 func (p *Pool) open(name, addr string) *Link {
 	ctx, cancel := context.WithTimeout(p.tomb.Context(context.Background()), handshakeTimeout)
 	defer cancel()
-	conn, _, err := websocket.Dial(ctx, "ws://"+addr+Path, nil)
+	conn, _, err := websocket.Dial(ctx, "ws://"+addr+Path, &websocket.DialOptions{HTTPClient: p.dialClient})
 	if err != nil {
 		p.opts.Logger.Debug("dial failed", "peer", name, "address", addr, "error", err)
 		return nil
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -6,6 +6,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +22,9 @@
 	// ServeFeed returns the response to a peer's request for what this process has
 	// read from the store.
 	ServeFeed func(ctx context.Context, request wire.FeedRequest) (wire.FeedResponse, error)
+	// ServeQuery returns the response to a caller's request that a peer hands to this
+	// process; nil if it takes none. ctx is canceled if the peer no longer needs it.
+	ServeQuery func(ctx context.Context, peer string, q *wire.Query) wire.QueryResponse
 	// CheckInterval is the time between two liveness checks of links.
 	CheckInterval time.Duration
 }
@@ -40,6 +44,8 @@
 	mu      sync.Mutex
 	lastID  uint64
 	pending map[uint64]pendingRequest // by request ID
+	queries map[uint64]pendingQuery   // sent to peers, by ID
+	serving map[servedQuery]func()    // cancels queries of peers that are being served
 }
 
 // pendingRequest is a request whose response has not been received.
@@ -50,9 +56,9 @@
 
 // New returns a Mesh without peers.
 func New(opts Options) *Mesh {
-	m := &Mesh{opts: opts, pending: map[uint64]pendingRequest{}}
+	m := &Mesh{opts: opts, pending: map[uint64]pendingRequest{}, queries: map[uint64]pendingQuery{}, serving: map[servedQuery]func(){}}
 	m.pool = link.NewPool(link.Options{
-		Self: opts.Self, Handler: m, Logger: opts.Logger, CheckInterval: opts.CheckInterval,
+		Self: opts.Self, Handler: m, Logger: opts.Logger, CheckInterval: opts.CheckInterval, ResetOnClose: true,
 	})
 	return m
 }
@@ -63,11 +69,12 @@
 // ProcessName returns the name that links use for the entry process of a VM.
 func ProcessName(vm string) string { return wire.Process{VM: vm, Role: wire.RoleEntry}.Name() }
 
-// SetPeers sets the addresses of the other processes, by VM.
-func (m *Mesh) SetPeers(addresses map[string]string) {
+// SetPeers sets the addresses of the other processes, by VM. Links to the VMs in
+// persistent are kept open.
+func (m *Mesh) SetPeers(addresses map[string]string, persistent []string) {
 	peers := make(map[string]link.Peer, len(addresses))
 	for vm, address := range addresses {
-		peers[ProcessName(vm)] = link.Peer{Address: address}
+		peers[ProcessName(vm)] = link.Peer{Address: address, Persistent: slices.Contains(persistent, vm)}
 	}
 	m.pool.SetPeers(peers)
 }
@@ -75,6 +82,9 @@
 // LinkCount returns the number of live links.
 func (m *Mesh) LinkCount() int { return len(m.pool.Links()) }
 
+// BytesSent returns the bytes sent to peers in this data centre and in others.
+func (m *Mesh) BytesSent() (local, remote int64) { return m.pool.BytesSent() }
+
 // Close closes all links.
 func (m *Mesh) Close() { m.pool.Close() }
 
@@ -119,6 +129,7 @@
 	for _, request := range f.FeedRequests {
 		go m.serveFeed(l, request)
 	}
+	m.queryFrame(l, f)
 	for _, response := range f.FeedResponses {
 		m.mu.Lock()
 		p, ok := m.pending[response.ID]
@@ -151,6 +162,7 @@
 // Down implements link.Handler. It ends the pending requests to a peer whose link
 // is lost.
 func (m *Mesh) Down(l *link.Link, _ error) {
+	m.queriesDown(l)
 	name := l.Peer().Name()
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -30,7 +30,7 @@
 	_, address := startMesh(t, "front-b", func(_ context.Context, request wire.FeedRequest) (wire.FeedResponse, error) {
 		return wire.FeedResponse{Revision: request.After + 1}, nil
 	})
-	a.SetPeers(map[string]string{"front-b": address})
+	a.SetPeers(map[string]string{"front-b": address}, nil)
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
 	for after := range uint64(3) {
@@ -52,7 +52,7 @@
 		<-ctx.Done()
 		return wire.FeedResponse{}, ctx.Err()
 	})
-	a.SetPeers(map[string]string{"front-b": address})
+	a.SetPeers(map[string]string{"front-b": address}, nil)
 	go func() {
 		<-received
 		b.Close()
--- a/peers/node.go
+++ b/peers/node.go
@@ -5,6 +5,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -25,6 +26,10 @@
 	onChange     func(share.Fleet)
 	tickInterval time.Duration
 
+	// sentLocal and sentRemote count the bytes of messages sent to members in this data
+	// centre, and to others and to seeds that are not known as members.
+	sentLocal, sentRemote atomic.Int64
+
 	// notifyMu orders the calls of onChange, so that an older fleet does not replace
 	// a newer one.
 	notifyMu  sync.Mutex
@@ -103,6 +108,11 @@
 			n.logger.Error("encoding a gossip message failed; message not sent", "error", err)
 			continue
 		}
+		if m.Local {
+			n.sentLocal.Add(int64(len(data)))
+		} else {
+			n.sentRemote.Add(int64(len(data)))
+		}
 		if _, err := n.socket.WriteTo(data, address); err != nil {
 			n.logger.Debug("sending a gossip message failed", "address", m.To, "error", err)
 		}
@@ -138,6 +148,10 @@
 	}
 }
 
+// BytesSent returns the bytes of messages sent to members in this data centre, and to
+// others.
+func (n *Node) BytesSent() (local, remote int64) { return n.sentLocal.Load(), n.sentRemote.Load() }
+
 // SetSeeds replaces the seed addresses.
 func (n *Node) SetSeeds(seeds []string) {
 	n.mu.Lock()
--- a/peers/state.go
+++ b/peers/state.go
@@ -26,6 +26,9 @@
 	Heartbeat uint64 `cbor:"4,keyasint" json:"Beat"`
 	// DataCentre is where the process runs.
 	DataCentre string `cbor:"5,keyasint"`
+	// Capacity is the processor share of the process, in thousandths of a core; zero if
+	// unknown.
+	Capacity uint32 `cbor:"6,keyasint,omitempty"`
 }
 
 // Message is a gossip message.
@@ -39,6 +42,8 @@
 type Outgoing struct {
 	To      string
 	Message Message
+	// Local is true if the address is that of a member in the local data centre.
+	Local bool
 }
 
 // Options configures a State.
@@ -97,7 +102,7 @@
 	s.opts.Self.Heartbeat++
 	var messages []Outgoing
 	for _, to := range s.receivers(now) {
-		messages = append(messages, Outgoing{To: to, Message: s.message(now, !s.settled(now))})
+		messages = append(messages, Outgoing{To: to, Message: s.message(now, !s.settled(now)), Local: s.isLocal(to)})
 	}
 	return messages
 }
@@ -196,7 +201,8 @@
 		}
 	}
 	if m.WantReply && len(m.Members) > 0 {
-		replies = append(replies, Outgoing{To: m.Members[0].Address, Message: s.message(now, false)})
+		to := m.Members[0]
+		replies = append(replies, Outgoing{To: to.Address, Message: s.message(now, false), Local: to.DataCentre == s.opts.Self.DataCentre})
 	}
 	return replies, added
 }
@@ -302,6 +308,16 @@
 	return false
 }
 
+// isLocal reports whether the address is that of a member in the local data centre.
+func (s *State) isLocal(address string) bool {
+	for _, r := range s.members {
+		if r.Address == address {
+			return r.DataCentre == s.opts.Self.DataCentre
+		}
+	}
+	return false
+}
+
 // Alive returns the peers whose heartbeat has increased within the given time,
 // sorted by name.
 func (s *State) Alive(now time.Time, within time.Duration) []Member {
--- a/soak/testbed.go
+++ b/soak/testbed.go
@@ -23,7 +23,11 @@
 	stopTimeoutSecs  = 3
 	serviceTime      = 5 * time.Millisecond
 	probeMaxAttempts = 1 // of the targets of one service
-	retryRatio       = 0.2
+	// One of largeEvery VMs is large: in a large fleet it gathers for small ones.
+	largeEvery   = 8
+	largeVMShare = 0.8
+	smallVMShare = 0.2
+	retryRatio   = 0.2
 )
 
 // retrySlack returns the slack of the retry budget for a number of VMs. It is small, so
@@ -40,6 +44,7 @@
 	settingsPath  string
 	program       string
 	retrySlack    int
+	cpuShare      float64
 
 	mu      sync.Mutex
 	process *proc.Process
@@ -117,7 +122,10 @@
 // addVMs adds the VMs and starts their entry processes.
 func (b *testbed) addVMs(o *Options, dir string) error {
 	for i := range o.VMs {
-		v := &vm{name: fmt.Sprint("front-", i), program: o.Program, retrySlack: retrySlack(o.VMs), settingsPath: filepath.Join(dir, fmt.Sprint("boot", i, ".toml"))}
+		v := &vm{name: fmt.Sprint("front-", i), cpuShare: smallVMShare, program: o.Program, retrySlack: retrySlack(o.VMs), settingsPath: filepath.Join(dir, fmt.Sprint("boot", i, ".toml"))}
+		if i%largeEvery == 0 {
+			v.cpuShare = largeVMShare
+		}
 		var err error
 		if v.storeProxy, err = NewProxy(b.store.Address()); err != nil {
 			return err
@@ -175,7 +183,7 @@
 	settings := platformtest.Settings{
 		Name: v.name, DataCentre: "dc1", Seeds: seeds, CallerAddress: v.callerAddress, ReadyAddress: v.readyAddress, PeerAddress: v.peerAddress,
 		StoreAddress: v.storeProxy.Address(), GraceSecs: stopTimeoutSecs, ConfigApplyMs: int(applyTimeout.Milliseconds()),
-		DrainMs: int(drainPeriod.Milliseconds()), RetrySlack: v.retrySlack, RetryRatio: retryRatio, CPUFraction: 0.5, MemoryMB: 256,
+		DrainMs: int(drainPeriod.Milliseconds()), RetrySlack: v.retrySlack, RetryRatio: retryRatio, CPUFraction: v.cpuShare, MemoryMB: 256,
 	}
 	return os.WriteFile(v.settingsPath, []byte(settings.TOML()), 0o600)
 }
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -73,6 +74,7 @@
 	buf = append(buf, a.Call.Body...)
 	_ = c.netConn.SetWriteDeadline(now.Add(min(timeout, writeTimeout))) // fails only on a closed connection, and then Write fails too
 	n, err := c.netConn.Write(buf)
+	c.pool.traffic.sent(c.target.remote).Add(int64(n))
 	c.pool.putBuffer(buf)
 	c.pool.writeDone(c, a, n, err)
 }
@@ -84,6 +86,7 @@
 type boundedReader struct {
 	conn    net.Conn
 	allowed int64
+	count   *atomic.Int64 // of all bytes read
 }
 
 // Read implements io.Reader. It returns errTooLarge once no more bytes are allowed.
@@ -93,11 +96,12 @@
 	}
 	n, err := r.conn.Read(p[:min(int64(len(p)), r.allowed)])
 	r.allowed -= int64(n)
+	r.count.Add(int64(n))
 	return n, err
 }
 
 func newConn(p *Pool, t *Target, nc net.Conn) *conn {
-	source := &boundedReader{conn: nc}
+	source := &boundedReader{conn: nc, count: p.traffic.received(t.remote)}
 	return &conn{
 		pool: p, target: t, netConn: nc, source: source, reader: bufio.NewReaderSize(source, readBufferBytes),
 		idleTimeout: defaultIdleTimeout,
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -66,6 +66,7 @@
 	buffers  sync.Pool
 	// buffered is the number of bytes that count against MaxBufferedBytes.
 	buffered atomic.Int64
+	traffic  traffic
 }
 
 // service holds the targets and limits of one service.
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -67,6 +67,9 @@
 	VMListResponse      *VMListResponse      `cbor:"20,keyasint,omitempty"`
 	FeedRequests        []FeedRequest        `cbor:"21,keyasint,omitempty"`
 	FeedResponses       []FeedResponse       `cbor:"22,keyasint,omitempty"`
+	Queries             []Query              `cbor:"23,keyasint,omitempty"`
+	QueryResponses      []QueryResponse      `cbor:"24,keyasint,omitempty"`
+	QueryCancels        []QueryCancel        `cbor:"25,keyasint,omitempty"`
 }
 
 // Hello opens a link in both directions and negotiates the protocol version.
--- /dev/null
+++ b/wire/query.go
@@ -0,0 +1,45 @@
+package wire
+
+// Query hands a caller's request to a peer, which gathers the responses of its shards.
+type Query struct {
+	ID uint64 `cbor:"1,keyasint"` // unique within the sending process
+	// Version is the version of the configuration that the sender has in force.
+	Version uint64 `cbor:"2,keyasint"`
+	// RequestID, Method, URI, Host, Header and Body are as the caller sent them, without
+	// hop-by-hop headers.
+	RequestID string              `cbor:"3,keyasint"`
+	Method    string              `cbor:"4,keyasint"`
+	URI       string              `cbor:"5,keyasint"`
+	Host      string              `cbor:"6,keyasint"`
+	Header    map[string][]string `cbor:"7,keyasint,omitempty"`
+	Body      []byte              `cbor:"8,keyasint,omitempty"`
+	// HasBody is true if the caller sent a body, even an empty one.
+	HasBody bool `cbor:"9,keyasint,omitempty"`
+	// LeftMicros is the time until the caller's deadline, and ElapsedMicros that since
+	// the request was read, both when the query is sent, in microseconds.
+	LeftMicros    uint64 `cbor:"10,keyasint"`
+	ElapsedMicros uint64 `cbor:"11,keyasint,omitempty"`
+	// NewConnection is true if the caller opened its connection for this request.
+	NewConnection bool `cbor:"12,keyasint,omitempty"`
+}
+
+// QueryResponse is the response to a Query.
+type QueryResponse struct {
+	ID uint64 `cbor:"1,keyasint"` // of the query
+	// Refused says why the peer has not begun with the query, and never will; empty
+	// otherwise. The other fields are then empty.
+	Refused string `cbor:"2,keyasint,omitempty"`
+	// Status, Signatures, Missing, Body, RetryAfterMicros and Reason are those of the
+	// response to the caller.
+	Status           int      `cbor:"3,keyasint,omitempty"`
+	Signatures       []string `cbor:"4,keyasint,omitempty"`
+	Missing          int      `cbor:"5,keyasint,omitempty"`
+	Body             []byte   `cbor:"6,keyasint,omitempty"`
+	RetryAfterMicros uint64   `cbor:"7,keyasint,omitempty"`
+	Reason           string   `cbor:"8,keyasint,omitempty"`
+}
+
+// QueryCancel tells a peer that the response to a query is no longer needed.
+type QueryCancel struct {
+	ID uint64 `cbor:"1,keyasint"` // of the query
+}
