Use no listing that may lag before a watch has confirmed it

Cause: a process that starts begins with a listing that the store may answer from a replica some seconds behind. It was put in force, counted as confirmed and served to peers at once; if the watch after it failed, for as long as the store was away. A target that had left, or a configuration that was replaced, was in use again.

Change: such a listing is neither published nor served before the watch that follows, which returns at once.

--- a/follow/follower.go
+++ b/follow/follower.go
@@ -50,6 +50,8 @@
 	// results carries the result of the one call in progress.
 	results chan result
 	down    bool // whether the last call failed
+	// unconfirmed is the last listing if it may lag and no watch has followed yet.
+	unconfirmed *Batch
 	calls   atomic.Int64
 	// confirmed is when the state was last known to be up to date with the
 	// store; nil before the first listing.
@@ -102,7 +104,7 @@
 			return nil
 		case now := <-ticker.C:
 			if changes := f.opts.Catalog.Tick(now); len(changes) > 0 {
-				f.report(changes, true)
+				f.report(changes, f.unconfirmed == nil)
 			}
 		case r := <-f.results:
 			f.startStep(f.apply(r))
@@ -159,19 +161,37 @@
 		f.down = false
 		f.opts.Logger.Info("store available again", "revision", r.batch.Revision)
 	}
+	if r.batch.Stale {
+		return f.applyStale(now, r)
+	}
 	asOf := now.Add(-r.batch.Age)
 	f.confirmed.Store(&asOf)
 	if r.step.Op == OpList {
+		f.unconfirmed = nil
 		f.opts.Feed.Listed(asOf, r.batch)
 		f.report(f.opts.Catalog.Replace(now, r.batch.Items, catalog.Position{Era: r.batch.Era, Revision: r.batch.Revision}), true)
 		f.opts.Logger.Info("store listed", "era", r.batch.Era, "revision", r.batch.Revision, "items", len(r.batch.Items), "took", r.took, "stale", r.step.Stale)
 		return f.opts.Scheduler.Listed(r.batch.Revision)
 	}
+	confirms := f.unconfirmed != nil
+	if confirms {
+		f.opts.Feed.Listed(asOf, *f.unconfirmed)
+		f.unconfirmed = nil
+	}
 	f.opts.Feed.Changed(asOf, r.batch)
-	f.report(f.opts.Catalog.Apply(now, r.batch.Items), len(r.batch.Items) > 0)
+	f.report(f.opts.Catalog.Apply(now, r.batch.Items), confirms || len(r.batch.Items) > 0)
 	return f.opts.Scheduler.Watched(r.batch.Revision, len(r.batch.Items), r.took)
 }
 
+// applyStale applies a listing that may lag. It is neither published nor served to peers
+// before a watch has returned what has changed since: it may list targets that have left.
+func (f *Follower) applyStale(now time.Time, r result) Step {
+	f.unconfirmed = &r.batch
+	f.report(f.opts.Catalog.Replace(now, r.batch.Items, catalog.Position{Era: r.batch.Era, Revision: r.batch.Revision}), false)
+	f.opts.Logger.Info("store listed", "era", r.batch.Era, "revision", r.batch.Revision, "items", len(r.batch.Items), "took", r.took, "stale", true)
+	return f.opts.Scheduler.ListedStale(r.batch.Revision)
+}
+
 // maxLoggedChanges is the number of changes up to which each one is logged. A
 // listing or a resharding changes hundreds of targets at once, which are counted
 // instead.
--- a/follow/multisource.go
+++ b/follow/multisource.go
@@ -97,6 +97,7 @@
 	var err error
 	if peer == "" {
 		b, err = s.store.List(ctx, stale)
+		b.Stale = stale
 	} else {
 		b, err = s.request(ctx, peer, wire.FeedRequest{List: true}, 0, fallback)
 	}
--- a/follow/scheduler.go
+++ b/follow/scheduler.go
@@ -107,6 +107,17 @@
 	return s.watch(delay)
 }
 
+// ListedStale records a successful listing that may lag, and returns the next step: a
+// watch that returns at once what the listing lacks.
+func (s *Scheduler) ListedStale(revision uint64) Step {
+	step := s.Listed(revision)
+	step.Wait = confirmWait
+	return step
+}
+
+// confirmWait is the wait of the watch that confirms a stale listing.
+const confirmWait = time.Millisecond
+
 func (s *Scheduler) watch(delay time.Duration) Step {
 	return Step{Op: OpWatch, Delay: delay, After: s.revision, Wait: s.opts.Wait}
 }
--- a/follow/source.go
+++ b/follow/source.go
@@ -19,6 +19,9 @@
 	// Revision is the store revision that the batch reflects. The next watch
 	// continues from it.
 	Revision uint64
+	// Stale is true if the batch may lag behind the store by seconds: what it lists may
+	// have been deleted since.
+	Stale bool
 	// Age is the time since the store confirmed the batch, if it was read from a
 	// peer; otherwise zero.
 	Age time.Duration
