--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEED ?= 1
 BIN := bin
 
-.PHONY: build test demo demo-platform bench slopes soak soak-platform lint clean
+.PHONY: build test fuzz demo demo-platform bench slopes soak soak-platform lint clean
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -17,6 +17,15 @@
 	go test -count=1 -timeout=20m $(SKIP) $$(go list ./... | grep -v '/scenario$$')
 	go test -count=1 -timeout=20m $(SKIP) ./scenario
 
+# Runs each fuzz test for a fixed number of inputs.
+FUZZ_INPUTS ?= 20000x
+fuzz:
+	for f in $$(grep -rl --include='*_test.go' '^func Fuzz' . | xargs -n1 dirname | sort -u); do \
+		for name in $$(grep -ho '^func Fuzz[A-Za-z]*' $$f/*_test.go | cut -d' ' -f2); do \
+			go test -run '^$$' -fuzz "^$$name$$" -fuzztime $(FUZZ_INPUTS) ./$$f || exit 1; \
+		done; \
+	done
+
 lint:
 	go tool gofumpt -l .
 	go vet ./...
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -52,7 +52,7 @@
 	down    bool // whether the last call failed
 	// unconfirmed is the last listing if it may lag and no watch has followed yet.
 	unconfirmed *Batch
-	calls   atomic.Int64
+	calls       atomic.Int64
 	// confirmed is when the state was last known to be up to date with the
 	// store; nil before the first listing.
 	confirmed atomic.Pointer[time.Time]
--- a/peers/state.go
+++ b/peers/state.go
@@ -7,6 +7,7 @@
 package peers
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -236,7 +237,7 @@
 // supersede makes this process newer than m, an earlier incarnation of the same
 // name: the clock may have been set back between the two starts.
 func (s *State) supersede(m Member) {
-	if m.Started > s.opts.Self.Started {
+	if m.Started > s.opts.Self.Started && m.Started < math.MaxInt64 {
 		s.opts.Self.Started = m.Started + 1
 	}
 }
