--- a/forward/active_request.go
+++ b/forward/active_request.go
@@ -104,7 +104,7 @@
 		r.services = []string{route.Pick(req.Call.ID)}
 	}
 	objective := LatencyObjective(route)
-	maxAttempts := max(cmp.Or(route.MaxAttempts, defaultMaxAttempts), 1)
+	maxAttempts := min(max(cmp.Or(route.MaxAttempts, defaultMaxAttempts), 1), maxTargets)
 	now := time.Now()
 	hedgeAfter := e.recordRequest(now, route, r)
 	if route.Timeout > 0 {
--- a/forward/engine.go
+++ b/forward/engine.go
@@ -135,6 +135,9 @@
 	remotePenaltyFraction = 0.2
 	// defaultMaxAttempts applies to routes that do not set MaxAttempts.
 	defaultMaxAttempts = 2
+	// maxTargets bounds the targets of a request, or of each shard, whatever its route
+	// allows.
+	maxTargets = 16
 	// disconnectLinger is how long attempts may continue after their caller has
 	// disconnected, so that their connections can be reused.
 	disconnectLinger = 250 * time.Millisecond
--- a/forward/merge.go
+++ b/forward/merge.go
@@ -26,7 +26,11 @@
 // order. Equal records are all kept. A trailing incomplete record of a response
 // is ignored.
 func mergeTop(responses [][]byte, topK int) []byte {
-	h := make(minHeap, 0, topK)
+	records := 0
+	for _, body := range responses {
+		records += len(body) / recordBytes
+	}
+	h := make(minHeap, 0, min(topK, records))
 	for _, body := range responses {
 		for ; len(body) >= recordBytes; body = body[recordBytes:] {
 			record := body[:recordBytes:recordBytes]
--- a/forward/merge_test.go
+++ b/forward/merge_test.go
@@ -31,3 +31,10 @@
 		}
 	}
 }
+
+// A configuration may name any number of records.
+func TestMergeTopAllocatesNoMoreThanItHolds(t *testing.T) {
+	if got := mergeTop([][]byte{make([]byte, recordBytes)}, 1<<50); len(got) != recordBytes {
+		t.Fatalf("%d bytes, want one record", len(got))
+	}
+}
--- a/forward/unserved_test.go
+++ b/forward/unserved_test.go
@@ -100,3 +100,13 @@
 		t.Errorf("%d connections were opened, want one for each of the 15 shards with a target", len(dials))
 	}
 }
+
+// A configuration may allow any number of targets for a request.
+func TestAbsurdMaxAttemptsIsBounded(t *testing.T) {
+	e, route, _ := newUnservedEngine(t, 20)
+	route.MaxAttempts = 1 << 60
+	now := time.Now()
+	e.Do(context.Background(), &Request{
+		Call: &upstream.Call{ID: "id", Deadline: now.Add(100 * time.Millisecond)}, Route: route, ReceivedAt: now,
+	})
+}
