Answer requests of connections accepted just before a stop

Cause: once the listener was closed, connections on which nothing had been read yet were closed at once. A caller that had just been accepted, or had just sent its next request, was cut off without an answer.

Change: a connection is closed after 150 ms of rest, within the time of the stop.

Measured: TestDrainAnswersRequestsOfAcceptedConnections: 20 of 20 requests that were sent 30 ms into the drain got no answer before, all of them do now.

--- /dev/null
+++ b/ingress/drain_test.go
@@ -0,0 +1,71 @@
+package ingress
+
+import (
+	"bufio"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/goldcrestmux/goldcrestmux/catalog"
+	"github.com/goldcrestmux/goldcrestmux/forward"
+)
+
+// drainCodec is a HeaderCodec for requests that are all refused, as no configuration is
+// known.
+type drainCodec struct{}
+
+func (drainCodec) Decode(http.Header) (Meta, error)      { return Meta{}, nil }
+func (drainCodec) Encode(http.Header, *forward.Response) {}
+
+// Pattern: a planned stop under load. A connection that was accepted just before the
+// listener is closed, and whose request is on its way or not read yet, must get an answer.
+func TestDrainAnswersRequestsOfAcceptedConnections(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewServer(New(Options{HeaderCodec: drainCodec{}, View: func() *catalog.View { return nil }, Logger: slog.New(slog.DiscardHandler)}))
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	var conns []net.Conn
+	for range 20 {
+		conn, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		conns = append(conns, conn)
+	}
+	for s.OpenConnections() < len(conns) {
+		time.Sleep(time.Millisecond)
+	}
+	drained := make(chan int, 1)
+	go func() {
+		inProgress, _ := s.Drain(time.Now().Add(2 * time.Second))
+		drained <- inProgress
+	}()
+	time.Sleep(30 * time.Millisecond)
+	unanswered := 0
+	for _, conn := range conns {
+		_, _ = fmt.Fprint(conn, "GET /x HTTP/1.1\r\nHost: a\r\n\r\n") // fails if the connection was closed
+		_ = conn.SetReadDeadline(time.Now().Add(time.Second))
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			unanswered++
+			continue
+		}
+		if !resp.Close {
+			t.Error("the response does not say that the connection is closed")
+		}
+		_ = resp.Body.Close()
+	}
+	if unanswered > 0 {
+		t.Errorf("%d of %d requests got no answer", unanswered, len(conns))
+	}
+	if n := <-drained; n > 0 {
+		t.Errorf("%d requests were in progress at the end", n)
+	}
+}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -23,6 +23,9 @@
 	// drainPollInterval is the interval at which Drain checks for requests in
 	// progress.
 	drainPollInterval = 20 * time.Millisecond
+	// drainIdleTime is how long a connection must have been idle, or accepted without a
+	// request, before Drain closes it: its next request may be on its way.
+	drainIdleTime = 150 * time.Millisecond
 )
 
 // Server accepts connections of callers and closes those that are idle or slow.
@@ -111,8 +114,8 @@
 	}
 }
 
-// Drain closes the listener and idle connections, and waits until the given time
-// for the requests in progress. It returns how many are still in progress.
+// Drain closes the listener, and connections once they have been idle for a moment, and
+// waits until the given time for the requests in progress. It returns how many are still in progress.
 func (s *Server) Drain(until time.Time) (inProgress int, err error) {
 	s.handler.DisableKeepAlives()
 	s.mu.Lock()
@@ -121,7 +124,7 @@
 	}
 	s.mu.Unlock()
 	for {
-		s.CloseIdle(time.Now())
+		s.CloseIdle(time.Now().Add(-drainIdleTime))
 		if s.handler.Active() == 0 && s.OpenConnections() == 0 {
 			return 0, err
 		}
