Bound the requests of peers by shards and processor share

Cause: 48 requests at a time were taken whatever their size and the processor: half a second of work on 0.8 cores.

Change: at most 1,600 shards for each core; one request is always taken.

--- a/entry/gather.go
+++ b/entry/gather.go
@@ -20,8 +20,9 @@
 
 // Limits of requests that are handed between peers.
 const (
-	// maxGathered is the number of requests of peers that are served at the same time.
-	maxGathered = 48
+	// gatheredPerCore is the largest number of shards of peers' requests in progress, for each
+	// core: a fifth of a second of processor time.
+	gatheredPerCore = 1600
 	// transitTime is the assumed time that a query takes to a peer.
 	transitTime = time.Millisecond
 	// hopMargin is reserved for the way of the response back to the process that the
@@ -43,7 +44,7 @@
 // Lock order: no other lock is acquired while mu is held.
 type gatherer struct {
 	p *process
-	// gathered is the number of requests of peers that are being served.
+	// gathered is the number of shards of peers' requests that are being served.
 	gathered atomic.Int64
 	pauses   *pauseDetector
 
@@ -156,11 +157,6 @@
 // serve serves a request that a peer handed to this process.
 func (g *gatherer) serve(ctx context.Context, peer string, q *wire.Query) wire.QueryResponse {
 	receivedAt := time.Now().Add(-time.Duration(q.ElapsedMicros)*time.Microsecond - transitTime)
-	if g.gathered.Add(1) > maxGathered {
-		g.gathered.Add(-1)
-		return wire.QueryResponse{Refused: "too many requests of peers"}
-	}
-	defer g.gathered.Add(-1)
 	if g.pauses.paused(time.Now()) {
 		return wire.QueryResponse{Refused: "was paused: the request may have waited"}
 	}
@@ -172,6 +168,12 @@
 	if route == nil || !route.Sharded() {
 		return wire.QueryResponse{Refused: "no sharded route"}
 	}
+	shards := int64(len(route.Shards))
+	before := g.gathered.Add(shards) - shards
+	defer g.gathered.Add(-shards)
+	if before > 0 && before+shards > gatheredPerCore*int64(g.p.settings.Capacity)/1000 {
+		return wire.QueryResponse{Refused: "too many requests of peers"}
+	}
 	resp := g.p.engine.Do(ctx, &forward.Request{
 		Call: &upstream.Call{
 			ID: q.RequestID, Method: q.Method, URI: q.URI, Host: q.Host, Header: q.Header, Body: q.Body, HasBody: q.HasBody,
@@ -191,7 +193,7 @@
 type gatheringState struct {
 	// Peers are those to which sharded requests are handed, with whether there is a link.
 	Peers map[string]bool `json:"peers"`
-	// Serving is the number of requests of peers in progress.
+	// Serving is the number of shards of peers' requests in progress.
 	Serving int64 `json:"serving"`
 }
 
