End a caller's body that does not arrive in time

Cause: once the headers of a request were complete, its body had no time limit: a caller that sent it byte by byte held a connection and a request for ever.

Change: the body must arrive within the time that the caller waits; else the answer is 408, which is true, as the request has been sent to no target.

Measured: TestTricklingBodyOfCallerEndsAtDeadline got no answer in 4 s before.

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -83,17 +84,17 @@
 	if c, ok := r.Context().Value(connKey{}).(*callerConn); ok {
 		newConnection = c.startRequest()
 	}
-	route, resp := h.serve(r, receivedAt, newConnection)
+	route, resp := h.serve(w, r, receivedAt, newConnection)
 	h.write(w, &resp)
 	if h.opts.Observe != nil {
 		h.opts.Observe(route, &resp, time.Since(receivedAt))
 	}
 }
 
-func (h *Handler) serve(r *http.Request, receivedAt time.Time, newConnection bool) (*catalog.Route, forward.Response) {
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request, receivedAt time.Time, newConnection bool) (*catalog.Route, forward.Response) {
 	view := h.opts.View()
 	meta, decodeErr := h.opts.HeaderCodec.Decode(r.Header)
-	route, call, refusal := h.prepareCall(r, view, meta, decodeErr, receivedAt)
+	route, call, refusal := h.prepareCall(w, r, view, meta, decodeErr, receivedAt)
 	if refusal != nil {
 		h.logRefusal(r, view, meta.ID, refusal, receivedAt)
 		return route, *refusal
@@ -113,7 +114,7 @@
 // prepareCall finds the route of a request and reads its body. If the request is
 // refused, it returns the response instead of the call, and the route if there
 // is one.
-func (h *Handler) prepareCall(r *http.Request, view *catalog.View, meta Meta, decodeErr error, receivedAt time.Time) (*catalog.Route, *upstream.Call, *forward.Response) {
+func (h *Handler) prepareCall(w http.ResponseWriter, r *http.Request, view *catalog.View, meta Meta, decodeErr error, receivedAt time.Time) (*catalog.Route, *upstream.Call, *forward.Response) {
 	if !view.Configured() {
 		return nil, nil, &forward.Response{Status: http.StatusServiceUnavailable, RetryAfter: unknownRetryAfter, Reason: "no configuration is known"}
 	}
@@ -128,14 +129,14 @@
 	if decodeErr != nil {
 		return route, nil, &forward.Response{Status: http.StatusBadRequest, Reason: decodeErr.Error()}
 	}
-	body, err := readBody(r, view.Limits.BodyBytes)
-	if err != nil {
-		return route, nil, bodyErrorResponse(err)
-	}
 	timeout := meta.Timeout
 	if timeout <= 0 {
 		timeout = h.opts.DefaultTimeout
 	}
+	body, err := readBodyBy(receivedAt.Add(timeout), w, r, view.Limits.BodyBytes)
+	if err != nil {
+		return route, nil, bodyErrorResponse(err)
+	}
 	return route, &upstream.Call{
 		ID: meta.ID, Method: r.Method, URI: uri, Host: r.Host, Header: removeHopByHop(r.Header),
 		Body: body, HasBody: r.ContentLength != 0, Deadline: receivedAt.Add(timeout),
@@ -184,10 +185,24 @@
 
 var errBodyTooLarge = errors.New("the body is larger than allowed")
 
-func readBody(r *http.Request, limit int64) ([]byte, error) {
+// readBodyBy is like readBody, but fails at the deadline.
+func readBodyBy(deadline time.Time, w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
+	conn := http.NewResponseController(w)
+	if err := conn.SetReadDeadline(deadline); err != nil {
+		return nil, errors.Annotate(err, "set the deadline of the body")
+	}
+	body, err := readBody(r, limit)
+	if err != nil {
+		return nil, err
+	}
+	// A later timeout would count as the caller's leaving.
+	return body, errors.Annotate(conn.SetReadDeadline(time.Time{}), "clear the deadline of the body")
+}
+
+func readBody(r *http.Request, limit int64) ([]byte, error) {
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
@@ -211,6 +226,9 @@
 	if errors.Is(err, errBodyTooLarge) {
 		return &forward.Response{Status: http.StatusRequestEntityTooLarge, Reason: err.Error()}
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return &forward.Response{Status: http.StatusRequestTimeout, Reason: "the body did not arrive in time"}
+	}
 	return &forward.Response{Status: http.StatusBadRequest, Reason: err.Error()}
 }
 
