Wait for a slow peer until the deadline

Cause: a request at a peer that had not answered after 2.5 times the objective was given up as lost, with 502, and its peer was avoided as if its link were lost. The peer may only be slow, as when all targets are: its late answer was thrown away. Found by reading.

Change: while the link lives, the answer is awaited until the caller's deadline or the route's timeout, then 504.

--- a/delegate/chooser.go
+++ b/delegate/chooser.go
@@ -182,7 +182,8 @@
 const (
 	Responded Result = iota + 1 // the peer responded
 	Refused                     // the peer has not begun with the request
-	Lost                        // the link was lost, or the peer did not respond in time
+	Late                        // the peer did not respond before the deadline, but its link lives
+	Lost                        // the link was lost
 	Canceled                    // the caller left
 )
 
@@ -197,6 +198,8 @@
 		s.Responded(now, sent, profile.Expected)
 	case Refused:
 		s.Unreachable(now, sent, false)
+	case Late:
+		s.Failed(now, sent)
 	case Lost:
 		s.Unreachable(now, sent, true)
 	default:
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -137,6 +137,7 @@
 		Self:   wire.Process{VM: s.Name, Role: wire.RoleEntry, DataCentre: s.DataCentre, Incarnation: incarnation},
 		Logger: log, ServeFeed: p.feed.Respond, ServeQuery: p.gatherer.serve, CheckInterval: linkCheckInterval,
 	})
+	p.gatherer.client = p.mesh
 	p.source = follow.NewMultiSource(adapter.NewSource(&s, p.dial), p.mesh,
 		follow.NewSelector(storeReader(s.Name, s.DataCentre), s.MaxConfigDelay, rand.New(rand.NewPCG(incarnation, 3))), log)
 	p.follower = follow.New(follow.Options{
--- a/entry/gather.go
+++ b/entry/gather.go
@@ -32,18 +32,24 @@
 	// request at a peer, in multiples of its latency objective.
 	expectedFraction = 0.6
 	overdueFactor    = 1.3
-	// lostFactor is the time after which a request without a response counts as lost,
-	// in multiples of the latency objective. A peer that gathers waits no longer for
-	// missing shards than twice the objective.
-	lostFactor = 2.5
+	// lateMargin is how long before the caller's deadline a request at a peer is given up.
+	// The peer answers earlier, also if it can only tell that the deadline has passed.
+	lateMargin = 10 * time.Millisecond
 )
 
+// queryClient hands requests to peers.
+type queryClient interface {
+	Reachable(vm string) bool
+	Query(ctx context.Context, vm string, q wire.Query) (wire.QueryResponse, error)
+}
+
 // gatherer hands sharded requests to peers, and serves those of peers. Its methods are
 // safe for concurrent use.
 //
 // Lock order: no other lock is acquired while mu is held.
 type gatherer struct {
-	p *process
+	p      *process
+	client queryClient
 	// gathered is the number of shards of peers' requests that are being served.
 	gathered atomic.Int64
 	pauses   *pauseDetector
@@ -96,7 +102,7 @@
 	profile := profileOf(req.Route)
 	sentAt := time.Now()
 	g.mu.Lock()
-	peer := g.chooser.Choose(sentAt, profile, g.p.mesh.Reachable)
+	peer := g.chooser.Choose(sentAt, profile, g.client.Reachable)
 	if peer != "" {
 		g.chooser.Sent(sentAt, peer, profile)
 	}
@@ -104,10 +110,10 @@
 	if peer == "" {
 		return forward.Response{}, false
 	}
-	lost := time.Duration(lostFactor * float64(forward.LatencyObjective(req.Route)))
-	waitCtx, cancel := context.WithDeadline(ctx, earliest(req.ReceivedAt.Add(lost), req.Call.Deadline))
+	// A slow peer is waited for: what it has begun is not given up while its link lives.
+	waitCtx, cancel := context.WithDeadline(ctx, deadline(req).Add(-lateMargin))
 	defer cancel()
-	response, err := g.p.mesh.Query(waitCtx, peer, wire.Query{
+	response, err := g.client.Query(waitCtx, peer, wire.Query{
 		Version: req.Version, RequestID: req.Call.ID, Method: req.Call.Method, URI: req.Call.URI, Host: req.Call.Host,
 		Header: req.Call.Header, Body: req.Call.Body, HasBody: req.Call.HasBody,
 		LeftMicros:    uint64(max(req.Call.Deadline.Sub(sentAt), 0).Microseconds()),
@@ -131,9 +137,20 @@
 		return forward.Response{Reason: forward.ReasonCallerDisconnected}, true
 	}
 	g.p.log.Warn("request lost at a peer", "id", req.Call.ID, "route", req.Route.Name, "peer", peer, "took", now.Sub(sentAt), "error", err)
+	if result == delegate.Late {
+		return forward.Response{Status: http.StatusGatewayTimeout, Reason: "the peer that gathered the shards did not respond in time"}, true
+	}
 	return forward.Response{Status: http.StatusBadGateway, Reason: "the peer that gathered the shards was lost"}, true
 }
 
+// deadline returns the end of the time that the caller waits or its route allows.
+func deadline(req *forward.Request) time.Time {
+	if t := req.Route.Timeout; t > 0 && req.ReceivedAt.Add(t).Before(req.Call.Deadline) {
+		return req.ReceivedAt.Add(t)
+	}
+	return req.Call.Deadline
+}
+
 // resultOf returns how a query ended.
 func resultOf(ctx context.Context, response wire.QueryResponse, err error) delegate.Result {
 	switch {
@@ -143,17 +160,12 @@
 		return delegate.Refused
 	case ctx.Err() != nil:
 		return delegate.Canceled
+	case errors.Is(err, context.DeadlineExceeded):
+		return delegate.Late
 	}
 	return delegate.Lost
 }
 
-func earliest(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
-
 // serve serves a request that a peer handed to this process.
 func (g *gatherer) serve(ctx context.Context, peer string, q *wire.Query) wire.QueryResponse {
 	receivedAt := time.Now().Add(-time.Duration(q.ElapsedMicros)*time.Microsecond - transitTime)
@@ -203,7 +215,7 @@
 	g.mu.Unlock()
 	s := gatheringState{Peers: map[string]bool{}, Serving: g.gathered.Load()}
 	for _, name := range names {
-		s.Peers[name] = g.p.mesh.Reachable(name)
+		s.Peers[name] = g.client.Reachable(name)
 	}
 	return s
 }
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -61,7 +61,7 @@
 func (m *metrics) observeConnection(event string) { m.connections.Add(event, 1) }
 
 var delegationNames = map[delegate.Result]string{
-	delegate.Responded: "answered", delegate.Refused: "refused", delegate.Lost: "lost", delegate.Canceled: "caller left",
+	delegate.Responded: "answered", delegate.Refused: "refused", delegate.Lost: "lost", delegate.Late: "late", delegate.Canceled: "caller left",
 }
 
 func (m *metrics) observeDelegation(result delegate.Result) {
