Hand no request to a peer that exceeds a frame

Cause: a body near the largest size of a frame (4 MB) would have closed the link to the peer, with all requests on it, each time. Found by reading. Beside it, an item of a target without content, which peers' feeds no longer let through, could have been dereferenced in a new era.

Change: bodies above 256 KB are gathered by the process itself; such items are skipped.

Measured: TestRequestsThatAreNotHandedToPeers failed before.

--- a/catalog/restore.go
+++ b/catalog/restore.go
@@ -118,7 +118,7 @@
 // it was written later. Its sequence shows nothing: it also grows without a change.
 func (s *State) leftBefore(former uint64, it *Item) bool {
 	d, ok := s.departed[it.Name]
-	if !ok || d.lapsed || it.Deleted || it.Err != nil || it.Target.Incarnation > d.incarnation {
+	if !ok || d.lapsed || it.Deleted || it.Target == nil || it.Target.Incarnation > d.incarnation {
 		return false
 	}
 	return d.at.Era != former || it.Revision <= d.at.Revision
--- a/entry/gather.go
+++ b/entry/gather.go
@@ -23,6 +23,9 @@
 	// gatheredPerCore is the largest number of shards of peers' requests in progress, for each
 	// core: a fifth of a second of processor time.
 	gatheredPerCore = 1600
+	// maxQueryBody is the largest body that is handed to a peer: frames of links are
+	// bounded, and small answers wait behind large queries.
+	maxQueryBody = 256 << 10
 	// transitTime is the assumed time that a query takes to a peer.
 	transitTime = time.Millisecond
 	// hopMargin is reserved for the way of the response back to the process that the
@@ -96,7 +99,7 @@
 // Gather hands a sharded request to a peer. It returns false if no peer has begun with it:
 // the process must then serve it itself.
 func (g *gatherer) Gather(ctx context.Context, req *forward.Request) (forward.Response, bool) {
-	if !req.Route.Sharded() {
+	if !req.Route.Sharded() || len(req.Call.Body) > maxQueryBody {
 		return forward.Response{}, false
 	}
 	profile := profileOf(req.Route)
--- a/entry/gather_test.go
+++ b/entry/gather_test.go
@@ -131,8 +131,8 @@
 	}
 }
 
-// Requests to one service are not handed to peers.
-func TestUnshardedRequestIsNotHandedToPeers(t *testing.T) {
+// Requests to one service, and those that are too large for a frame, are not handed to peers.
+func TestRequestsThatAreNotHandedToPeers(t *testing.T) {
 	g := newTestGatherer(peerFunc(func(context.Context, wire.Query) (wire.QueryResponse, error) {
 		t.Error("the request was handed to a peer")
 		return wire.QueryResponse{}, nil
@@ -141,4 +141,8 @@
 	if _, taken := g.Gather(context.Background(), &forward.Request{Call: &upstream.Call{Deadline: now.Add(time.Second)}, Route: &catalog.Route{}, ReceivedAt: now}); taken {
 		t.Error("the request was taken")
 	}
+	large := &upstream.Call{Deadline: now.Add(time.Second), Body: make([]byte, wire.MaxFrameBytes)}
+	if _, taken := g.Gather(context.Background(), &forward.Request{Call: large, Route: &catalog.Route{Shards: []string{"s1"}}, ReceivedAt: now}); taken {
+		t.Error("a request that exceeds a frame was taken")
+	}
 }
