--- a/catalog/restore.go
+++ b/catalog/restore.go
@@ -70,6 +70,18 @@
 	clear(s.heldTargets)
 	clear(s.heldEvacuations)
 	clear(s.unconfirmed)
+	s.forgetRevisions()
+	s.ExtendGraceUntil(now.Add(s.opts.OutageGrace))
+	changes := []Change{{
+		Resource: ResourceStore, Name: "era " + strconv.FormatUint(at.Era, 10), Revision: at.Revision,
+		Outcome: "restored from a copy; era before: " + strconv.FormatUint(former, 10),
+	}}
+	changes = append(changes, s.holdGone(now, former, items)...)
+	return append(changes, s.keepEvacuations(now, at, items)...)
+}
+
+// forgetRevisions makes any revision of the new era later than what is known.
+func (s *State) forgetRevisions() {
 	for id, e := range s.targets {
 		moved := *e
 		moved.Revision = 0
@@ -78,9 +90,11 @@
 	for dc := range s.evacuated {
 		s.evacuated[dc] = 0
 	}
-	s.ExtendGraceUntil(now.Add(s.opts.OutageGrace))
-	changes := []Change{{Resource: ResourceStore, Name: "era " + strconv.FormatUint(at.Era, 10), Outcome: "restored from a copy; era before: " + strconv.FormatUint(former, 10), Revision: at.Revision}}
-	changes = append(changes, s.holdGone(now, former, items)...)
+}
+
+// keepEvacuations keeps the evacuations in force that are not listed for a while.
+func (s *State) keepEvacuations(now time.Time, at Position, items []Item) []Change {
+	var changes []Change
 	listed := map[string]bool{}
 	for i := range items {
 		if items[i].Kind == KindEvacuation {
--- a/entry/gather.go
+++ b/entry/gather.go
@@ -49,7 +49,7 @@
 // gatherer hands sharded requests to peers, and serves those of peers. Its methods are
 // safe for concurrent use.
 //
-// Lock order: no other lock is acquired while mu is held.
+// Lock order: mu is acquired before the locks of the mesh and its links.
 type gatherer struct {
 	p      *process
 	client queryClient
@@ -104,48 +104,67 @@
 	}
 	profile := profileOf(req.Route)
 	sentAt := time.Now()
-	g.mu.Lock()
-	peer := g.chooser.Choose(sentAt, profile, g.client.Reachable)
-	if peer != "" {
-		g.chooser.Sent(sentAt, peer, profile)
-	}
-	g.mu.Unlock()
+	peer := g.choose(sentAt, profile)
 	if peer == "" {
 		return forward.Response{}, false
 	}
 	// A slow peer is waited for: what it has begun is not given up while its link lives.
 	waitCtx, cancel := context.WithDeadline(ctx, deadline(req).Add(-lateMargin))
 	defer cancel()
-	response, err := g.client.Query(waitCtx, peer, wire.Query{
-		Version: req.Version, RequestID: req.Call.ID, Method: req.Call.Method, URI: req.Call.URI, Host: req.Call.Host,
-		Header: req.Call.Header, Body: req.Call.Body, HasBody: req.Call.HasBody,
-		LeftMicros:    uint64(max(req.Call.Deadline.Sub(sentAt), 0).Microseconds()),
-		ElapsedMicros: uint64(max(sentAt.Sub(req.ReceivedAt), 0).Microseconds()), NewConnection: req.NewConnection,
-	})
+	response, err := g.client.Query(waitCtx, peer, newQuery(req, sentAt))
 	result := resultOf(ctx, response, err)
-	now := time.Now()
-	g.mu.Lock()
-	g.chooser.Ended(now, sentAt, peer, result, profile)
-	g.mu.Unlock()
-	g.p.metrics.observeDelegation(result)
+	g.ended(sentAt, peer, result, profile)
 	switch result {
 	case delegate.Responded:
-		return forward.Response{
-			Status: response.Status, Sharded: response.Status == http.StatusOK, Signatures: response.Signatures, Missing: response.Missing,
-			Body: response.Body, RetryAfter: time.Duration(response.RetryAfterMicros) * time.Microsecond, Reason: response.Reason,
-		}, true
+		return responseOf(&response), true
 	case delegate.Refused:
 		return forward.Response{}, false
 	case delegate.Canceled:
 		return forward.Response{Reason: forward.ReasonCallerDisconnected}, true
 	}
-	g.p.log.Warn("request lost at a peer", "id", req.Call.ID, "route", req.Route.Name, "peer", peer, "took", now.Sub(sentAt), "error", err)
+	g.p.log.Warn("request lost at a peer", "id", req.Call.ID, "route", req.Route.Name, "peer", peer, "took", time.Since(sentAt), "error", err)
 	if result == delegate.Late {
 		return forward.Response{Status: http.StatusGatewayTimeout, Reason: "the peer that gathered the shards did not respond in time"}, true
 	}
 	return forward.Response{Status: http.StatusBadGateway, Reason: "the peer that gathered the shards was lost"}, true
 }
 
+// choose returns the peer to hand a request to, or "" if there is none, and records that
+// it is sent.
+func (g *gatherer) choose(now time.Time, profile balance.Profile) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	peer := g.chooser.Choose(now, profile, g.client.Reachable)
+	if peer != "" {
+		g.chooser.Sent(now, peer, profile)
+	}
+	return peer
+}
+
+// ended records the result of a request that was sent to a peer.
+func (g *gatherer) ended(sentAt time.Time, peer string, result delegate.Result, profile balance.Profile) {
+	g.mu.Lock()
+	g.chooser.Ended(time.Now(), sentAt, peer, result, profile)
+	g.mu.Unlock()
+	g.p.metrics.observeDelegation(result)
+}
+
+func newQuery(req *forward.Request, now time.Time) wire.Query {
+	return wire.Query{
+		Version: req.Version, RequestID: req.Call.ID, Method: req.Call.Method, URI: req.Call.URI, Host: req.Call.Host,
+		Header: req.Call.Header, Body: req.Call.Body, HasBody: req.Call.HasBody,
+		LeftMicros:    uint64(max(req.Call.Deadline.Sub(now), 0).Microseconds()),
+		ElapsedMicros: uint64(max(now.Sub(req.ReceivedAt), 0).Microseconds()), NewConnection: req.NewConnection,
+	}
+}
+
+func responseOf(r *wire.QueryResponse) forward.Response {
+	return forward.Response{
+		Status: r.Status, Sharded: r.Status == http.StatusOK, Signatures: r.Signatures, Missing: r.Missing,
+		Body: r.Body, RetryAfter: time.Duration(r.RetryAfterMicros) * time.Microsecond, Reason: r.Reason,
+	}
+}
+
 // deadline returns the end of the time that the caller waits or its route allows.
 func deadline(req *forward.Request) time.Time {
 	if t := req.Route.Timeout; t > 0 && req.ReceivedAt.Add(t).Before(req.Call.Deadline) {
