Log and count what targets ask of their callers

The adapter now decodes the limit, leaving and Retry-After of a response; package pushback keeps them; changes are logged and the state page shows them. No decision uses them yet.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -170,7 +170,11 @@
 // connectionEvent counts and logs an event of a connection to a target.
 func (p *process) connectionEvent(ev upstream.Event) {
 	p.metrics.observeConnection(ev.Message)
-	p.log.Info(ev.Message, "target", ev.TargetID, "service", ev.Service, "id", ev.RequestID, "error", ev.Err)
+	attrs := []any{"target", ev.TargetID, "service", ev.Service, "id", ev.RequestID}
+	if ev.Err != nil {
+		attrs = append(attrs, "error", ev.Err)
+	}
+	p.log.Info(ev.Message, append(attrs, ev.Details...)...)
 }
 
 // publish puts a new view in force.
@@ -344,7 +348,7 @@
 	out := map[string]any{
 		"process": p.settings.Name, "uptime_s": int(time.Since(p.startedAt).Seconds()),
 		"stopping": p.stopping.Load(), "ready": v.Configured() && !p.stopping.Load(),
-		"upstream": p.pool.Stats(), "retry_budget": p.engine.BudgetState(time.Now()), "active_requests": p.handler.Active(), "caller_connections": p.callerServer.OpenConnections(),
+		"upstream": p.pool.Stats(), "pushback": p.pool.Pushback(time.Now()), "retry_budget": p.engine.BudgetState(time.Now()), "active_requests": p.handler.Active(), "caller_connections": p.callerServer.OpenConnections(),
 		"bytes": p.traffic(), "gathering": p.gatherer.state(), "store_calls": p.follower.Calls() - p.source.PeerRequests(), "peer_asks": p.source.PeerRequests(), "links": p.mesh.LinkCount(),
 	}
 	if v.Configured() {
--- a/forward/active_request.go
+++ b/forward/active_request.go
@@ -192,7 +192,7 @@
 		}
 		a := r.engine.opts.Pool.Start(r.req.Call, i, upstream.AttemptOptions{
 			Service: r.services[i], Profile: r.profile, Tried: r.tried[i], Only: r.plan.OnlyTargets(i),
-			Deadline: r.attemptDeadline(now),
+			Deadline: r.attemptDeadline(now), Extra: extra,
 		}, r.results)
 		if a == nil {
 			if extra {
--- a/upstream/call.go
+++ b/upstream/call.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/goldcrestmux/goldcrestmux/pushback"
 	"github.com/juju/errors"
 )
 
@@ -51,6 +52,8 @@
 	NotRun bool
 	// Misdirected is true if another target has the address now.
 	Misdirected bool
+	// Notice is what the target asks of its callers.
+	Notice pushback.Notice
 }
 
 // Outcome is how an attempt ended.
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -164,6 +164,9 @@
 		return nil, false, errNoID
 	}
 	c.echoesID = c.echoesID || decoded.ID != ""
+	if !decoded.Misdirected {
+		c.pool.observeNotice(c.target, a, decoded.Notice)
+	}
 	delimited := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 	return &Result{
 		Attempt: a, Outcome: outcomeOf(decoded), Status: resp.StatusCode, Header: resp.Header,
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -39,14 +39,16 @@
 	OnEvent func(Event)
 }
 
-// Event describes a failure of a connection or a target. Message is one of a few
-// constant texts.
+// Event describes a failure of a connection or a target, or a request that a target makes
+// of its callers. Message is one of a few constant texts.
 type Event struct {
 	Message   string
 	TargetID  string
 	Service   string
 	RequestID string
 	Err       error
+	// Details are further keys and values for the log.
+	Details []any
 }
 
 // Pool holds the connections to all targets. Methods are safe for concurrent use.
@@ -251,6 +253,8 @@
 	Only []string
 	// Deadline is when the target may stop working on the attempt.
 	Deadline time.Time
+	// Extra is true for a hedge or a retry.
+	Extra bool
 }
 
 // Start sends an attempt to the best target of a service. It returns nil if no
@@ -269,6 +273,7 @@
 		results: results, expected: opts.Profile.Expected,
 	}
 	t.stats.Sent(now, opts.Profile.OverdueAfter)
+	t.pushback.Sent(opts.Extra)
 	if t.isCold(now) {
 		t.coldRate.Add(now)
 	}
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -6,6 +6,7 @@
 
 	"github.com/goldcrestmux/goldcrestmux/balance"
 	"github.com/goldcrestmux/goldcrestmux/catalog"
+	"github.com/goldcrestmux/goldcrestmux/pushback"
 	"github.com/goldcrestmux/goldcrestmux/share"
 )
 
@@ -27,6 +28,8 @@
 	maxConns      int
 	coldRateLimit int
 	coldRate      share.RateLimiter
+	// pushback is what the target has asked of its callers.
+	pushback pushback.State
 	// removed is set by Pool.retire. No new requests are sent to the target.
 	removed bool
 	// evacuated is true if the data centre of the target is evacuated.
