Keep within the limit that a target names in its responses

What callers and targets saw: a target that names a limit of 23 requests a second got 58 a second; on every deployment it got as many as before.

Cause: nothing read what a target says of itself in a response, on any path that sends to it. No process exceeds the limit alone, so each must keep to a part of it.

Change: package pushback keeps the limit of each target, and a credit that this process earns at its part of the limit. A target without credit is not chosen, also not for hedges and retries. Credit lapses after a second, and its phase differs between processes, so that a large fleet does not send all it has kept at once. What a target named is kept if its entry expires or its address changes. A request that no target may get in time is refused at once, with when to come back, and a response does not wait for such a shard.

--- a/forward/active_request.go
+++ b/forward/active_request.go
@@ -39,8 +39,8 @@
 func (e *Engine) Do(ctx context.Context, req *Request) Response {
 	r := e.newActiveRequest(req)
 	now := time.Now()
-	if !r.plan.CanServe(e.opts.Pool.Served(r.services)) {
-		return r.refuseUnserved(now)
+	if wait, reason := r.unservable(now); reason != "" {
+		return r.refuse(now, wait, reason)
 	}
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -123,7 +123,7 @@
 		PartialAt:     req.ReceivedAt.Add(objective - margin - shardMargins),
 		OnTimeUntil:   req.ReceivedAt.Add(objective - minResponseMargin - req.HopMargin - shardMargins),
 		LatePartialAt: req.ReceivedAt.Add(lateFactor * objective),
-		SendBy:        req.ReceivedAt.Add(time.Duration(maxUnsentFraction * float64(objective))),
+		SendBy:        r.sendBy(),
 		Deadline:      req.Call.Deadline.Add(-deadlineMargin), HedgeAfter: min(hedgeAfter, time.Duration(maxHedgeDelayFraction*float64(objective))),
 	}
 	if route.Sharded() {
@@ -141,6 +141,11 @@
 	return r
 }
 
+// sendBy returns until when the request may wait for a target.
+func (r *activeRequest) sendBy() time.Time {
+	return r.req.ReceivedAt.Add(time.Duration(maxUnsentFraction * float64(LatencyObjective(r.req.Route))))
+}
+
 // capHedgeDelay returns the hedge delay of a sharded request, reduced so that
 // the response to a hedge can still arrive within available. Expected is the
 // usual duration of an attempt.
@@ -190,7 +195,7 @@
 				continue
 			}
 		}
-		a := r.engine.opts.Pool.Start(r.req.Call, i, upstream.AttemptOptions{
+		a, availableAt := r.engine.opts.Pool.Start(r.req.Call, i, upstream.AttemptOptions{
 			Service: r.services[i], Profile: r.profile, Tried: r.tried[i], Only: r.plan.OnlyTargets(i),
 			Deadline: r.attemptDeadline(now), Extra: extra,
 		}, r.results)
@@ -198,7 +203,7 @@
 			if extra {
 				r.returnExtra(now, i, taken)
 			}
-			r.plan.Unavailable(now, i)
+			r.plan.UnavailableUntil(now, i, availableAt)
 			continue
 		}
 		if extra {
--- a/forward/fleet_test.go
+++ b/forward/fleet_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/goldcrestmux/goldcrestmux/budget"
 	"github.com/goldcrestmux/goldcrestmux/peers"
+	"github.com/goldcrestmux/goldcrestmux/pushback"
+	"github.com/goldcrestmux/goldcrestmux/share"
 )
 
 // simulatedFleet runs the membership and the retry budget of n processes in
@@ -22,17 +24,36 @@
 	index   map[string]int // of members, by address
 	// cut reports whether messages between two processes are lost; nil for none.
 	cut func(a, b int) bool
-	// idle is true while no process needs extra attempts.
+	// idle is true while no process needs extra attempts or the targets with a limit.
 	idle bool
 	// firsts and extras are the numbers of attempts by step.
 	firsts, extras []int
+	// limitedSends are the numbers of requests to the targets with a limit, by step.
+	limitedSends [len(simulatedLimits)][]int
 }
 
 type simulatedProcess struct {
 	state  *peers.State
 	engine *Engine
+	// limited are targets, one for each of simulatedLimits. toldAt is when the process had
+	// the first response of a target that named its limit.
+	limited [len(simulatedLimits)]pushback.State
+	toldAt  [len(simulatedLimits)]time.Time
 }
 
+// simulatedLimits are the limits, in requests per second, that simulated targets name.
+var simulatedLimits = [...]float64{0, 1.5, 12, 60}
+
+const (
+	// limitWindow, limitFactor and limitSlack are the published rule: in any such span a
+	// target gets at most the factor times what its limit allows, plus the slack, from
+	// processes that it told longer than limitNotice ago.
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+	limitNotice = 500 * time.Millisecond
+)
+
 const (
 	simulationStep = 250 * time.Millisecond
 	stepsPerWindow = int(budget.WindowLength / simulationStep)
@@ -106,6 +127,7 @@
 		e := p.engine
 		fleet := p.state.Fleet(now)
 		shares += fleet.Share(wholeLimit, "target")
+		f.sendToLimited(now, p, fleet)
 		e.SetFleet(now, fleet)
 		e.mu.Lock()
 		b := e.serviceBudget(now, simulatedService)
@@ -129,6 +151,45 @@
 			len(f.members), wholeLimit, shares, time.Duration(len(f.extras))*simulationStep)
 	}
 	f.check()
+	f.checkLimits()
+}
+
+// sendToLimited sends all requests to the limited targets that a process may send.
+func (f *simulatedFleet) sendToLimited(now time.Time, p *simulatedProcess, fleet share.Fleet) {
+	for i, limit := range simulatedLimits {
+		s := &p.limited[i]
+		for len(f.limitedSends[i]) <= len(f.extras) {
+			f.limitedSends[i] = append(f.limitedSends[i], 0)
+		}
+		if p.toldAt[i].IsZero() {
+			p.toldAt[i] = now
+			s.SetShare(now, pushback.Share{Fraction: fleet.Fraction(), Phase: fleet.Phase("target")})
+			s.Observe(now, now, pushback.Notice{Limited: true, Limit: limit})
+			continue
+		}
+		s.SetShare(now, pushback.Share{Fraction: fleet.Fraction(), Phase: fleet.Phase("target")})
+		for !f.idle && !s.Available(now).After(now) {
+			s.Sent(now, false)
+			if now.Sub(p.toldAt[i]) >= limitNotice {
+				f.limitedSends[i][len(f.extras)]++
+			}
+		}
+	}
+}
+
+// checkLimits checks the published rule for the window that ends now.
+func (f *simulatedFleet) checkLimits() {
+	steps := int(limitWindow / simulationStep)
+	for i, limit := range simulatedLimits {
+		sent := 0
+		for _, n := range f.limitedSends[i][max(len(f.limitedSends[i])-steps, 0):] {
+			sent += n
+		}
+		if allowed := limitFactor*limit*limitWindow.Seconds() + limitSlack; float64(sent) > allowed {
+			f.t.Fatalf("%d processes send %d requests in 4 s to a target that names a limit of %v a second, after %v; allowed %v",
+				len(f.members), sent, limit, time.Duration(len(f.extras))*simulationStep, allowed)
+		}
+	}
 }
 
 func (f *simulatedFleet) deliver(now time.Time, from int, messages []peers.Outgoing) {
@@ -262,3 +323,23 @@
 		}
 	})
 }
+
+// The shares of a limit are used: in steady state the processes together send a target at
+// least three quarters of the limit that it names.
+func TestLimitOfTargetIsUsable(t *testing.T) {
+	forEachFleet(t, func(f *simulatedFleet) {
+		const measured = time.Minute
+		f.run(measured, nil)
+		f.run(measured, nil)
+		for i, limit := range simulatedLimits {
+			sent := 0
+			for _, n := range f.limitedSends[i][len(f.extras)-int(measured/simulationStep):] {
+				sent += n
+			}
+			if want := 0.75 * limit * measured.Seconds(); float64(sent) < want {
+				t.Errorf("%d processes send %d requests in %v to a target that names a limit of %v a second, want at least %.0f",
+					len(f.members), sent, measured, limit, want)
+			}
+		}
+	})
+}
--- a/forward/response.go
+++ b/forward/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -18,6 +19,10 @@
 // too few of its shards, or not its only service, have a registered target.
 const ReasonUnserved = "too few shards have a target"
 
+// ReasonLimited is the reason of a response to a request that was refused because the
+// targets of too many shards, or of its only service, want no more requests for now.
+const ReasonLimited = "the targets want no more requests for now"
+
 // statusCallerDisconnected is the status that is logged if the caller
 // disconnected; it is never sent.
 const statusCallerDisconnected = 499
@@ -29,7 +34,8 @@
 	case plan.Complete, plan.Partial:
 		resp = r.successResponse()
 	case plan.NotRun:
-		resp = Response{Status: http.StatusServiceUnavailable, RetryAfter: r.retryAfter(now), Reason: "no target took the request"}
+		wait, _ := r.unservable(now)
+		resp = Response{Status: http.StatusServiceUnavailable, RetryAfter: max(r.retryAfter(now), wait), Reason: "no target took the request"}
 	default:
 		resp = r.failureResponse(decision)
 	}
@@ -37,17 +43,47 @@
 	return resp
 }
 
-// refuseUnserved returns the response to a request that no attempt can make succeed,
-// because too few of its shards have a target. It has been sent to none.
-func (r *activeRequest) refuseUnserved(now time.Time) Response {
-	resp := Response{
-		Status: http.StatusServiceUnavailable, RetryAfter: spread(unservedRetryAfter, r.req.Call.ID),
-		Reason: ReasonUnserved,
-	}
+// refuse returns the response to a request that no attempt can make succeed. It has been
+// sent to no target. The caller may return after wait.
+func (r *activeRequest) refuse(now time.Time, wait time.Duration, reason string) Response {
+	resp := Response{Status: http.StatusServiceUnavailable, RetryAfter: wait, Reason: reason}
 	r.logResponse(now, plan.NotRun, &resp)
 	return resp
 }
 
+// unservable returns why too few shards have a target that may get the request in time, and
+// when the caller should return. The reason is empty if the request can be served.
+func (r *activeRequest) unservable(now time.Time) (wait time.Duration, reason string) {
+	servable, waits := r.availability(now)
+	if r.plan.CanServe(servable) {
+		return 0, ""
+	}
+	for _, wait := range waits {
+		if servable++; r.plan.CanServe(servable) {
+			return delayed(wait, r.req.Call.ID), ReasonLimited
+		}
+	}
+	return spread(unservedRetryAfter, r.req.Call.ID), ReasonUnserved
+}
+
+// availability returns the number of shards of which a target may get an attempt before the
+// request is refused, and for the others that have a target, in ascending order, how long
+// until it may.
+func (r *activeRequest) availability(now time.Time) (servable int, waits []time.Duration) {
+	until := r.sendBy()
+	for _, at := range r.engine.opts.Pool.AvailableAt(now, r.services) {
+		switch {
+		case at.IsZero():
+		case at.After(until):
+			waits = append(waits, at.Sub(now))
+		default:
+			servable++
+		}
+	}
+	slices.Sort(waits)
+	return servable, waits
+}
+
 // spread returns d changed by up to a quarter either way, by a hash of the request ID,
 // so that callers that are refused together do not return together.
 func spread(d time.Duration, id string) time.Duration {
@@ -55,6 +91,10 @@
 	return time.Duration((0.75 + 0.5*fraction) * float64(d))
 }
 
+// delayed returns d increased by up to a half, by a hash of the request ID: before d, the
+// caller would be refused again.
+func delayed(d time.Duration, id string) time.Duration { return spread(d, id) + d/4 }
+
 // successResponse returns the response of the target, or the merged records of
 // the shards that have responded.
 func (r *activeRequest) successResponse() Response {
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -231,6 +231,33 @@
 	s.backoffs++
 }
 
+// UnavailableUntil records that no target of the shard may be chosen before the given time.
+// A shard that can't be part of the response any more, and has no attempt in progress,
+// fails: the response does not wait for it.
+func (p *Plan) UnavailableUntil(now time.Time, i int, at time.Time) {
+	s := &p.shards[i]
+	if s.inFlight == 0 && at.After(p.usefulUntil(now)) {
+		p.fail(s)
+		return
+	}
+	p.Unavailable(now, i)
+	if at.After(s.nextAt) {
+		s.nextAt = at
+	}
+}
+
+// usefulUntil returns until when an attempt at a shard without one may be sent for its
+// response to be of use: until it would be left out, or until the request is refused.
+func (p *Plan) usefulUntil(now time.Time) time.Time {
+	switch {
+	case len(p.shards) == 1:
+		return p.opts.SendBy
+	case now.Before(p.opts.PartialAt):
+		return p.opts.PartialAt
+	}
+	return p.opts.LatePartialAt
+}
+
 func (p *Plan) setUnavailable(s *shard, unavailable bool) {
 	if s.unavailable == unavailable {
 		return
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -360,3 +360,38 @@
 		}
 	}
 }
+
+// Guards against requests and responses that wait for a target although it is known that
+// none may be chosen in time.
+func TestShardFailsIfItsTargetsAreAvailableTooLate(t *testing.T) {
+	for name, c := range map[string]struct {
+		shards      int
+		availableAt time.Time
+		want        Decision
+	}{
+		"single, in time":         {1, at(20), Wait},
+		"single, too late":        {1, at(40), NotRun},
+		"sharded, in time":        {4, at(90), Wait},
+		"sharded, too late":       {4, at(150), Partial},
+		"sharded, not known":      {4, time.Time{}, Wait},
+		"single, not known":       {1, time.Time{}, Wait},
+		"sharded, at once":        {4, at(5), Wait},
+		"single, after PartialAt": {1, at(120), NotRun},
+	} {
+		p := New(start, options(c.shards))
+		for i := range c.shards - 1 {
+			p.Sent(start, i, firstTarget)
+			p.Responded(at(5), i, firstTarget)
+		}
+		p.UnavailableUntil(at(5), c.shards-1, c.availableAt)
+		if d := p.Decide(at(5)); d != c.want {
+			t.Errorf("%s: decision %v, want %v", name, d, c.want)
+		}
+		if c.want != Wait {
+			continue
+		}
+		if wake := p.WakeAt(at(5)); wake.Before(c.availableAt) && wake.Before(at(25)) {
+			t.Errorf("%s: wakes up after %v, before a target is available", name, wake.Sub(start))
+		}
+	}
+}
--- a/pushback/pushback.go
+++ b/pushback/pushback.go
@@ -45,13 +45,66 @@
 // State is what is known of one target. The zero value has seen no response.
 type State struct {
 	limited bool
-	limit   float64 // requests per second from all processes together
+	// limit is the number of requests per second from all processes together.
+	limit float64
 	// limitSince is when the limit in force was first named, limitNamedAt when it was
 	// last named.
 	limitSince, limitNamedAt time.Time
 	leavingSince             time.Time // zero if the target is not known to be leaving
 	pausedUntil              time.Time
 	sinceLimit               Counts // attempts since limitSince
+	share                    Share
+	credit                   credit
+}
+
+// Parameters of limits.
+const (
+	// usedFraction is the fraction of a limit that is shared out. The rest is left for
+	// processes that the target has not told yet.
+	usedFraction = 0.9
+	// minLimit is the limit, in requests per second, that applies to targets that name a
+	// lower one: without any requests nothing would tell that the limit has ended.
+	minLimit = 0.5
+	// noShareRetry is when a process without a share of limits asks again.
+	noShareRetry = time.Second
+)
+
+// Share is the part of a limit that a process may use.
+type Share struct {
+	// Fraction is the part, from 0 to 1. Those of all processes add up to 1 at most.
+	Fraction float64
+	// Phase is what has been earned of the first request when the limit is named, from 0 to
+	// less than 1. The phases of all processes spread evenly: if each may send a request
+	// every ten seconds, they must not all send in the same second.
+	Phase float64
+}
+
+// SetShare sets the part of the limit that this process may use.
+func (s *State) SetShare(now time.Time, share Share) {
+	s.credit.refill(now, s.rate())
+	s.share = share
+}
+
+// Limited reports whether a limit is in force.
+func (s *State) Limited() bool { return s.limited }
+
+// rate returns the number of requests per second that this process may send while a limit
+// is in force.
+func (s *State) rate() float64 { return usedFraction * s.share.Fraction * max(s.limit, minLimit) }
+
+// Available returns when the target may get the next request: now or earlier if at once.
+func (s *State) Available(now time.Time) time.Time {
+	at := now
+	if s.limited {
+		s.credit.refill(now, s.rate())
+		at = s.credit.availableAt(now, s.rate())
+	}
+	return at
+}
+
+// Idle reports whether the target asks for nothing.
+func (s *State) Idle(now time.Time) bool {
+	return !s.limited && s.leavingSince.IsZero() && !now.Before(s.pausedUntil)
 }
 
 // Observe records the notice of a response that arrived now, to a request that was sent
@@ -78,9 +131,10 @@
 	switch {
 	case n.Limited:
 		first, before := !s.limited, s.limit
+		s.credit.refill(now, s.rate())
 		s.limited, s.limit, s.limitNamedAt = true, n.Limit, now
 		if first {
-			s.limitSince, s.sinceLimit = now, Counts{}
+			s.limitSince, s.sinceLimit, s.credit = now, Counts{}, credit{amount: s.share.Phase, at: now}
 		}
 		if first || n.Limit != before {
 			return LimitNamed
@@ -92,11 +146,13 @@
 	return Unchanged
 }
 
-// Sent records an attempt that was sent to the target.
-func (s *State) Sent(extra bool) {
+// Sent records an attempt that is sent to the target, and takes its credit.
+func (s *State) Sent(now time.Time, extra bool) {
 	if !s.limited {
 		return
 	}
+	s.credit.refill(now, s.rate())
+	s.credit.take()
 	if extra {
 		s.sinceLimit.Extra++
 	} else {
--- a/pushback/pushback_test.go
+++ b/pushback/pushback_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"pgregory.net/rapid"
 )
 
 var start = time.Unix(1_700_000_000, 0)
@@ -31,13 +33,104 @@
 
 func TestReportCountsAttemptsSinceLimit(t *testing.T) {
 	var s State
-	s.Sent(false)
+	s.Sent(start, false)
 	s.Observe(at(0), at(-10), Notice{Limited: true, Limit: 7})
-	s.Sent(false)
-	s.Sent(true)
+	s.Sent(start, false)
+	s.Sent(start, true)
 	s.Observe(at(10), at(5), Notice{Limited: true, Limit: 8})
 	r, ok := s.Report(at(30))
 	if !ok || *r.Limit != 8 || *r.Sent != (Counts{First: 1, Extra: 1}) || r.LimitForMs != 30 {
 		t.Errorf("report %+v, sent %+v", r, r.Sent)
 	}
 }
+
+// limitedState returns a State whose target names a limit, of which this process has a part.
+func limitedState(limit float64, share Share) *State {
+	s := &State{}
+	s.SetShare(at(0), share)
+	s.Observe(at(0), at(-10), Notice{Limited: true, Limit: limit})
+	return s
+}
+
+// Guards against a process that sends more than its part of a limit: whatever the pattern of
+// demand, in any 4 s it sends at most what it earns in 5 s, and one request more.
+func TestSendsStayWithinPartOfLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := rapid.Float64Range(0.02, 30).Draw(t, "rate")
+		s := limitedState(rate/usedFraction, Share{Fraction: 1, Phase: rapid.Float64Range(0, 0.99).Draw(t, "phase")})
+		var sent []time.Time
+		now := 0
+		for range 400 {
+			now += rapid.SampledFrom([]int{0, 1, 20, 100, 900, 5000}).Draw(t, "wait")
+			if s.Available(at(now)).After(at(now)) {
+				continue
+			}
+			s.Sent(at(now), false)
+			sent = append(sent, at(now))
+		}
+		const window = 4 * time.Second
+		for i := range sent {
+			n := 0
+			for _, other := range sent[i:] {
+				if other.Sub(sent[i]) < window {
+					n++
+				}
+			}
+			if allowed := max(rate, usedFraction*minLimit)*(window+creditLifetime).Seconds() + 1; float64(n) > allowed {
+				t.Fatalf("%d requests in %v, allowed %v", n, window, allowed)
+			}
+		}
+	})
+}
+
+// Guards against a limit whose capacity is given up: a process that always wants to send uses
+// its part.
+func TestPartOfLimitIsUsed(t *testing.T) {
+	for _, rate := range []float64{0.5, 0.9, 3, 30} {
+		s := limitedState(rate/usedFraction, Share{Fraction: 1})
+		sent := 0
+		for ms := range 60_000 {
+			if !s.Available(at(ms)).After(at(ms)) {
+				s.Sent(at(ms), false)
+				sent++
+			}
+		}
+		if float64(sent) < 0.98*rate*60-1 {
+			t.Errorf("%d requests in a minute at a rate of %v a second", sent, rate)
+		}
+	}
+}
+
+// Guards against requests that all processes send at once because each has earned one in the
+// time in which there was no demand.
+func TestKeptRequestsLapse(t *testing.T) {
+	const processes = 200
+	burst := 0
+	for i := range processes {
+		s := limitedState(12, Share{Fraction: 1.0 / processes, Phase: float64(i) / processes})
+		if !s.Available(at(60_000)).After(at(60_000)) {
+			burst++
+		}
+	}
+	if allowed := 12 * creditLifetime.Seconds(); float64(burst) > allowed {
+		t.Errorf("%d processes may send at the same time, want at most what the limit allows in %v", burst, creditLifetime)
+	}
+}
+
+// The time at which a request may be sent is told exactly.
+func TestAvailableTellsWhenRequestMayBeSent(t *testing.T) {
+	s := limitedState(10/usedFraction, Share{Fraction: 0.5})
+	if got := s.Available(at(50)); got.Sub(at(200)).Abs() > time.Millisecond {
+		t.Errorf("available %v after the limit was named, want 200ms", got.Sub(at(0)))
+	}
+}
+
+// A process that does not know how many others there are sends nothing to a limited target.
+func TestProcessWithoutShareSendsNothing(t *testing.T) {
+	s := limitedState(10, Share{})
+	for ms := range 20_000 {
+		if !s.Available(at(ms)).After(at(ms)) {
+			t.Fatalf("available after %d ms", ms)
+		}
+	}
+}
--- a/share/share.go
+++ b/share/share.go
@@ -67,6 +67,24 @@
 	return limit * dividedFraction / float64(n)
 }
 
+// Fraction returns the part, from 0 to 1, that each process has in a limit which is not
+// divided into whole units. The parts of processes that know the same members add up to 1.
+func (f *Fleet) Fraction() float64 {
+	if n := f.Size(); n > 0 {
+		return 1 / float64(n)
+	}
+	return 0
+}
+
+// Phase returns a number from 0 to less than 1. Those of processes that know the same members
+// spread evenly; the key names the resource.
+func (f *Fleet) Phase(key string) float64 {
+	if n := len(f.Members); n > 0 {
+		return float64(f.rank(key)) / float64(n)
+	}
+	return 0
+}
+
 // rank returns the position of this process in the rendezvous order of the
 // members for the key.
 func (f *Fleet) rank(key string) int {
--- a/upstream/cold_test.go
+++ b/upstream/cold_test.go
@@ -44,7 +44,7 @@
 	p.Prepare(call)
 	results := make(chan *Result, n)
 	for range n {
-		if p.Start(call, 0, AttemptOptions{Service: "s1", Deadline: call.Deadline}, results) != nil {
+		if a, _ := p.Start(call, 0, AttemptOptions{Service: "s1", Deadline: call.Deadline}, results); a != nil {
 			count++
 		}
 	}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -152,10 +152,6 @@
 	if err != nil {
 		return nil, false, errors.Annotate(err, "read response")
 	}
-	body, err := c.readBody(resp)
-	if err != nil {
-		return nil, false, errors.Annotate(err, "read response body")
-	}
 	decoded := c.pool.opts.Codec.DecodeResponse(resp.Header, resp.StatusCode)
 	switch {
 	case decoded.ID != "" && decoded.ID != a.Call.ID:
@@ -167,6 +163,10 @@
 	if !decoded.Misdirected {
 		c.pool.observeNotice(c.target, a, decoded.Notice)
 	}
+	body, err := c.readBody(resp)
+	if err != nil {
+		return nil, false, errors.Annotate(err, "read response body")
+	}
 	delimited := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 	return &Result{
 		Attempt: a, Outcome: outcomeOf(decoded), Status: resp.StatusCode, Header: resp.Header,
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -20,31 +20,41 @@
 	}
 	c := newConn(p, t, nc)
 	p.mu.Lock()
-	switch {
-	case t.removed || (a.abandoned && t.evacuated):
-		t.openConns--
-		a.state = stateDone
-		t.stats.Canceled(a.StartedAt)
-		p.mu.Unlock()
-		_ = nc.Close() // nothing was sent on it
-		if !a.abandoned {
-			a.results <- &Result{Attempt: a, Outcome: NotSent, Err: errTargetRemoved, EndedAt: time.Now()}
-		}
-		return
-	case a.abandoned:
-		a.state = stateDone
-		t.stats.Canceled(a.StartedAt)
-		next := p.assignNext(c)
-		p.mu.Unlock()
-		if next != nil {
-			c.send(next)
-		}
-	default:
+	next, unsent := p.dialed(c, a)
+	open := !c.closed
+	p.mu.Unlock()
+	if unsent != nil {
+		a.results <- unsent
+	}
+	if next != nil {
+		c.send(next)
+	}
+	if open {
+		c.readLoop()
+	}
+}
+
+// dialed assigns a new connection to the attempt that it was opened for, or to another one
+// if that has been abandoned or may no longer be sent. It returns the attempt to send, and
+// the result of the one that was not sent; either may be nil. mu must be held.
+func (p *Pool) dialed(c *conn, a *Attempt) (next *Attempt, unsent *Result) {
+	t := c.target
+	now := time.Now()
+	cause := t.unsendable(now)
+	if cause == nil && !a.abandoned {
 		p.assign(c, a)
-		p.mu.Unlock()
-		c.send(a)
+		return a, nil
+	}
+	a.state = stateDone
+	t.stats.Canceled(a.StartedAt)
+	if cause != nil && !a.abandoned {
+		unsent = &Result{Attempt: a, Outcome: NotSent, Err: cause, EndedAt: now}
 	}
-	c.readLoop()
+	if a.abandoned && t.evacuated {
+		p.closeConn(c)
+		return nil, unsent
+	}
+	return p.assignNext(c), unsent
 }
 
 // dialFailed ends the attempt that the connection was for. If the target has no
@@ -64,9 +74,7 @@
 	}
 	p.mu.Unlock()
 	p.emit(Event{Message: "target unreachable", TargetID: t.ID, Service: t.Service, RequestID: a.Call.ID, Err: err})
-	for _, r := range done {
-		r.Attempt.results <- r
-	}
+	deliver(done)
 }
 
 // isTimeout reports whether the target did not respond, as opposed to refusing the
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -65,7 +65,9 @@
 	fleet    share.Fleet
 	turn     uint64             // breaks ties between equal targets
 	busy     map[*conn]struct{} // connections that are not idle
-	buffers  sync.Pool
+	// removed holds what targets that are no longer registered have asked for, by ID.
+	removed map[string]removedTarget
+	buffers sync.Pool
 	// buffered is the number of bytes that count against MaxBufferedBytes.
 	buffered atomic.Int64
 	traffic  traffic
@@ -98,7 +100,7 @@
 func New(opts Options) *Pool {
 	p := &Pool{
 		opts: opts, targets: map[string]*Target{}, services: map[string]*service{},
-		busy: map[*conn]struct{}{},
+		busy: map[*conn]struct{}{}, removed: map[string]removedTarget{},
 	}
 	p.buffers.New = func() any { b := make([]byte, 0, 1024); return &b }
 	return p
@@ -132,6 +134,9 @@
 // setLimits sets this process's shares of the limits of a target. mu must be held.
 func (p *Pool) setLimits(t *Target, svc *service) {
 	t.maxConns = max(p.fleet.Share(float64(svc.maxConns), t.ID), minConnections)
+	if t.pushback.Limited() {
+		t.pushback.SetShare(time.Now(), p.limitShare(t))
+	}
 	t.coldRateLimit = 0
 	if svc.configured {
 		t.coldRateLimit = p.fleet.Share(svc.warmupRate*p.opts.Cold.Overshoot+p.opts.Cold.Slack, t.ID)
@@ -149,14 +154,13 @@
 	p.mu.Lock()
 	done := p.update(v)
 	p.mu.Unlock()
-	for _, r := range done {
-		r.Attempt.results <- r
-	}
+	deliver(done)
 }
 
 // update implements Update and returns the results to send once mu is released. mu
 // must be held.
 func (p *Pool) update(v *catalog.View) []*Result {
+	now := time.Now()
 	p.view = v
 	seen := make(map[string]bool, len(p.targets))
 	services := make(map[string]*service, len(p.services))
@@ -165,11 +169,15 @@
 		var coldRate share.RateLimiter
 		if t != nil && (t.entry.Address != e.Address || t.entry.Incarnation != e.Incarnation || t.Service != e.Service) {
 			p.retire(t)
+			p.remember(now, t)
 			coldRate = t.coldRate
 			t = nil
 		}
 		if t == nil {
-			t = &Target{ID: e.ID, Service: e.Service, remote: e.DataCentre != p.opts.DataCentre, coldRate: coldRate}
+			t = &Target{
+				ID: e.ID, Service: e.Service, remote: e.DataCentre != p.opts.DataCentre, coldRate: coldRate,
+				pushback: p.recall(e),
+			}
 			p.targets[e.ID] = t
 		}
 		t.entry = e
@@ -189,10 +197,12 @@
 		p.setLimits(t, svc)
 	})
 	p.services = services
+	p.forgetRemoved(now)
 	var done []*Result
 	for id, t := range p.targets {
 		if !seen[id] {
 			p.retire(t)
+			p.remember(now, t)
 			delete(p.targets, id)
 		}
 		if t.removed || t.evacuated {
@@ -212,6 +222,13 @@
 	t.idle = nil
 }
 
+// deliver sends results to the calling code. No lock may be held.
+func deliver(done []*Result) {
+	for _, r := range done {
+		r.Attempt.results <- r
+	}
+}
+
 // failWaiting ends the attempts that wait for a connection. It returns the results
 // to send once mu is released. mu must be held.
 func (p *Pool) failWaiting(t *Target, err error) []*Result {
@@ -258,22 +275,22 @@
 }
 
 // Start sends an attempt to the best target of a service. It returns nil if no
-// target may be chosen. The result is sent to results, which must have buffer
-// space for it.
-func (p *Pool) Start(call *Call, shard int, opts AttemptOptions, results chan<- *Result) *Attempt {
+// target may be chosen, with the time at which one may be; zero if that is not known. The
+// result is sent to results, which must have buffer space for it.
+func (p *Pool) Start(call *Call, shard int, opts AttemptOptions, results chan<- *Result) (*Attempt, time.Time) {
 	now := time.Now()
 	p.mu.Lock()
-	t := p.chooseTarget(now, opts)
+	t, availableAt := p.chooseTarget(now, opts)
 	if t == nil {
 		p.mu.Unlock()
-		return nil
+		return nil, availableAt
 	}
 	a := &Attempt{
 		Call: call, Shard: shard, Target: t, StartedAt: now, Deadline: opts.Deadline,
 		results: results, expected: opts.Profile.Expected,
 	}
 	t.stats.Sent(now, opts.Profile.OverdueAfter)
-	t.pushback.Sent(opts.Extra)
+	t.pushback.Sent(now, opts.Extra)
 	if t.isCold(now) {
 		t.coldRate.Add(now)
 	}
@@ -296,26 +313,34 @@
 	if c != nil {
 		c.send(a)
 	}
-	return a
+	return a, time.Time{}
 }
 
-// Served returns how many of the services have a target that may receive requests. A
-// target that is only busy, cold or limited counts.
-func (p *Pool) Served(services []string) int {
-	now := time.Now()
+// AvailableAt returns for each of the services when one of its targets may receive a
+// request: now or earlier if at once, zero if it has no target that may. A target that is
+// only busy or cold counts as available.
+func (p *Pool) AvailableAt(now time.Time, services []string) []time.Time {
+	out := make([]time.Time, len(services))
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := 0
-	for _, name := range services {
-		if svc := p.services[name]; svc != nil && svc.hasUsable(now, p.opts.DrainGrace) {
-			n++
+	for i, name := range services {
+		if svc := p.services[name]; svc != nil {
+			out[i] = svc.availableAt(now, p.opts.DrainGrace)
 		}
 	}
-	return n
+	return out
 }
 
-func (s *service) hasUsable(now time.Time, drainGrace time.Duration) bool {
-	return slices.ContainsFunc(s.targets, func(t *Target) bool { return t.usable(now, drainGrace) })
+func (s *service) availableAt(now time.Time, drainGrace time.Duration) (earliest time.Time) {
+	for _, t := range s.targets {
+		if !t.usable(now, drainGrace) {
+			continue
+		}
+		if at := t.pushback.Available(now); earliest.IsZero() || at.Before(earliest) {
+			earliest = at
+		}
+	}
+	return earliest
 }
 
 // assign assigns a connection to an attempt. mu must be held.
@@ -328,16 +353,18 @@
 	p.busy[c] = struct{}{}
 }
 
-// chooseTarget returns the best target for an attempt, or nil if there is none. mu
-// must be held.
-func (p *Pool) chooseTarget(now time.Time, opts AttemptOptions) *Target {
+// chooseTarget returns the best target for an attempt. If there is none, it returns nil and
+// the time at which a limit or a pause that a target has asked for allows one; zero if there
+// is no such time. mu must be held.
+func (p *Pool) chooseTarget(now time.Time, opts AttemptOptions) (best *Target, availableAt time.Time) {
 	svc := p.services[opts.Service]
 	if svc == nil {
-		return nil
+		return nil, time.Time{}
 	}
 	var candidateArray [8]balance.Candidate
 	var targetArray [8]*Target
 	candidates, targets := candidateArray[:0], targetArray[:0]
+	coldSkipped := false
 	for _, t := range svc.targets {
 		tried := 0
 		for _, id := range opts.Tried {
@@ -351,18 +378,28 @@
 		cold := t.isCold(now)
 		coldLimited := cold && svc.limitsCold()
 		if coldLimited && !p.allowsCold(now, t) {
+			coldSkipped = true
+			continue
+		}
+		if at := t.pushback.Available(now); at.After(now) {
+			if availableAt.IsZero() || at.Before(availableAt) {
+				availableAt = at
+			}
 			continue
 		}
 		candidates = append(candidates, balance.Candidate{
 			Stats: &t.stats, Slots: t.entry.Slots, Remote: t.remote, NeedsConnection: len(t.idle) == 0,
-			Cold: cold, ColdLimited: coldLimited, LastResort: t.entry.Deregistered() || t.entry.Draining, PriorAttempts: tried,
+			Cold: cold, ColdLimited: coldLimited, LastResort: t.lastResort(), PriorAttempts: tried,
 		})
 		targets = append(targets, t)
 	}
+	if len(candidates) == 0 && coldSkipped {
+		return nil, time.Time{}
+	}
 	if len(candidates) == 0 {
-		return nil
+		return nil, availableAt
 	}
 	p.turn++
 	i := balance.Choose(now, opts.Profile, candidates, p.turn)
-	return targets[i]
+	return targets[i], time.Time{}
 }
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -82,7 +82,7 @@
 	call := &Call{ID: id, Method: "GET", URI: "/x", Host: "h", Deadline: time.Now().Add(timeout)}
 	p.Prepare(call)
 	results := make(chan *Result, 1)
-	a := p.Start(call, 0, AttemptOptions{
+	a, _ := p.Start(call, 0, AttemptOptions{
 		Service: "s1", Deadline: call.Deadline,
 		Profile: balance.Profile{Expected: 10 * time.Millisecond, OverdueAfter: 50 * time.Millisecond},
 	}, results)
@@ -225,7 +225,7 @@
 	call := &Call{ID: "1", Method: "GET", URI: "/x", Host: "h", Deadline: time.Now().Add(10 * time.Second)}
 	p.Prepare(call)
 	results := make(chan *Result, 1)
-	a := p.Start(call, 0, AttemptOptions{Service: "s1", Deadline: call.Deadline}, results)
+	a, _ := p.Start(call, 0, AttemptOptions{Service: "s1", Deadline: call.Deadline}, results)
 	time.Sleep(50 * time.Millisecond)
 	p.Abandon(a, 100*time.Millisecond)
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
@@ -267,7 +267,7 @@
 		ID: "1", Method: "POST", URI: "/x", Host: "h", Body: make([]byte, bodyBytes), HasBody: true, Deadline: time.Now().Add(10 * time.Second),
 	}
 	p.Prepare(call)
-	a := p.Start(call, 0, AttemptOptions{Service: "s1", Deadline: call.Deadline}, make(chan *Result, 1))
+	a, _ := p.Start(call, 0, AttemptOptions{Service: "s1", Deadline: call.Deadline}, make(chan *Result, 1))
 	nc, err := l.Accept()
 	if err != nil {
 		t.Fatal(err)
--- a/upstream/pushback.go
+++ b/upstream/pushback.go
@@ -3,13 +3,62 @@
 import (
 	"time"
 
+	"github.com/goldcrestmux/goldcrestmux/catalog"
 	"github.com/goldcrestmux/goldcrestmux/pushback"
 )
 
+// removedTarget is what a target that is no longer registered has asked for. It may be
+// registered again: entries expire while the store is away, and a restored store lists what
+// had left.
+type removedTarget struct {
+	incarnation int64
+	pushback    pushback.State
+	removedAt   time.Time
+}
+
+// removedRetention is how long what a removed target has asked for is kept.
+const removedRetention = 10 * time.Minute
+
+// remember keeps what a target that is removed has asked for. mu must be held.
+func (p *Pool) remember(now time.Time, t *Target) {
+	if !t.pushback.Idle(now) {
+		p.removed[t.ID] = removedTarget{incarnation: t.entry.Incarnation, pushback: t.pushback, removedAt: now}
+	}
+}
+
+// recall returns what an earlier registration of the same run of a target has asked for. mu
+// must be held.
+func (p *Pool) recall(e *catalog.Entry) pushback.State {
+	r, ok := p.removed[e.ID]
+	if !ok || r.incarnation != e.Incarnation {
+		return pushback.State{}
+	}
+	delete(p.removed, e.ID)
+	return r.pushback
+}
+
+// forgetRemoved deletes what was kept for removedRetention. mu must be held.
+func (p *Pool) forgetRemoved(now time.Time) {
+	for id, r := range p.removed {
+		if now.Sub(r.removedAt) > removedRetention {
+			delete(p.removed, id)
+		}
+	}
+}
+
+// limitShare returns this process's part of the limit that a target has named. mu must be
+// held.
+func (p *Pool) limitShare(t *Target) pushback.Share {
+	return pushback.Share{Fraction: p.fleet.Fraction(), Phase: p.fleet.Phase(t.ID)}
+}
+
 // observeNotice records what a target asks of its callers in the response to an attempt.
 func (p *Pool) observeNotice(t *Target, a *Attempt, n pushback.Notice) {
 	now := time.Now()
 	p.mu.Lock()
+	if n.Limited && !t.pushback.Limited() {
+		t.pushback.SetShare(now, p.limitShare(t))
+	}
 	change := t.pushback.Observe(now, a.StartedAt, n)
 	sent, age := t.pushback.SinceLimit(now)
 	p.mu.Unlock()
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -86,11 +86,29 @@
 // centre was evacuated until recently.
 func (t *Target) isCold(now time.Time) bool { return now.Before(t.entry.ColdUntil) }
 
-// usable reports whether the target may receive requests. A draining target may
-// for drainGrace.
+// usable reports whether the target may receive requests, leaving aside that it may be
+// limited or paused. A draining or leaving target may for drainGrace.
 func (t *Target) usable(now time.Time, drainGrace time.Duration) bool {
 	if t.removed || t.evacuated || (t.entry.Deregistered() && !now.Before(t.entry.GraceEnd)) {
 		return false
 	}
-	return !t.entry.Draining || now.Sub(t.entry.DrainingSince) < drainGrace
+	if t.entry.Draining && now.Sub(t.entry.DrainingSince) >= drainGrace {
+		return false
+	}
+	return true
+}
+
+// unsendable returns why an attempt for which the target was chosen earlier may no longer be
+// sent, or nil.
+func (t *Target) unsendable(now time.Time) error {
+	switch {
+	case t.removed:
+		return errTargetRemoved
+	}
+	return nil
+}
+
+// lastResort reports whether the target is used only if there is no other.
+func (t *Target) lastResort() bool {
+	return t.entry.Deregistered() || t.entry.Draining
 }
