Send nothing to a target that says it is leaving

What targets saw: a target whose responses say that it is leaving got requests for as long as its entry in the store said ready.

Change: such a target is treated like one that drains in the store, from the first response that says so: a last resort for a third of the drain time, then nothing. It is remembered until the target starts again, also if its entry expires and comes back. Attempts that wait for a connection to a target that may no longer get requests end as not sent, and are made elsewhere, instead of waiting in vain.

--- a/pushback/pushback.go
+++ b/pushback/pushback.go
@@ -102,6 +102,9 @@
 	return at
 }
 
+// LeavingSince returns when the target was first known to be leaving; zero if it is not.
+func (s *State) LeavingSince() time.Time { return s.leavingSince }
+
 // Idle reports whether the target asks for nothing.
 func (s *State) Idle(now time.Time) bool {
 	return !s.limited && s.leavingSince.IsZero() && !now.Before(s.pausedUntil)
--- a/pushback/pushback_test.go
+++ b/pushback/pushback_test.go
@@ -134,3 +134,14 @@
 		}
 	}
 }
+
+func TestLeavingIsNotTakenBack(t *testing.T) {
+	var s State
+	if c := s.Observe(at(0), at(-1), Notice{Leaving: true}); c != LeavingTold {
+		t.Errorf("change %v, want %v", c, LeavingTold)
+	}
+	s.Observe(at(10), at(5), Notice{})
+	if !s.LeavingSince().Equal(at(0)) {
+		t.Errorf("leaving since %v, want since it was first told", s.LeavingSince())
+	}
+}
--- a/upstream/maintenance.go
+++ b/upstream/maintenance.go
@@ -20,11 +20,16 @@
 )
 
 // CloseExpired closes connections that have been idle or without a response for too
-// long. It must be called regularly.
+// long, and ends attempts that wait for a connection to a target that may no longer get
+// requests. It must be called regularly.
 func (p *Pool) CloseExpired(now time.Time) {
 	var expired []*conn
+	var done []*Result
 	p.mu.Lock()
 	for _, t := range p.targets {
+		if len(t.waiting) > 0 && !t.usable(now, p.opts.DrainGrace) {
+			done = append(done, p.failWaiting(t, errTargetRemoved)...)
+		}
 		kept := t.idle[:0]
 		for _, c := range t.idle {
 			if now.Sub(c.idleSince) > time.Duration(idleFraction*float64(c.idleTimeout)) {
@@ -46,6 +51,7 @@
 		}
 	}
 	p.mu.Unlock()
+	deliver(done)
 	for _, c := range expired {
 		if a := p.currentAttempt(c); a != nil {
 			p.failConn(c, a, errNoResponse)
--- /dev/null
+++ b/upstream/pushback_test.go
@@ -0,0 +1,61 @@
+package upstream
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/goldcrestmux/goldcrestmux/catalog"
+	"github.com/goldcrestmux/goldcrestmux/pushback"
+)
+
+// start begins n attempts with the IDs "1" to "n" and returns how many found a target.
+func start(p *Pool, n int, results chan *Result) (started int) {
+	for i := range n {
+		call := &Call{ID: fmt.Sprint(i + 1), Method: "GET", URI: "/x", Host: "h", Deadline: time.Now().Add(5 * time.Second)}
+		p.Prepare(call)
+		if a, _ := p.Start(call, 0, AttemptOptions{Service: "s1", Deadline: call.Deadline}, results); a != nil {
+			started++
+		}
+	}
+	return started
+}
+
+// Guards against a target that has said that it is leaving, and is used again because its
+// entry has expired and is registered again, or its address has changed.
+func TestLeavingIsRememberedUntilTargetRestarts(t *testing.T) {
+	var conns atomic.Int32
+	p := poolWith(t, serve(t, &conns, func(net.Conn, *http.Request) bool { return false }))
+	target := func(incarnation int64, address string) *catalog.View {
+		s := catalog.NewState(catalog.StateOptions{})
+		s.Apply(time.Now(), []catalog.Item{
+			{Kind: catalog.KindConfig, Revision: 1, Config: &catalog.Config{Version: 1, Services: []*catalog.Service{{Name: "s1", MaxConnections: 25}}}},
+			{Kind: catalog.KindTarget, Name: "t1", Revision: 2, Target: &catalog.Target{
+				ID: "t1", Service: "s1", Address: address, DataCentre: "dc1", Slots: 2, Incarnation: incarnation,
+			}},
+		})
+		return s.View()
+	}
+	p.Update(target(7, "127.0.0.1:1"))
+	p.targets["t1"].pushback.Observe(time.Now().Add(-time.Minute), time.Now(), pushback.Notice{Leaving: true})
+	results := make(chan *Result, 1)
+	for name, views := range map[string][]*catalog.View{
+		"same entry":       {target(7, "127.0.0.1:1")},
+		"other address":    {target(7, "127.0.0.1:2")},
+		"registered again": {catalog.NewState(catalog.StateOptions{}).View(), target(7, "127.0.0.1:1")},
+	} {
+		for _, v := range views {
+			p.Update(v)
+		}
+		if n := start(p, 1, results); n != 0 {
+			t.Errorf("%s: an attempt was started at a target that left", name)
+		}
+	}
+	p.Update(target(8, "127.0.0.1:1"))
+	if n := start(p, 1, results); n != 1 {
+		t.Error("no attempt was started at a target that has started again")
+	}
+}
