Send nothing to a target in the pause that it asked for

What targets saw: a target that refused with 503 and Retry-After got 23 requests in the next two seconds, where two are allowed.

Cause: as with the limit, nothing read it. Change: a target is not chosen in the pause that it asked for in a response with 503 or 429; attempts that wait for a connection to it end as not sent, and so does one whose connection is opened meanwhile.

--- a/pushback/pushback.go
+++ b/pushback/pushback.go
@@ -99,15 +99,21 @@
 		s.credit.refill(now, s.rate())
 		at = s.credit.availableAt(now, s.rate())
 	}
+	if s.pausedUntil.After(at) {
+		return s.pausedUntil
+	}
 	return at
 }
 
+// Paused reports whether the target wants no requests now.
+func (s *State) Paused(now time.Time) bool { return now.Before(s.pausedUntil) }
+
 // LeavingSince returns when the target was first known to be leaving; zero if it is not.
 func (s *State) LeavingSince() time.Time { return s.leavingSince }
 
 // Idle reports whether the target asks for nothing.
 func (s *State) Idle(now time.Time) bool {
-	return !s.limited && s.leavingSince.IsZero() && !now.Before(s.pausedUntil)
+	return !s.limited && s.leavingSince.IsZero() && !s.Paused(now)
 }
 
 // Observe records the notice of a response that arrived now, to a request that was sent
--- a/pushback/pushback_test.go
+++ b/pushback/pushback_test.go
@@ -123,6 +123,13 @@
 	if got := s.Available(at(50)); got.Sub(at(200)).Abs() > time.Millisecond {
 		t.Errorf("available %v after the limit was named, want 200ms", got.Sub(at(0)))
 	}
+	s.Observe(at(60), at(55), Notice{Pause: 3 * time.Second})
+	if got := s.Available(at(70)); !got.Equal(at(3060)) {
+		t.Errorf("available %v after the start, want 3.06s: the target asked for a pause", got.Sub(at(0)))
+	}
+	if !s.Paused(at(3059)) || s.Paused(at(3060)) {
+		t.Error("the pause does not last as long as the target asked for")
+	}
 }
 
 // A process that does not know how many others there are sends nothing to a limited target.
@@ -135,6 +142,16 @@
 	}
 }
 
+// Guards against a pause that a later response cuts short.
+func TestPauseIsNotShortened(t *testing.T) {
+	var s State
+	s.Observe(at(0), at(-1), Notice{Pause: 5 * time.Second})
+	s.Observe(at(10), at(-1), Notice{Pause: time.Second})
+	if !s.Paused(at(4999)) {
+		t.Error("the target asked for a pause of 5 s")
+	}
+}
+
 func TestLeavingIsNotTakenBack(t *testing.T) {
 	var s State
 	if c := s.Observe(at(0), at(-1), Notice{Leaving: true}); c != LeavingTold {
--- a/upstream/call.go
+++ b/upstream/call.go
@@ -124,6 +124,7 @@
 	errDeadline      = errors.New("deadline passed before the request was sent")
 	errNoResponse    = errors.New("no response before the deadline")
 	errTargetRemoved = errors.New("target removed or data centre evacuated")
+	errPaused        = errors.New("target asked for a pause")
 	errIDMismatch    = errors.New("response has the ID of another request")
 	errNoID          = errors.New("response has no request ID, unlike earlier ones on its connection")
 	errTooLarge      = errors.New("response is larger than allowed")
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -14,6 +15,7 @@
 
 	"github.com/goldcrestmux/goldcrestmux/balance"
 	"github.com/goldcrestmux/goldcrestmux/catalog"
+	"github.com/goldcrestmux/goldcrestmux/pushback"
 )
 
 // testCodec uses its own header names, so that the tests do not depend on a platform.
@@ -28,7 +30,11 @@
 }
 
 func (testCodec) DecodeResponse(h http.Header, _ int) Response {
-	return Response{ID: h.Get("Test-Id"), Signature: h.Get("Test-Seal"), NotRun: h.Get("Test-Not-Run") != ""}
+	seconds, _ := strconv.Atoi(h.Get("Test-Pause"))
+	return Response{
+		ID: h.Get("Test-Id"), Signature: h.Get("Test-Seal"), NotRun: h.Get("Test-Not-Run") != "",
+		Notice: pushback.Notice{Pause: time.Duration(seconds) * time.Second},
+	}
 }
 
 // serve listens and calls respond for each request. It closes the connection if
--- a/upstream/pushback.go
+++ b/upstream/pushback.go
@@ -61,7 +61,12 @@
 	}
 	change := t.pushback.Observe(now, a.StartedAt, n)
 	sent, age := t.pushback.SinceLimit(now)
+	var done []*Result
+	if t.pushback.Paused(now) {
+		done = p.failWaiting(t, errPaused)
+	}
 	p.mu.Unlock()
+	deliver(done)
 	var message string
 	var details []any
 	switch change {
--- a/upstream/pushback_test.go
+++ b/upstream/pushback_test.go
@@ -24,6 +24,38 @@
 	return started
 }
 
+// Guards against attempts that wait for a connection and are sent after the target has
+// asked for a pause.
+func TestWaitingAttemptsEndWhenTargetAsksForPause(t *testing.T) {
+	var conns, requests atomic.Int32
+	p := poolWith(t, serve(t, &conns, func(nc net.Conn, r *http.Request) bool {
+		requests.Add(1)
+		time.Sleep(50 * time.Millisecond)
+		_, err := fmt.Fprintf(nc, "HTTP/1.1 503 Busy\r\nTest-Id: %s\r\nTest-Not-Run: 1\r\nTest-Pause: 60\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Test-Id"))
+		return err == nil
+	}))
+	const attempts = 10
+	results := make(chan *Result, attempts)
+	if n := start(p, attempts, results); n != attempts {
+		t.Fatalf("%d attempts found a target, want %d", n, attempts)
+	}
+	outcomes := map[Outcome]int{}
+	for range attempts {
+		select {
+		case r := <-results:
+			outcomes[r.Outcome]++
+		case <-time.After(3 * time.Second):
+			t.Fatalf("no further result after 3 s, outcomes so far %v", outcomes)
+		}
+	}
+	if n := int(requests.Load()); n > minConnections || outcomes[NotSent] < attempts-minConnections {
+		t.Errorf("%d requests reached the target, outcomes %v; want those on its %d connections only", n, outcomes, minConnections)
+	}
+	if n := start(p, 1, results); n != 0 {
+		t.Error("an attempt was started in the pause that the target asked for")
+	}
+}
+
 // Guards against a target that has said that it is leaving, and is used again because its
 // entry has expired and is registered again, or its address has changed.
 func TestLeavingIsRememberedUntilTargetRestarts(t *testing.T) {
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -98,19 +98,21 @@
 	return !t.leaving() || now.Sub(t.pushback.LeavingSince()) < drainGrace
 }
 
-// leaving reports whether the target has said in a response that it is leaving.
-func (t *Target) leaving() bool { return !t.pushback.LeavingSince().IsZero() }
-
 // unsendable returns why an attempt for which the target was chosen earlier may no longer be
 // sent, or nil.
 func (t *Target) unsendable(now time.Time) error {
 	switch {
 	case t.removed:
 		return errTargetRemoved
+	case t.pushback.Paused(now):
+		return errPaused
 	}
 	return nil
 }
 
+// leaving reports whether the target has said in a response that it is leaving.
+func (t *Target) leaving() bool { return !t.pushback.LeavingSince().IsZero() }
+
 // lastResort reports whether the target is used only if there is no other.
 func (t *Target) lastResort() bool {
 	return t.entry.Deregistered() || t.entry.Draining || t.leaving()
