Divide the limit that a target names by expected demand

What callers saw with equal parts: a target's capacity given up.

Change: processes tell each other their rates of requests by gossip, and divide three quarters of a limit by the demand that is expected of each, from its rate and from where the targets of the service are; the rest is divided evenly. A process goes by its own rate only once the others know it. Part of the credit is reserved for extra attempts: they make up for a pause of the target that takes the others.

The simulated fleets, in which all processes send all they may while loads move between them, messages are lost and processes restart, stay within the rule.

--- a/catalog/view.go
+++ b/catalog/view.go
@@ -54,9 +54,8 @@
 	return v.Route(host, path)
 }
 
-// ShardsServed returns, by data centre, the fraction of the shards of all routes that have a
-// registered target there. Evacuated data centres are left out.
-func (v *View) ShardsServed() map[string]float64 {
+// Shards returns the services that are a shard of a route.
+func (v *View) Shards() map[string]bool {
 	shards := map[string]bool{}
 	for _, byPrefix := range v.routes {
 		for _, r := range byPrefix {
@@ -65,6 +64,13 @@
 			}
 		}
 	}
+	return shards
+}
+
+// ShardsServed returns, by data centre, the fraction of the shards of all routes that have a
+// registered target there. Evacuated data centres are left out.
+func (v *View) ShardsServed() map[string]float64 {
+	shards := v.Shards()
 	served := map[string]float64{}
 	for name := range shards {
 		seen := map[string]bool{}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -70,6 +70,8 @@
 	callerServer    *ingress.Server
 	readinessServer *http.Server
 	metrics         *metrics
+	// loadMeter is used by runMaintenance only.
+	loadMeter share.LoadMeter
 
 	// reloadMu guards latestSettings, the settings as they were last read.
 	reloadMu       sync.Mutex
@@ -281,6 +283,21 @@
 	}
 	p.mesh.SetPeers(addresses, p.gatherer.update(alive))
 	p.source.SetPeers(readers)
+	p.shareLoad(time.Now())
+}
+
+// shareLoad tells the other processes the load of this one, and divides the limits that
+// targets name by the loads of all.
+func (p *process) shareLoad(now time.Time) {
+	s := &p.settings
+	sharded, single := p.engine.Requests()
+	p.loadMeter.Add(now, sharded, single)
+	p.peers.SetLoad(peers.NewLoad(p.loadMeter.Load()))
+	processes := []share.Process{{Name: s.Name, DataCentre: s.DataCentre, Load: p.loadMeter.Shared(now)}}
+	for _, m := range p.peers.Members() {
+		processes = append(processes, share.Process{Name: m.Name, DataCentre: m.DataCentre, Load: m.Load.Share()})
+	}
+	p.pool.SetProcesses(processes)
 }
 
 func (p *process) readinessHandler() http.Handler {
--- a/forward/active_request.go
+++ b/forward/active_request.go
@@ -160,6 +160,11 @@
 func (e *Engine) recordRequest(now time.Time, route *catalog.Route, r *activeRequest) time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if route.Sharded() {
+		e.sharded++
+	} else {
+		e.single++
+	}
 	stats := e.routes[route.Name]
 	if stats == nil {
 		opts := e.opts.Hedge
--- a/forward/engine.go
+++ b/forward/engine.go
@@ -77,6 +77,8 @@
 	// fleetKnownAt is when the size of the fleet became known; zero before.
 	fleetKnownAt time.Time
 	extras       ExtraCounts
+	// sharded and single are the numbers of requests since the start.
+	sharded, single uint64
 	// usedUpLoggedAt is when it was last logged that a retry budget is used up.
 	usedUpLoggedAt time.Time
 }
@@ -92,6 +94,13 @@
 	return &Engine{opts: opts, routes: map[string]*routeStats{}, budgets: map[string]*serviceBudget{}}
 }
 
+// Requests returns the numbers of sharded and of other requests since the start.
+func (e *Engine) Requests() (sharded, single uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.sharded, e.single
+}
+
 // Timing and attempts of requests.
 const (
 	// responseMargin is reserved for the network time between the caller and this
--- a/forward/fleet_test.go
+++ b/forward/fleet_test.go
@@ -24,6 +24,8 @@
 	index   map[string]int // of members, by address
 	// cut reports whether messages between two processes are lost; nil for none.
 	cut func(a, b int) bool
+	// steadyLoad is true if loads do not move between the processes.
+	steadyLoad bool
 	// idle is true while no process needs extra attempts or the targets with a limit.
 	idle bool
 	// firsts and extras are the numbers of attempts by step.
@@ -39,8 +41,23 @@
 	// the first response of a target that named its limit.
 	limited [len(simulatedLimits)]pushback.State
 	toldAt  [len(simulatedLimits)]time.Time
+	// requests is the number of requests since the start, which loads are measured from.
+	requests float64
+	meter    share.LoadMeter
 }
 
+// limitedResource describes the targets with a limit. They are in the first data centre, and
+// their services have another target in the second one.
+var limitedResource = share.Resource{DataCentre: "dc0", Targets: map[string]int{"dc0": 1, "dc1": 1}, Sharded: true}
+
+// Loads move between the processes: each in loadGroups is busy for loadPeriod in turn.
+const (
+	loadGroups = 4
+	loadPeriod = 12 * time.Second
+	busyLoad   = 20.0 // requests per second
+	quietLoad  = 0.5
+)
+
 // simulatedLimits are the limits, in requests per second, that simulated targets name.
 var simulatedLimits = [...]float64{0, 1.5, 12, 60}
 
@@ -87,16 +104,14 @@
 
 func simulatedAddress(i int) string { return fmt.Sprintf("10.0.%d.%d:1", i/250, i%250) }
 
+func simulatedDataCentre(i int) string { return fmt.Sprint("dc", i%simulatedDataCentres) }
+
 // restart starts process i anew: it knows nothing of its previous incarnation.
 func (f *simulatedFleet) restart(i int, now time.Time) {
-	var dataCentres []string
-	for dc := range simulatedDataCentres {
-		dataCentres = append(dataCentres, fmt.Sprint("dc", dc))
-	}
 	p := &simulatedProcess{
 		state: peers.New(now, peers.Options{
 			Self: peers.Member{
-				Name: fmt.Sprint("front-", i), Address: simulatedAddress(i), Started: now.UnixNano(), DataCentre: dataCentres[i%simulatedDataCentres],
+				Name: fmt.Sprint("front-", i), Address: simulatedAddress(i), Started: now.UnixNano(), DataCentre: simulatedDataCentre(i),
 			},
 			Seeds: f.seeds, Interval: time.Second, Fanout: 2, MaxMembers: 24, ForgetAfter: time.Minute,
 			AssumedFleetSize: 16, SettleTime: 5 * time.Second, Rand: rand.New(rand.NewPCG(f.rng.Uint64(), 1)),
@@ -123,11 +138,11 @@
 		f.deliver(now, i, p.state.Tick(now))
 	}
 	firsts, extras, shares := 0, 0, 0
-	for _, p := range f.members {
+	for i, p := range f.members {
 		e := p.engine
 		fleet := p.state.Fleet(now)
 		shares += fleet.Share(wholeLimit, "target")
-		f.sendToLimited(now, p, fleet)
+		f.sendToLimited(now, i, fleet)
 		e.SetFleet(now, fleet)
 		e.mu.Lock()
 		b := e.serviceBudget(now, simulatedService)
@@ -154,8 +169,30 @@
 	f.checkLimits()
 }
 
-// sendToLimited sends all requests to the limited targets that a process may send.
-func (f *simulatedFleet) sendToLimited(now time.Time, p *simulatedProcess, fleet share.Fleet) {
+// share returns the part of a limit that process i may use.
+func (f *simulatedFleet) share(now time.Time, i int, fleet *share.Fleet) pushback.Share {
+	p := f.members[i]
+	load := quietLoad
+	busy := 0
+	if !f.steadyLoad {
+		busy = int(now.Sub(f.begin)/loadPeriod) % loadGroups
+	}
+	if busy == (i/simulatedDataCentres)%loadGroups {
+		load = busyLoad
+	}
+	p.requests += load * simulationStep.Seconds()
+	p.meter.Add(now, uint64(p.requests), 0)
+	p.state.SetLoad(peers.NewLoad(p.meter.Load()))
+	processes := []share.Process{{Name: fleet.Self, DataCentre: simulatedDataCentre(i), Load: p.meter.Shared(now)}}
+	for _, m := range p.state.Members() {
+		processes = append(processes, share.Process{Name: m.Name, DataCentre: m.DataCentre, Load: m.Load.Share()})
+	}
+	return pushback.Share{Fraction: fleet.FractionOf(&limitedResource, processes), Phase: fleet.Phase("target")}
+}
+
+// sendToLimited sends all requests to the limited targets that process n may send.
+func (f *simulatedFleet) sendToLimited(now time.Time, n int, fleet share.Fleet) {
+	p, part := f.members[n], f.share(now, n, &fleet)
 	for i, limit := range simulatedLimits {
 		s := &p.limited[i]
 		for len(f.limitedSends[i]) <= len(f.extras) {
@@ -163,12 +200,12 @@
 		}
 		if p.toldAt[i].IsZero() {
 			p.toldAt[i] = now
-			s.SetShare(now, pushback.Share{Fraction: fleet.Fraction(), Phase: fleet.Phase("target")})
+			s.SetShare(now, part)
 			s.Observe(now, now, pushback.Notice{Limited: true, Limit: limit})
 			continue
 		}
-		s.SetShare(now, pushback.Share{Fraction: fleet.Fraction(), Phase: fleet.Phase("target")})
-		for !f.idle && !s.Available(now).After(now) {
+		s.SetShare(now, part)
+		for !f.idle && !s.Available(now, true).After(now) {
 			s.Sent(now, false)
 			if now.Sub(p.toldAt[i]) >= limitNotice {
 				f.limitedSends[i][len(f.extras)]++
@@ -329,6 +366,7 @@
 func TestLimitOfTargetIsUsable(t *testing.T) {
 	forEachFleet(t, func(f *simulatedFleet) {
 		const measured = time.Minute
+		f.steadyLoad = true
 		f.run(measured, nil)
 		f.run(measured, nil)
 		for i, limit := range simulatedLimits {
--- a/peers/node.go
+++ b/peers/node.go
@@ -152,6 +152,13 @@
 // others.
 func (n *Node) BytesSent() (local, remote int64) { return n.sentLocal.Load(), n.sentRemote.Load() }
 
+// SetLoad sets the load that the other processes are told.
+func (n *Node) SetLoad(l *Load) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.state.SetLoad(l)
+}
+
 // SetSeeds replaces the seed addresses.
 func (n *Node) SetSeeds(seeds []string) {
 	n.mu.Lock()
--- a/peers/state.go
+++ b/peers/state.go
@@ -30,6 +30,33 @@
 	// Capacity is the processor share of the process, in thousandths of a core; zero if
 	// unknown.
 	Capacity uint32 `cbor:"6,keyasint,omitempty"`
+	// Load is the rate of requests that the process serves; nil if unknown.
+	Load *Load `cbor:"7,keyasint,omitempty" json:",omitempty"`
+}
+
+// Load is the rate of requests that a process serves, in hundredths of a request per second.
+type Load struct {
+	Sharded uint32 `cbor:"1,keyasint,omitempty"`
+	Single  uint32 `cbor:"2,keyasint,omitempty"`
+}
+
+// loadUnit is the unit of the fields of Load, in requests per second.
+const loadUnit = 0.01
+
+// NewLoad returns the Load that stands for l, or nil if l is nil.
+func NewLoad(l *share.Load) *Load {
+	if l == nil {
+		return nil
+	}
+	return &Load{Sharded: uint32(min(l.Sharded/loadUnit, math.MaxUint32)), Single: uint32(min(l.Single/loadUnit, math.MaxUint32))}
+}
+
+// Share returns the rates in requests per second, or nil if l is nil.
+func (l *Load) Share() *share.Load {
+	if l == nil {
+		return nil
+	}
+	return &share.Load{Sharded: float64(l.Sharded) * loadUnit, Single: float64(l.Single) * loadUnit}
 }
 
 // Message is a gossip message.
@@ -250,6 +277,9 @@
 	}
 }
 
+// SetLoad sets the load that the other processes are told.
+func (s *State) SetLoad(l *Load) { s.opts.Self.Load = l }
+
 // SetSeeds replaces the seed addresses.
 func (s *State) SetSeeds(seeds []string) { s.opts.Seeds = seeds }
 
--- a/pushback/credit.go
+++ b/pushback/credit.go
@@ -37,15 +37,28 @@
 	c.amount = math.Mod(c.amount, 1+kept)
 }
 
-// availableAt returns when a request may be sent. refill must have been called for now.
-func (c *credit) availableAt(now time.Time, rate float64) time.Time {
-	if c.amount >= 1 {
+// availableAt returns when a request may be sent, and reserve is left. refill must have been
+// called for now.
+func (c *credit) availableAt(now time.Time, rate, reserve float64) time.Time {
+	missing := 1 + reserve - c.amount
+	if missing <= 0 {
 		return now
 	}
 	if rate <= 0 {
 		return now.Add(noShareRetry)
 	}
-	return now.Add(time.Duration((1 - c.amount) / rate * float64(time.Second)))
+	return now.Add(time.Duration(missing / rate * float64(time.Second)))
+}
+
+// extraReserveFraction is the fraction of the credit that may be kept that is reserved for
+// extra attempts, if it is more than one.
+const extraReserveFraction = 0.25
+
+// extraReserve returns the credit that is reserved for extra attempts: while the other
+// targets of a service take its first attempts, one that pauses is made up for by this one.
+func extraReserve(rate float64) float64 {
+	kept := rate * creditLifetime.Seconds()
+	return min(max(extraReserveFraction*kept, 1), max(kept-1, 0))
 }
 
 // take uses the credit of one request. It may become negative, by attempts that were
--- a/pushback/pushback.go
+++ b/pushback/pushback.go
@@ -64,7 +64,7 @@
 	usedFraction = 0.9
 	// minLimit is the limit, in requests per second, that applies to targets that name a
 	// lower one: without any requests nothing would tell that the limit has ended.
-	minLimit = 0.5
+	minLimit = 0.15
 	// noShareRetry is when a process without a share of limits asks again.
 	noShareRetry = time.Second
 )
@@ -92,12 +92,17 @@
 // is in force.
 func (s *State) rate() float64 { return usedFraction * s.share.Fraction * max(s.limit, minLimit) }
 
-// Available returns when the target may get the next request: now or earlier if at once.
-func (s *State) Available(now time.Time) time.Time {
+// Available returns when the target may get the next attempt: now or earlier if at once.
+// Extra is true for a hedge or a retry.
+func (s *State) Available(now time.Time, extra bool) time.Time {
 	at := now
 	if s.limited {
-		s.credit.refill(now, s.rate())
-		at = s.credit.availableAt(now, s.rate())
+		rate, reserve := s.rate(), 0.0
+		s.credit.refill(now, rate)
+		if !extra {
+			reserve = extraReserve(rate)
+		}
+		at = s.credit.availableAt(now, rate, reserve)
 	}
 	if s.pausedUntil.After(at) {
 		return s.pausedUntil
--- a/pushback/pushback_test.go
+++ b/pushback/pushback_test.go
@@ -62,7 +62,7 @@
 		now := 0
 		for range 400 {
 			now += rapid.SampledFrom([]int{0, 1, 20, 100, 900, 5000}).Draw(t, "wait")
-			if s.Available(at(now)).After(at(now)) {
+			if s.Available(at(now), true).After(at(now)) {
 				continue
 			}
 			s.Sent(at(now), false)
@@ -90,7 +90,7 @@
 		s := limitedState(rate/usedFraction, Share{Fraction: 1})
 		sent := 0
 		for ms := range 60_000 {
-			if !s.Available(at(ms)).After(at(ms)) {
+			if !s.Available(at(ms), true).After(at(ms)) {
 				s.Sent(at(ms), false)
 				sent++
 			}
@@ -108,7 +108,7 @@
 	burst := 0
 	for i := range processes {
 		s := limitedState(12, Share{Fraction: 1.0 / processes, Phase: float64(i) / processes})
-		if !s.Available(at(60_000)).After(at(60_000)) {
+		if !s.Available(at(60_000), true).After(at(60_000)) {
 			burst++
 		}
 	}
@@ -120,11 +120,11 @@
 // The time at which a request may be sent is told exactly.
 func TestAvailableTellsWhenRequestMayBeSent(t *testing.T) {
 	s := limitedState(10/usedFraction, Share{Fraction: 0.5})
-	if got := s.Available(at(50)); got.Sub(at(200)).Abs() > time.Millisecond {
+	if got := s.Available(at(50), true); got.Sub(at(200)).Abs() > time.Millisecond {
 		t.Errorf("available %v after the limit was named, want 200ms", got.Sub(at(0)))
 	}
 	s.Observe(at(60), at(55), Notice{Pause: 3 * time.Second})
-	if got := s.Available(at(70)); !got.Equal(at(3060)) {
+	if got := s.Available(at(70), true); !got.Equal(at(3060)) {
 		t.Errorf("available %v after the start, want 3.06s: the target asked for a pause", got.Sub(at(0)))
 	}
 	if !s.Paused(at(3059)) || s.Paused(at(3060)) {
@@ -136,7 +136,7 @@
 func TestProcessWithoutShareSendsNothing(t *testing.T) {
 	s := limitedState(10, Share{})
 	for ms := range 20_000 {
-		if !s.Available(at(ms)).After(at(ms)) {
+		if !s.Available(at(ms), true).After(at(ms)) {
 			t.Fatalf("available after %d ms", ms)
 		}
 	}
@@ -162,3 +162,21 @@
 		t.Errorf("leaving since %v, want since it was first told", s.LeavingSince())
 	}
 }
+
+// Guards against first attempts that use up what hedges need while the other target pauses.
+func TestReserveIsKeptForExtraAttempts(t *testing.T) {
+	s := limitedState(4/usedFraction, Share{Fraction: 1})
+	sent := 0
+	for ms := range 10_000 {
+		if !s.Available(at(ms), false).After(at(ms)) {
+			s.Sent(at(ms), false)
+			sent++
+		}
+	}
+	if sent < 36 {
+		t.Errorf("%d first attempts in 10 s at 4 a second", sent)
+	}
+	if s.Available(at(10_000), true).After(at(10_000)) {
+		t.Error("no extra attempt may be sent right after the first attempts")
+	}
+}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -63,8 +63,10 @@
 	services map[string]*service
 	view     *catalog.View
 	fleet    share.Fleet
-	turn     uint64             // breaks ties between equal targets
-	busy     map[*conn]struct{} // connections that are not idle
+	// processes are those of fleet, with their loads.
+	processes []share.Process
+	turn      uint64             // breaks ties between equal targets
+	busy      map[*conn]struct{} // connections that are not idle
 	// removed holds what targets that are no longer registered have asked for, by ID.
 	removed map[string]removedTarget
 	buffers sync.Pool
@@ -83,6 +85,8 @@
 	warmupRate float64
 	// configured is false if the limits of the service are not known.
 	configured bool
+	// sharded is true if the service is a shard of a route.
+	sharded bool
 }
 
 // limitsCold reports whether cold targets of the service get requests at a limited
@@ -124,6 +128,15 @@
 			p.setLimits(t, svc)
 		}
 	}
+	p.shareLimits(time.Now())
+}
+
+// SetProcesses sets the processes that share the limits of targets, with their loads.
+func (p *Pool) SetProcesses(processes []share.Process) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.processes = processes
+	p.shareLimits(time.Now())
 }
 
 // minConnections is the smallest limit of this process's connections to a target, so
@@ -134,9 +147,6 @@
 // setLimits sets this process's shares of the limits of a target. mu must be held.
 func (p *Pool) setLimits(t *Target, svc *service) {
 	t.maxConns = max(p.fleet.Share(float64(svc.maxConns), t.ID), minConnections)
-	if t.pushback.Limited() {
-		t.pushback.SetShare(time.Now(), p.limitShare(t))
-	}
 	t.coldRateLimit = 0
 	if svc.configured {
 		t.coldRateLimit = p.fleet.Share(svc.warmupRate*p.opts.Cold.Overshoot+p.opts.Cold.Slack, t.ID)
@@ -164,6 +174,7 @@
 	p.view = v
 	seen := make(map[string]bool, len(p.targets))
 	services := make(map[string]*service, len(p.services))
+	shards := v.Shards()
 	v.EachTarget(func(e *catalog.Entry) {
 		t := p.targets[e.ID]
 		var coldRate share.RateLimiter
@@ -185,7 +196,7 @@
 		seen[e.ID] = true
 		svc := services[e.Service]
 		if svc == nil {
-			svc = &service{maxConns: minConnections}
+			svc = &service{maxConns: minConnections, sharded: shards[e.Service]}
 			if s := v.Service(e.Service); s != nil {
 				svc.maxConns = s.MaxConnections
 				svc.warmupRate = s.WarmupRate
@@ -197,6 +208,7 @@
 		p.setLimits(t, svc)
 	})
 	p.services = services
+	p.shareLimits(now)
 	p.forgetRemoved(now)
 	var done []*Result
 	for id, t := range p.targets {
@@ -336,7 +348,7 @@
 		if !t.usable(now, drainGrace) {
 			continue
 		}
-		if at := t.pushback.Available(now); earliest.IsZero() || at.Before(earliest) {
+		if at := t.pushback.Available(now, false); earliest.IsZero() || at.Before(earliest) {
 			earliest = at
 		}
 	}
@@ -381,7 +393,7 @@
 			coldSkipped = true
 			continue
 		}
-		if at := t.pushback.Available(now); at.After(now) {
+		if at := t.pushback.Available(now, opts.Extra); at.After(now) {
 			if availableAt.IsZero() || at.Before(availableAt) {
 				availableAt = at
 			}
--- a/upstream/pushback.go
+++ b/upstream/pushback.go
@@ -5,6 +5,7 @@
 
 	"github.com/goldcrestmux/goldcrestmux/catalog"
 	"github.com/goldcrestmux/goldcrestmux/pushback"
+	"github.com/goldcrestmux/goldcrestmux/share"
 )
 
 // removedTarget is what a target that is no longer registered has asked for. It may be
@@ -49,7 +50,25 @@
 // limitShare returns this process's part of the limit that a target has named. mu must be
 // held.
 func (p *Pool) limitShare(t *Target) pushback.Share {
-	return pushback.Share{Fraction: p.fleet.Fraction(), Phase: p.fleet.Phase(t.ID)}
+	r := share.Resource{DataCentre: t.entry.DataCentre, Targets: map[string]int{}}
+	if svc := p.services[t.Service]; svc != nil {
+		r.Sharded = svc.sharded
+		for _, other := range svc.targets {
+			if !other.removed && !other.evacuated && !other.lastResort() {
+				r.Targets[other.entry.DataCentre]++
+			}
+		}
+	}
+	return pushback.Share{Fraction: p.fleet.FractionOf(&r, p.processes), Phase: p.fleet.Phase(t.ID)}
+}
+
+// shareLimits sets this process's part of all limits in force. mu must be held.
+func (p *Pool) shareLimits(now time.Time) {
+	for _, t := range p.targets {
+		if t.pushback.Limited() && !t.removed {
+			t.pushback.SetShare(now, p.limitShare(t))
+		}
+	}
 }
 
 // observeNotice records what a target asks of its callers in the response to an attempt.
