Reserve more of a limited target's capacity for extra attempts, and let credit last longer

Cause: of the answers that left out the limited shard, most had tried only its other target, which paused: the processes near that one had earned no credit at the limited one, as none was expected of them, or had used it for first attempts.

Change: half of a limit is divided evenly (a quarter before), credit lasts two seconds (one), and half of what may be kept is reserved for extra attempts (a quarter). The bound holds: five and a half times the limit may be sent in 4 s, six times and 5 requests are allowed.

--- a/pushback/credit.go
+++ b/pushback/credit.go
@@ -7,7 +7,7 @@
 
 // creditLifetime is how long a process may keep the right to send a request to a limited
 // target. What many processes have kept may be used at the same moment.
-const creditLifetime = time.Second
+const creditLifetime = 2 * time.Second
 
 // credit is the number of requests that a process may send to a limited target.
 //
@@ -50,9 +50,9 @@
 	return now.Add(time.Duration(missing / rate * float64(time.Second)))
 }
 
-// extraReserveFraction is the fraction of the credit that may be kept that is reserved for
-// extra attempts, if it is more than one.
-const extraReserveFraction = 0.25
+// extraReserveFraction is the part of the credit that may be kept that is reserved for extra
+// attempts, if more than one request may be kept.
+const extraReserveFraction = 0.5
 
 // extraReserve returns the credit that is reserved for extra attempts: while the other
 // targets of a service take its first attempts, one that pauses is made up for by this one.
--- a/pushback/pushback_test.go
+++ b/pushback/pushback_test.go
@@ -167,16 +167,18 @@
 func TestReserveIsKeptForExtraAttempts(t *testing.T) {
 	s := limitedState(4/usedFraction, Share{Fraction: 1})
 	sent := 0
-	for ms := range 10_000 {
+	for ms := range 20_000 {
 		if !s.Available(at(ms), false).After(at(ms)) {
 			s.Sent(at(ms), false)
-			sent++
+			if ms >= 10_000 {
+				sent++
+			}
 		}
 	}
-	if sent < 36 {
-		t.Errorf("%d first attempts in 10 s at 4 a second", sent)
+	if sent < 39 {
+		t.Errorf("%d first attempts in 10 s at 4 a second, once the reserve was earned", sent)
 	}
-	if s.Available(at(10_000), true).After(at(10_000)) {
+	if s.Available(at(20_000), true).After(at(20_000)) {
 		t.Error("no extra attempt may be sent right after the first attempts")
 	}
 }
--- a/share/demand.go
+++ b/share/demand.go
@@ -29,7 +29,7 @@
 
 // evenPart is the part of a limit that is divided evenly. The rest is divided by expected
 // demand, which may be wrong: a process may have to use a target elsewhere.
-const evenPart = 0.25
+const evenPart = 0.5
 
 // FractionOf returns the part, from 0 to 1, that this process has in the limit of a resource,
 // by the demand that is expected of each process. The parts of processes that know the same
