Let the soak check what targets ask of their callers

Targets name a limit and ask for pauses among the random faults; once the faults have ended, a limit, a pause and a leaving target are checked by the published rules.

--- a/soak/run.go
+++ b/soak/run.go
@@ -68,6 +68,7 @@
 	inj.inject(o.FaultDuration)
 	time.Sleep(recoveryTime)
 	inj.checkWithoutFaults()
+	inj.checkPushback()
 	close(stop)
 	callers.Wait()
 	stopped := b.stoppedProcesses()
@@ -144,6 +145,8 @@
 		{"responses lost", inj.loseResponses},
 		{"requests refused", inj.refuse},
 		{"requests refused", inj.refuse},
+		{"limit named", inj.limit},
+		{"pause asked for", inj.requestPause},
 		{"shard disconnected", inj.disconnectShard},
 		{"version published", func(*vm, *target, time.Duration) { inj.testbed.configure() }},
 		{"store restored from a copy", inj.restoreStore},
