--- a/pushback/credit.go
+++ b/pushback/credit.go
@@ -47,9 +47,17 @@
 	if rate <= 0 {
 		return now.Add(noShareRetry)
 	}
-	return now.Add(time.Duration(missing / rate * float64(time.Second)))
+	seconds := min(missing/rate, maxCreditWait.Seconds())
+	return now.Add(time.Duration(seconds * float64(time.Second)))
 }
 
+const (
+	// noShareRetry is when a process without a part of the limit asks again.
+	noShareRetry = time.Second
+	// maxCreditWait bounds the time after which a process asks again: its part may have grown.
+	maxCreditWait = time.Minute
+)
+
 // extraReserveFraction is the part of the credit that may be kept that is reserved for extra
 // attempts, if more than one request may be kept.
 const extraReserveFraction = 0.5
--- a/pushback/pushback.go
+++ b/pushback/pushback.go
@@ -65,8 +65,8 @@
 	// minLimit is the limit, in requests per second, that applies to targets that name a
 	// lower one: without any requests nothing would tell that the limit has ended.
 	minLimit = 0.15
-	// noShareRetry is when a process without a share of limits asks again.
-	noShareRetry = time.Second
+	// maxLimit is a limit that no process reaches.
+	maxLimit = 1e9
 )
 
 // Share is the part of a limit that a process may use.
@@ -90,7 +90,7 @@
 
 // rate returns the number of requests per second that this process may send while a limit
 // is in force.
-func (s *State) rate() float64 { return usedFraction * s.share.Fraction * max(s.limit, minLimit) }
+func (s *State) rate() float64 { return usedFraction * s.share.Fraction * min(max(s.limit, minLimit), maxLimit) }
 
 // Available returns when the target may get the next attempt: now or earlier if at once.
 // Extra is true for a hedge or a retry.
