Count the grace period of a draining target from when the state was last confirmed

Cause: in large fleets most VMs read the store through peers and notice changes late. A draining target is a last resort for a third of the drain time (1.67 s), counted from when a VM notices. With a lag above 3.33 s that is too long.

Change: news count from at most 0.55 of the drain time after the state was last confirmed, as the target may have been draining since then; the same for targets that are gone, unless the store was unavailable.

TestGraceOfLateNewsEndsInTime failed before (draining targets used until 11.6 s after the last confirmation for news that come after 9.9 s).

--- a/catalog/state.go
+++ b/catalog/state.go
@@ -79,6 +79,10 @@
 	// OutageGrace replaces DeregisteredGrace for entries that may have expired
 	// only because the store was unavailable.
 	OutageGrace time.Duration
+	// MaxNoticeDelay bounds the time by which the news that a target drains or is gone may
+	// move its grace period: later news count from this long after the state was last
+	// confirmed, as the target may have been draining since. Zero for no bound.
+	MaxNoticeDelay time.Duration
 	// ColdAfterEvacuation is how long the targets of a data centre count as cold
 	// after its evacuation ends, because the state that they publish lags.
 	ColdAfterEvacuation time.Duration
@@ -109,6 +113,8 @@
 	// outageGraceUntil is the time before which OutageGrace applies to entries that
 	// disappear.
 	outageGraceUntil time.Time
+	// confirmedAt is when the state was last known to be up to date with the store.
+	confirmedAt time.Time
 	// listed is whether a listing has been applied.
 	listed bool
 	// era is that of the last listing.
@@ -133,6 +139,20 @@
 	}
 }
 
+// Confirm records that the state was up to date with the store at the given time.
+func (s *State) Confirm(at time.Time) { s.confirmedAt = at }
+
+// noticed returns the time from which news that arrive now count.
+func (s *State) noticed(now time.Time) time.Time {
+	if s.opts.MaxNoticeDelay == 0 || s.confirmedAt.IsZero() {
+		return now
+	}
+	if latest := s.confirmedAt.Add(s.opts.MaxNoticeDelay); latest.Before(now) {
+		return latest
+	}
+	return now
+}
+
 // Apply applies changes of the current era, which must be in the order of their
 // revisions, and returns what changed.
 func (s *State) Apply(now time.Time, items []Item) []Change {
@@ -262,7 +282,7 @@
 	delete(s.departed, it.Name)
 	e := &Entry{Target: *it.Target, Revision: it.Revision, ColdUntil: now.Add(it.Target.WarmupRemaining)}
 	if e.Draining {
-		e.DrainingSince = now
+		e.DrainingSince = s.noticed(now)
 		if known != nil && known.Draining && known.Incarnation == e.Incarnation {
 			e.DrainingSince = known.DrainingSince
 		}
@@ -308,14 +328,14 @@
 	return ""
 }
 
-// withGrace returns a copy of the entry whose grace period begins now, or the
+// withGrace returns a copy of the entry with a grace period for news that arrive now, or the
 // entry itself if its grace period has begun before.
 func (s *State) withGrace(e *Entry, now time.Time) *Entry {
 	if e.Deregistered() {
 		return e
 	}
 	deregistered := *e
-	deregistered.GraceEnd = now.Add(s.opts.DeregisteredGrace)
+	deregistered.GraceEnd = s.noticed(now).Add(s.opts.DeregisteredGrace)
 	if now.Before(s.outageGraceUntil) {
 		deregistered.GraceEnd = now.Add(s.opts.OutageGrace)
 	}
--- a/catalog/state_test.go
+++ b/catalog/state_test.go
@@ -200,3 +200,37 @@
 		t.Fatal("target kept after its grace period")
 	}
 }
+
+// Guards against a target that gets requests for longer than it may, because the news that it
+// drains or is gone came late: the grace period was counted from when they came.
+func TestGraceOfLateNewsEndsInTime(t *testing.T) {
+	const (
+		drain       = 5 * time.Second // after which the target must get no requests
+		drainGrace  = drain / 3       // for which a draining target is still used
+		noticeDelay = 11 * drain / 20
+	)
+	confirmed := time.Unix(1_700_000_000, 0)
+	for lag := time.Duration(0); lag < 2*drain; lag += 100 * time.Millisecond {
+		s := NewState(StateOptions{DeregisteredGrace: 3 * drain / 10, OutageGrace: drain, MaxNoticeDelay: noticeDelay})
+		s.Apply(confirmed, []Item{
+			{Kind: KindTarget, Name: "a", Revision: 1, Target: &Target{ID: "a", Service: "s", Address: "x:1"}},
+			{Kind: KindTarget, Name: "b", Revision: 2, Target: &Target{ID: "b", Service: "s", Address: "x:2"}},
+		})
+		s.Confirm(confirmed)
+		now := confirmed.Add(lag)
+		s.Apply(now, []Item{
+			{Kind: KindTarget, Name: "a", Revision: 3, Target: &Target{ID: "a", Service: "s", Address: "x:1", Draining: true, Sequence: 1}},
+			{Kind: KindTarget, Name: "b", Revision: 4, Deleted: true},
+		})
+		entries := s.View().Targets("s")
+		ends := map[string]time.Time{"draining": entries[0].DrainingSince.Add(drainGrace), "gone": entries[1].GraceEnd}
+		for what, end := range ends {
+			if end.After(now) && end.After(confirmed.Add(drain)) {
+				t.Errorf("%s, known %v after the last confirmation: used until %v after it, allowed %v", what, lag, end.Sub(confirmed), drain)
+			}
+		}
+		if lag < time.Second && !ends["draining"].Equal(now.Add(drainGrace)) {
+			t.Errorf("a target whose draining is known after %v is used for %v, want %v", lag, ends["draining"].Sub(now), drainGrace)
+		}
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -150,7 +150,7 @@
 			Rand: rand.New(rand.NewPCG(incarnation, 1)),
 		}),
 		Catalog: catalog.NewState(catalog.StateOptions{
-			DeregisteredGrace: time.Duration(deregisteredGraceFraction * float64(s.DrainGrace)), OutageGrace: outageGrace, ColdAfterEvacuation: coldAfterEvacuation,
+			DeregisteredGrace: time.Duration(deregisteredGraceFraction * float64(s.DrainGrace)), OutageGrace: outageGrace, MaxNoticeDelay: time.Duration(maxNoticeFraction * float64(s.DrainGrace)), ColdAfterEvacuation: coldAfterEvacuation,
 			EvacuationHold: evacuationHold, DepartedHold: departedHold, DepartedMemory: departedMemory,
 		}),
 		Logger: log, Publish: p.publish, TickInterval: 250 * time.Millisecond,
--- a/entry/timings.go
+++ b/entry/timings.go
@@ -34,6 +34,10 @@
 	// deregisteredGraceFraction is the fraction of Settings.DrainGrace during which a
 	// deregistered target stays a last resort.
 	deregisteredGraceFraction = 0.3
+	// maxNoticeFraction is the fraction of Settings.DrainGrace that may pass between the last
+	// confirmation of the state and the news that a target drains or is gone, before its
+	// grace period is shortened. With either grace period it stays below the whole.
+	maxNoticeFraction = 0.55
 	// outageGrace is how long a target that was deregistered during an outage of the
 	// store stays a last resort: such entries are back within about two seconds.
 	outageGrace = 2300 * time.Millisecond
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -170,6 +170,7 @@
 		f.unconfirmed = nil
 		f.opts.Feed.Listed(asOf, r.batch)
 		f.report(f.opts.Catalog.Replace(now, r.batch.Items, catalog.Position{Era: r.batch.Era, Revision: r.batch.Revision}), true)
+		f.opts.Catalog.Confirm(asOf)
 		f.opts.Logger.Info("store listed", "era", r.batch.Era, "revision", r.batch.Revision, "items", len(r.batch.Items), "took", r.took, "stale", r.step.Stale)
 		return f.opts.Scheduler.Listed(r.batch.Revision)
 	}
@@ -180,6 +181,7 @@
 	}
 	f.opts.Feed.Changed(asOf, r.batch)
 	f.report(f.opts.Catalog.Apply(now, r.batch.Items), confirms || len(r.batch.Items) > 0)
+	f.opts.Catalog.Confirm(asOf)
 	return f.opts.Scheduler.Watched(r.batch.Revision, len(r.batch.Items), r.took)
 }
 
