--- a/pushback/pushback.go
+++ b/pushback/pushback.go
@@ -32,6 +32,7 @@
 	LimitEnded         // responses no longer name a limit
 	LeavingTold        // the target is leaving
 	PauseAsked         // the target wants no requests for a time
+	Unreadable         // the target asked for something that cannot be read, other than before
 )
 
 // Counts are numbers of attempts at a target.
@@ -52,6 +53,7 @@
 	limitSince, limitNamedAt time.Time
 	leavingSince             time.Time // zero if the target is not known to be leaving
 	pausedUntil              time.Time
+	malformed                string // Notice.Malformed of the last response
 	sinceLimit               Counts // attempts since limitSince
 	share                    Share
 	credit                   credit
@@ -90,7 +92,9 @@
 
 // rate returns the number of requests per second that this process may send while a limit
 // is in force.
-func (s *State) rate() float64 { return usedFraction * s.share.Fraction * min(max(s.limit, minLimit), maxLimit) }
+func (s *State) rate() float64 {
+	return usedFraction * s.share.Fraction * min(max(s.limit, minLimit), maxLimit)
+}
 
 // Available returns when the target may get the next attempt: now or earlier if at once.
 // Extra is true for a hedge or a retry.
@@ -135,6 +139,12 @@
 		s.leavingSince = now
 		change = LeavingTold
 	}
+	if change == Unchanged && n.Malformed != s.malformed {
+		s.malformed = n.Malformed
+		if n.Malformed != "" {
+			change = Unreadable
+		}
+	}
 	return change
 }
 
--- a/pushback/pushback_test.go
+++ b/pushback/pushback_test.go
@@ -18,13 +18,13 @@
 	if c := s.Observe(at(100), at(50), Notice{Limited: true, Limit: 7}); c != LimitNamed {
 		t.Fatalf("change %v, want %v", c, LimitNamed)
 	}
-	for _, n := range []Notice{{}, {Malformed: "x"}} {
-		if c := s.Observe(at(120), at(60), n); c != Unchanged {
-			t.Errorf("change %v after a response to an earlier request, want none", c)
-		}
+	if c := s.Observe(at(120), at(60), Notice{}); c != Unchanged {
+		t.Errorf("change %v after a response to an earlier request, want none", c)
 	}
-	if c := s.Observe(at(200), at(150), Notice{Malformed: "x"}); c != Unchanged {
-		t.Errorf("change %v after a limit that cannot be read, want none", c)
+	for i, want := range []Change{Unreadable, Unchanged} {
+		if c := s.Observe(at(200), at(150), Notice{Malformed: "x"}); c != want {
+			t.Errorf("change %v after response %d with a limit that cannot be read, want %v", c, i, want)
+		}
 	}
 	if c := s.Observe(at(200), at(150), Notice{}); c != LimitEnded {
 		t.Errorf("change %v, want %v", c, LimitEnded)
--- a/upstream/pushback.go
+++ b/upstream/pushback.go
@@ -97,6 +97,8 @@
 		message, details = "target ended its limit", []any{"after", age, "first", sent.First, "extra", sent.Extra}
 	case pushback.LeavingTold:
 		message = "target is leaving"
+	case pushback.Unreadable:
+		message, details = "target asked for what cannot be read; ignored", []any{"value", n.Malformed}
 	case pushback.PauseAsked:
 		message, details = "target asked for a pause", []any{"pause", n.Pause}
 	}
