Keep the delay that a target's refusal asks for, on the product's own path

What targets saw: a target that refused with retry_after_ms 24000 was chosen again after 8.1 s although another one was healthy; after 0.7 s if it had refused before, without a delay.

The delay was cut to the longest backoff, and ignored while a demotion lasted. Change: a demotion lasts at least as long as the target asked for. If there is no other target, first attempts are still sent.

TestRetryAfterOfTargetIsKept failed before in each of its three cases.

--- a/replica/outcome.go
+++ b/replica/outcome.go
@@ -71,7 +71,8 @@
 	case code.OK:
 		onTarget.failures, onRoute.failures = 0, 0
 	case code.Shed, code.Overloaded:
-		onTarget.begin(now, max(o.RetryAfter, t.opts.ShedBackoff), t.opts.MaxBackoff)
+		onTarget.begin(now, t.opts.ShedBackoff, t.opts.MaxBackoff)
+		onTarget.extend(now.Add(o.RetryAfter))
 	case code.TargetOutOfService, code.BadResponse:
 		onTarget.begin(now, t.opts.FailureBackoff, t.opts.MaxBackoff)
 	case code.TargetCold:
@@ -109,6 +110,13 @@
 	d.until = now.Add(min(backoff, limit))
 }
 
+// extend makes a demotion last until the given time at least.
+func (d *demotion) extend(until time.Time) {
+	if until.After(d.until) {
+		d.until = until
+	}
+}
+
 // Weights of a new sample in the moving averages of service times.
 const (
 	serviceTimeWeight     = 0.1
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -267,3 +267,33 @@
 		table.Pick(epoch, rng, shards[i%len(shards)], FirstAttempt, nil)
 	}
 }
+
+// Guards against a target that is used again before the time for which it wants no requests:
+// that time is longer than any backoff, or is told while a shorter demotion lasts.
+func TestRetryAfterOfTargetIsKept(t *testing.T) {
+	const retryAfter = 3 * DefaultMaxBackoff
+	for name, before := range map[string]Outcome{
+		"first refusal":      {},
+		"during a demotion":  {Code: code.Shed},
+		"after a long pause": {Code: code.Shed, RetryAfter: retryAfter},
+	} {
+		table, now := New(Options{}), epoch
+		rng := rand.New(rand.NewPCG(1, 1))
+		for _, target := range []string{"t0", "t1"} {
+			table.SetTarget(target, "dc", true)
+			table.SetGrant("r0", wire.Grant{Target: target, State: wire.TargetWarm, Limit: 4})
+		}
+		for _, o := range []Outcome{before, {Code: code.Shed, RetryAfter: retryAfter}} {
+			if o.Code != "" {
+				table.Sent("r0", "t0")
+				table.Done(now, "r0", "t0", o)
+			}
+		}
+		for elapsed := time.Duration(0); elapsed < retryAfter; elapsed += 100 * time.Millisecond {
+			if c, _ := table.Pick(now.Add(elapsed), rng, []string{"t0", "t1"}, FirstAttempt, nil); c.Target != "t1" {
+				t.Errorf("%s: %s is picked %v after it asked for %v without requests", name, c.Target, elapsed, retryAfter)
+				break
+			}
+		}
+	}
+}
