Remember what a target asks for while its entry expires

What targets could see: a target whose entry expires while it answers its last requests asks for a pause, names a limit or says that it leaves in those responses; registered again, it got requests at once.

Cause: the attempt has the record that the pool had when it was sent, which is replaced when the entry expires or the address changes; what was told went to the old one. Found by reading. Change: it goes to the present record, or is kept for when there is one again.

TestNoticeOfRemovedTargetIsRemembered failed before in both cases.

--- a/upstream/pushback.go
+++ b/upstream/pushback.go
@@ -47,6 +47,15 @@
 	}
 }
 
+// registered returns the present record of a target, of which an attempt may have an earlier
+// one: its entry has expired since, or its address has changed. mu must be held.
+func (p *Pool) registered(t *Target) *Target {
+	if current := p.targets[t.ID]; current != nil && current.entry.Incarnation == t.entry.Incarnation {
+		return current
+	}
+	return t
+}
+
 // limitShare returns this process's part of the limit that a target has named. mu must be
 // held.
 func (p *Pool) limitShare(t *Target) pushback.Share {
@@ -75,6 +84,7 @@
 func (p *Pool) observeNotice(t *Target, a *Attempt, n pushback.Notice) {
 	now := time.Now()
 	p.mu.Lock()
+	t = p.registered(t)
 	if n.Limited && !t.pushback.Limited() {
 		t.pushback.SetShare(now, p.limitShare(t))
 	}
@@ -84,6 +94,9 @@
 	if t.pushback.Paused(now) {
 		done = p.failWaiting(t, errPaused)
 	}
+	if t.removed {
+		p.remember(now, t)
+	}
 	p.mu.Unlock()
 	deliver(done)
 	var message string
--- a/upstream/pushback_test.go
+++ b/upstream/pushback_test.go
@@ -91,3 +91,40 @@
 		t.Error("no attempt was started at a target that has started again")
 	}
 }
+
+// Guards against a target whose entry expires while it answers its last requests: what it
+// asks for in those responses must hold once it is registered again.
+func TestNoticeOfRemovedTargetIsRemembered(t *testing.T) {
+	var conns atomic.Int32
+	proceed := make(chan struct{})
+	address := serve(t, &conns, func(nc net.Conn, r *http.Request) bool {
+		<-proceed
+		_, err := fmt.Fprintf(nc, "HTTP/1.1 503 Busy\r\nTest-Id: %s\r\nTest-Not-Run: 1\r\nTest-Pause: 60\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Test-Id"))
+		return err == nil
+	})
+	for name, returned := range map[string]bool{"registered after the response": false, "registered before the response": true} {
+		p := poolWith(t, address)
+		view := p.view
+		results := make(chan *Result, 2)
+		if n := start(p, 1, results); n != 1 {
+			t.Fatal("no target")
+		}
+		for conns.Load() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(20 * time.Millisecond) // the request has arrived
+		p.Update(catalog.NewState(catalog.StateOptions{}).View())
+		if returned {
+			p.Update(view)
+		}
+		proceed <- struct{}{}
+		if r := <-results; r.Outcome != Refused {
+			t.Fatalf("%s: outcome %v, want %v", name, r.Outcome, Refused)
+		}
+		p.Update(view)
+		if n := start(p, 1, results); n != 0 {
+			t.Errorf("%s: an attempt was started in the pause that the target asked for", name)
+		}
+		conns.Store(0)
+	}
+}
