Log what the repeats of a request have in common

Cause: a line names the ID of a request, which is new with each repeat, so the log could not tell whether targets ended under one request or under many, nor who sends it.

Change: a key that stands for caller, method, host, path, query and body, in the lines of broken attempts and of failed requests, with the caller, the path, how long the attempt ran and whether it was extra.

--- a/forward/response.go
+++ b/forward/response.go
@@ -149,7 +149,7 @@
 		return
 	}
 	r.engine.opts.Logger.Info("request finished",
-		"id", r.req.Call.ID, "route", r.req.Route.Name, "version", r.req.Version,
+		"id", r.req.Call.ID, "request", r.req.Call.Key, "route", r.req.Route.Name, "version", r.req.Version,
 		"picture_age", r.req.ReceivedAt.Sub(r.req.ConfirmedAt),
 		"status", resp.Status, "reason", resp.Reason, "took", took, "late", late,
 		"shards", len(r.services), "in", r.plan.Responses(), "missing", r.missingShards(),
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -15,6 +16,7 @@
 
 	"github.com/goldcrestmux/goldcrestmux/catalog"
 	"github.com/goldcrestmux/goldcrestmux/forward"
+	"github.com/goldcrestmux/goldcrestmux/quarantine"
 	"github.com/goldcrestmux/goldcrestmux/upstream"
 	"github.com/juju/errors"
 )
@@ -137,12 +139,24 @@
 	if err != nil {
 		return route, nil, bodyErrorResponse(err)
 	}
+	caller := callerOf(r)
 	return route, &upstream.Call{
 		ID: meta.ID, Method: r.Method, URI: uri, Host: r.Host, Header: removeHopByHop(r.Header),
 		Body: body, HasBody: r.ContentLength != 0, Deadline: receivedAt.Add(timeout),
+		Caller: caller, Key: quarantine.KeyOf(caller, r.Method, r.Host, uri, string(body)),
 	}, nil
 }
 
+// callerOf returns the host that a request came from, which identifies the caller: the
+// headers of a request do not.
+func callerOf(r *http.Request) string {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return host
+}
+
 // logRefusal logs a request that was refused before it was sent to any target.
 func (h *Handler) logRefusal(r *http.Request, view *catalog.View, id string, resp *forward.Response, receivedAt time.Time) {
 	attrs := []any{
--- a/upstream/call.go
+++ b/upstream/call.go
@@ -4,9 +4,11 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/goldcrestmux/goldcrestmux/pushback"
+	"github.com/goldcrestmux/goldcrestmux/quarantine"
 	"github.com/juju/errors"
 )
 
@@ -23,6 +25,10 @@
 	Body   []byte
 	// HasBody is true if the caller sent a body, even an empty one.
 	HasBody bool
+	// Caller identifies who sent the request.
+	Caller string
+	// Key identifies the request across its repeats, which have IDs of their own.
+	Key quarantine.Key
 	// Deadline is when the caller stops waiting or the timeout of the route expires,
 	// whichever is earlier.
 	Deadline time.Time
@@ -30,6 +36,12 @@
 	prefix []byte // request line and headers that all attempts share, encoded
 }
 
+// Path returns the path of the request without its query.
+func (c *Call) Path() string {
+	path, _, _ := strings.Cut(c.URI, "?")
+	return path
+}
+
 // Codec encodes requests for targets and decodes the headers of their responses.
 type Codec interface {
 	// AppendCall appends the request line and the headers that all attempts share.
@@ -98,6 +110,8 @@
 	StartedAt time.Time
 	// Deadline is when the target may stop working on the attempt.
 	Deadline time.Time
+	// Extra is true for a hedge or a retry.
+	Extra bool
 
 	expected time.Duration
 	results  chan<- *Result
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -189,7 +189,10 @@
 	report := active && !a.abandoned
 	p.mu.Unlock()
 	if report {
-		p.emit(Event{Message: "attempt broken", TargetID: c.target.ID, Service: c.target.Service, RequestID: a.Call.ID, Err: err})
+		p.emit(Event{
+			Message: "attempt broken", TargetID: c.target.ID, Service: c.target.Service, RequestID: a.Call.ID, Err: err,
+			Details: []any{"request", a.Call.Key, "caller", a.Call.Caller, "path", a.Call.Path(), "ran", now.Sub(a.StartedAt), "extra", a.Extra},
+		})
 		a.results <- &Result{Attempt: a, Outcome: Broken, Err: err, EndedAt: now}
 	}
 	p.dialForWaiting(c.target)
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -298,7 +298,7 @@
 		return nil, availableAt
 	}
 	a := &Attempt{
-		Call: call, Shard: shard, Target: t, StartedAt: now, Deadline: opts.Deadline,
+		Call: call, Shard: shard, Target: t, StartedAt: now, Deadline: opts.Deadline, Extra: opts.Extra,
 		results: results, expected: opts.Profile.Expected,
 	}
 	t.stats.Sent(now, opts.Profile.OverdueAfter)
--- a/wire/query.go
+++ b/wire/query.go
@@ -1,5 +1,7 @@
 package wire
 
+import "github.com/goldcrestmux/goldcrestmux/quarantine"
+
 // Query hands a caller's request to a peer, which gathers the responses of its shards.
 type Query struct {
 	ID uint64 `cbor:"1,keyasint"` // unique within the sending process
@@ -21,6 +23,9 @@
 	ElapsedMicros uint64 `cbor:"11,keyasint,omitempty"`
 	// NewConnection is true if the caller opened its connection for this request.
 	NewConnection bool `cbor:"12,keyasint,omitempty"`
+	// Caller and Key identify who sent the request, and the request across its repeats.
+	Caller string         `cbor:"13,keyasint,omitempty"`
+	Key    quarantine.Key `cbor:"14,keyasint"`
 }
 
 // QueryResponse is the response to a Query.
