--- a/entry/gather.go
+++ b/entry/gather.go
@@ -213,7 +213,7 @@
 		Call: &upstream.Call{
 			ID: q.RequestID, Method: q.Method, URI: q.URI, Host: q.Host, Header: q.Header, Body: q.Body, HasBody: q.HasBody,
 			Deadline: time.Now().Add(time.Duration(q.LeftMicros)*time.Microsecond - transitTime - hopMargin),
-			Caller: q.Caller, Key: q.Key,
+			Caller:   q.Caller, Key: q.Key,
 		},
 		Route: route, Version: v.Version, ConfirmedAt: g.p.follower.ConfirmedAt(), ReceivedAt: receivedAt,
 		NewConnection: q.NewConnection, HopMargin: hopMargin, For: peer,
