Send a request no more that crashes the targets that run it

Cause: nothing counted what ends under a request. A request was a new one with each repeat, at each process, and got all attempts that its route allows.

Change: package quarantine. A key that stands for caller and content of a request is what its repeats have in common. A process that loses the connection to a target while it runs a request opens another one: if it is refused, the target has ended under the request. Ends count by run of a target and are told to the other processes by gossip, at once and with the regular messages. Three ends, of which two were one after the other, without a completion of the request since 10 s before, quarantine it in the fleet; it is refused with 503 and when to come back. From two ends on it is sent to one target at a time, so that a request to many shards ends one target more instead of all replicas. A process that has seen the request completed objects. One target is tried after 30 s, then at intervals that grow to an hour. If targets end under requests of two callers with the same content, it is quarantined for all callers.

Why it works: a request that crashes each target is never completed, a sound one is, and ends that have another cause come together or are outweighed by completions.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/goldcrestmux/goldcrestmux/link"
 	"github.com/goldcrestmux/goldcrestmux/mesh"
 	"github.com/goldcrestmux/goldcrestmux/peers"
+	"github.com/goldcrestmux/goldcrestmux/quarantine"
 	"github.com/goldcrestmux/goldcrestmux/share"
 	"github.com/goldcrestmux/goldcrestmux/upstream"
 	"github.com/goldcrestmux/goldcrestmux/wire"
@@ -57,6 +58,7 @@
 
 	view            atomic.Pointer[catalog.View]
 	stopping        atomic.Bool
+	guard           *quarantine.Guard
 	pool            *upstream.Pool
 	engine          *forward.Engine
 	follower        *follow.Follower
@@ -121,7 +123,9 @@
 
 func newProcess(adapter Adapter, s Settings, log *slog.Logger) *process {
 	p := &process{adapter: adapter, settings: s, log: log, startedAt: time.Now(), metrics: newMetrics(), latestSettings: s}
+	p.guard = quarantine.NewGuard(quarantine.Options{Self: s.Name, StartedAt: p.startedAt}, log)
 	p.pool = upstream.New(upstream.Options{
+		Guard: p.guard,
 		Codec: adapter.Codec, DataCentre: s.DataCentre, Dial: p.dial, DialTimeout: dialTimeout,
 		DrainGrace: s.DrainGrace / drainGraceDivisor, Cold: s.Cold, StartedAt: p.startedAt, OnEvent: p.connectionEvent,
 		MaxBufferedBytes: s.MemoryLimit / bufferedDivisor,
@@ -249,7 +253,7 @@
 		ForgetAfter: gossipForgetAfter, AssumedFleetSize: assumedFleetSize, SettleTime: gossipSettleTime,
 		Rand: rand.New(rand.NewPCG(uint64(now.UnixNano()), 2)),
 	})
-	node, err := peers.Listen(s.PeerListen, state, gossipInterval/4, p.log, func(f share.Fleet) {
+	node, err := peers.Listen(s.PeerListen, state, gossipInterval/4, p.log, p.guard, func(f share.Fleet) {
 		p.pool.SetFleet(f)
 		p.engine.SetFleet(time.Now(), f)
 	})
@@ -365,7 +369,7 @@
 	out := map[string]any{
 		"process": p.settings.Name, "uptime_s": int(time.Since(p.startedAt).Seconds()),
 		"stopping": p.stopping.Load(), "ready": v.Configured() && !p.stopping.Load(),
-		"upstream": p.pool.Stats(), "pushback": p.pool.Pushback(time.Now()), "retry_budget": p.engine.BudgetState(time.Now()), "active_requests": p.handler.Active(), "caller_connections": p.callerServer.OpenConnections(),
+		"upstream": p.pool.Stats(), "pushback": p.pool.Pushback(time.Now()), "quarantine": p.guard.States(time.Now()), "retry_budget": p.engine.BudgetState(time.Now()), "active_requests": p.handler.Active(), "caller_connections": p.callerServer.OpenConnections(),
 		"bytes": p.traffic(), "gathering": p.gatherer.state(), "store_calls": p.follower.Calls() - p.source.PeerRequests(), "peer_asks": p.source.PeerRequests(), "links": p.mesh.LinkCount(),
 	}
 	if v.Configured() {
--- a/forward/active_request.go
+++ b/forward/active_request.go
@@ -11,6 +11,7 @@
 	"github.com/goldcrestmux/goldcrestmux/catalog"
 	"github.com/goldcrestmux/goldcrestmux/hedge"
 	"github.com/goldcrestmux/goldcrestmux/plan"
+	"github.com/goldcrestmux/goldcrestmux/quarantine"
 	"github.com/goldcrestmux/goldcrestmux/upstream"
 )
 
@@ -31,12 +32,17 @@
 	responses     []upstream.Result
 	lastFailure   upstream.Result // the last refusal or failure that a target sent
 	denied        int             // extra attempts denied by the retry budget
+	inProgress    int             // attempts without a result
+	quarantined   int             // shards that no attempt may be sent to, as the request crashes targets
 	extraAttempts int
 	failures      map[upstream.Outcome]int
 }
 
 // Do serves a request. ctx must be canceled when the caller disconnects.
 func (e *Engine) Do(ctx context.Context, req *Request) Response {
+	if resp, refused := e.Refuse(req); refused {
+		return resp
+	}
 	r := e.newActiveRequest(req)
 	now := time.Now()
 	if wait, reason := r.unservable(now); reason != "" {
@@ -132,6 +138,7 @@
 	}
 	r.profile.RemotePenalty = time.Duration(remotePenaltyFraction * float64(objective))
 	r.profile.OverdueAfter = opts.HedgeAfter
+	req.Call.Sharded = route.Sharded()
 	e.opts.Pool.Prepare(req.Call)
 	r.plan = plan.New(now, opts)
 	r.results = make(chan *upstream.Result, len(r.services)*(maxAttempts+plan.AttemptHeadroom))
@@ -192,6 +199,15 @@
 		if !ok {
 			return
 		}
+		switch r.engine.opts.Pool.Guard().Check(now, r.req.Call.Quarantine(r.services[i]), r.inProgress) {
+		case quarantine.Wait:
+			r.plan.Hold(i, now.Add(quarantineRecheck))
+			continue
+		case quarantine.Refuse:
+			r.quarantined++
+			r.plan.GiveUp(i)
+			continue
+		}
 		var taken budget.Taken
 		if extra {
 			if taken, ok = r.takeExtra(now, i); !ok {
@@ -219,6 +235,7 @@
 		}
 		r.tried[i] = append(r.tried[i], a.Target.ID)
 		r.attempts = append(r.attempts, a)
+		r.inProgress++
 		r.plan.Sent(now, i, a.Target.ID)
 	}
 }
@@ -237,6 +254,7 @@
 // handleResult records the result of an attempt.
 func (r *activeRequest) handleResult(res *upstream.Result) {
 	i, target := res.Attempt.Shard, res.Attempt.Target.ID
+	r.inProgress--
 	if res.Outcome != upstream.Responded {
 		r.failures[res.Outcome]++
 	}
--- a/forward/engine.go
+++ b/forward/engine.go
@@ -150,6 +150,9 @@
 	// disconnectLinger is how long attempts may continue after their caller has
 	// disconnected, so that their connections can be reused.
 	disconnectLinger = 250 * time.Millisecond
+	// quarantineRecheck is the time between two questions whether an attempt may be sent
+	// that waits for what another one, or another process, tells of its request.
+	quarantineRecheck = 5 * time.Millisecond
 	// minRetryAfter is the shortest RetryAfter of a refused request.
 	minRetryAfter = 50 * time.Millisecond
 	// unservedRetryAfter is the mean RetryAfter of a request that is refused because
--- a/forward/response.go
+++ b/forward/response.go
@@ -23,6 +23,10 @@
 // targets of too many shards, or of its only service, want no more requests for now.
 const ReasonLimited = "the targets want no more requests for now"
 
+// ReasonQuarantined is the reason of a response to a request that was refused because the
+// targets that run it crash.
+const ReasonQuarantined = "targets that run this request crash"
+
 // statusCallerDisconnected is the status that is logged if the caller
 // disconnected; it is never sent.
 const statusCallerDisconnected = 499
@@ -36,6 +40,9 @@
 	case plan.NotRun:
 		wait, _ := r.unservable(now)
 		resp = Response{Status: http.StatusServiceUnavailable, RetryAfter: max(r.retryAfter(now), wait), Reason: "no target took the request"}
+		if wait := r.engine.quarantinedFor(now, r.req); wait > 0 {
+			resp.RetryAfter, resp.Reason = delayed(wait, r.req.Call.ID), ReasonQuarantined
+		}
 	default:
 		resp = r.failureResponse(decision)
 	}
@@ -43,6 +50,25 @@
 	return resp
 }
 
+// Refuse returns the response to a request that may not be sent to any target, because
+// targets that run it crash. Refused is false if it may be sent.
+func (e *Engine) Refuse(req *Request) (resp Response, refused bool) {
+	now := time.Now()
+	wait := e.quarantinedFor(now, req)
+	if wait == 0 {
+		return Response{}, false
+	}
+	resp = Response{Status: http.StatusServiceUnavailable, RetryAfter: delayed(wait, req.Call.ID), Reason: ReasonQuarantined}
+	e.opts.Logger.Info("request finished", "id", req.Call.ID, "request", req.Call.Key, "route", req.Route.Name, "version", req.Version,
+		"status", resp.Status, "reason", resp.Reason, "retry_after", resp.RetryAfter, "attempts", 0, "for", req.For)
+	return resp, true
+}
+
+// quarantinedFor returns how long a request is refused, or zero if it may be sent.
+func (e *Engine) quarantinedFor(now time.Time, req *Request) time.Duration {
+	return e.opts.Pool.Guard().Refusal(now, req.Call.Quarantine(""))
+}
+
 // refuse returns the response to a request that no attempt can make succeed. It has been
 // sent to no target. The caller may return after wait.
 func (r *activeRequest) refuse(now time.Time, wait time.Duration, reason string) Response {
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -105,6 +105,9 @@
 		Call: call, Route: route, Version: view.Version, ConfirmedAt: h.opts.ConfirmedAt(),
 		ReceivedAt: receivedAt, NewConnection: newConnection,
 	}
+	if resp, refused := h.opts.Engine.Refuse(req); refused {
+		return route, resp
+	}
 	if h.opts.Delegate != nil {
 		if resp, ok := h.opts.Delegate(r.Context(), req); ok {
 			return route, resp
--- a/peers/node.go
+++ b/peers/node.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/goldcrestmux/goldcrestmux/quarantine"
 	"github.com/goldcrestmux/goldcrestmux/share"
 	"github.com/juju/errors"
 	"gopkg.in/tomb.v2"
@@ -23,6 +24,7 @@
 	tomb         tomb.Tomb
 	socket       net.PacketConn
 	logger       *slog.Logger
+	guard        *quarantine.Guard
 	onChange     func(share.Fleet)
 	tickInterval time.Duration
 
@@ -38,14 +40,14 @@
 	lastFleet share.Fleet // as last passed to onChange
 }
 
-// Listen opens the UDP socket of a node. The node calls onChange with the new
-// fleet whenever the fleet changes.
-func Listen(address string, state *State, tickInterval time.Duration, logger *slog.Logger, onChange func(share.Fleet)) (*Node, error) {
+// Listen opens the UDP socket of a node. The node exchanges what the guard knows with the
+// peers, and calls onChange with the new fleet whenever the fleet changes.
+func Listen(address string, state *State, tickInterval time.Duration, logger *slog.Logger, guard *quarantine.Guard, onChange func(share.Fleet)) (*Node, error) {
 	socket, err := net.ListenPacket("udp4", address)
 	if err != nil {
 		return nil, errors.Annotatef(err, "listen for peers on %s", address)
 	}
-	return &Node{socket: socket, logger: logger, onChange: onChange, tickInterval: tickInterval, state: state}, nil
+	return &Node{socket: socket, logger: logger, guard: guard, onChange: onChange, tickInterval: tickInterval, state: state}, nil
 }
 
 // Start starts the goroutines that send and receive messages.
@@ -69,16 +71,49 @@
 		n.mu.Lock()
 		messages := n.state.Tick(now)
 		n.mu.Unlock()
+		if len(messages) > 0 {
+			n.guard.Tick(now)
+			n.addReports(now, messages, false)
+		}
 		n.send(messages)
+		n.spreadNews(now)
 		n.notify(now)
 		select {
 		case <-n.tomb.Dying():
 			return nil
 		case <-ticker.C:
+		case <-n.guard.News():
 		}
 	}
 }
 
+// addReports adds what the guard knows to messages. Initial is true if they are for a
+// process that may have just started.
+func (n *Node) addReports(now time.Time, messages []Outgoing, initial bool) {
+	for i := range messages {
+		messages[i].Message.Reports = n.guard.Regular(now, initial)
+	}
+}
+
+// newsFanout is the number of peers that news of the guard are sent to at once. They send
+// them to as many.
+const newsFanout = 6
+
+// newsPeerAge is the age of a peer's heartbeat up to which it gets news at once.
+const newsPeerAge = 20 * time.Second
+
+// spreadNews sends what the guard has learned to a few peers.
+func (n *Node) spreadNews(now time.Time) {
+	reports := n.guard.Urgent(now, newsFanout)
+	if len(reports) == 0 {
+		return
+	}
+	n.mu.Lock()
+	messages := n.state.Spread(now, newsPeerAge, newsFanout, reports)
+	n.mu.Unlock()
+	n.send(messages)
+}
+
 // notify calls onChange if the fleet has changed since the last call.
 func (n *Node) notify(now time.Time) {
 	n.notifyMu.Lock()
@@ -140,6 +175,8 @@
 		n.mu.Lock()
 		replies, added := n.state.Receive(now, m)
 		n.mu.Unlock()
+		n.addReports(now, replies, true)
+		replies = append(replies, n.receiveReports(now, &m)...)
 		for _, name := range added {
 			n.logger.Info("peer found", "peer", name, "told_by", from.String())
 		}
@@ -148,6 +185,18 @@
 	}
 }
 
+// receiveReports merges the reports of a message and returns the reply, if there are
+// objections to them.
+func (n *Node) receiveReports(now time.Time, m *Message) []Outgoing {
+	objections := n.guard.Receive(now, m.Reports)
+	if len(objections) == 0 || len(m.Members) == 0 {
+		return nil
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return []Outgoing{n.state.reply(&m.Members[0], Message{Members: []Member{n.state.opts.Self}, Reports: objections})}
+}
+
 // BytesSent returns the bytes of messages sent to members in this data centre, and to
 // others.
 func (n *Node) BytesSent() (local, remote int64) { return n.sentLocal.Load(), n.sentRemote.Load() }
--- a/peers/state.go
+++ b/peers/state.go
@@ -13,6 +13,7 @@
 	"strings"
 	"time"
 
+	"github.com/goldcrestmux/goldcrestmux/quarantine"
 	"github.com/goldcrestmux/goldcrestmux/share"
 )
 
@@ -64,6 +65,8 @@
 	Members []Member `cbor:"1,keyasint"` // the sender comes first
 	// WantReply is true if the sender may not know all members and requests a reply.
 	WantReply bool `cbor:"2,keyasint,omitempty"`
+	// Reports tell of requests under which targets have ended.
+	Reports []quarantine.Report `cbor:"3,keyasint,omitempty"`
 }
 
 // Outgoing is a message to be sent to an address.
@@ -233,12 +236,16 @@
 		}
 	}
 	if m.WantReply && len(m.Members) > 0 {
-		to := m.Members[0]
-		replies = append(replies, Outgoing{To: to.Address, Message: s.message(now, false), Local: to.DataCentre == s.opts.Self.DataCentre})
+		replies = append(replies, s.reply(&m.Members[0], s.message(now, false)))
 	}
 	return replies, added
 }
 
+// reply returns a message to the sender of another one.
+func (s *State) reply(to *Member, m Message) Outgoing {
+	return Outgoing{To: to.Address, Message: m, Local: to.DataCentre == s.opts.Self.DataCentre}
+}
+
 // merge updates the record of a member and reports whether it is new.
 func (s *State) merge(now time.Time, m Member) (added bool) {
 	if m.Name == s.opts.Self.Name {
@@ -366,6 +373,17 @@
 	return out
 }
 
+// Spread returns a message with the reports for up to n random peers that are alive.
+func (s *State) Spread(now time.Time, within time.Duration, n int, reports []quarantine.Report) []Outgoing {
+	alive := s.Alive(now, within)
+	s.opts.Rand.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
+	var messages []Outgoing
+	for _, m := range alive[:min(len(alive), n)] {
+		messages = append(messages, s.reply(&m, Message{Members: []Member{s.opts.Self}, Reports: reports}))
+	}
+	return messages
+}
+
 // Members returns the known peers, sorted by name.
 func (s *State) Members() []Member {
 	out := make([]Member, 0, len(s.members))
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -258,6 +258,18 @@
 	return p.opts.LatePartialAt
 }
 
+// Hold postpones the next attempt at a shard.
+func (p *Plan) Hold(i int, until time.Time) { p.shards[i].nextAt = until }
+
+// GiveUp ends the attempts at a shard. Those in progress may still respond.
+func (p *Plan) GiveUp(i int) {
+	s := &p.shards[i]
+	s.nextAt = time.Time{}
+	if s.inFlight == 0 {
+		p.fail(s)
+	}
+}
+
 func (p *Plan) setUnavailable(s *shard, unavailable bool) {
 	if s.unavailable == unavailable {
 		return
--- a/quarantine/key.go
+++ b/quarantine/key.go
@@ -1,7 +1,8 @@
 // Package quarantine decides which requests are no longer sent to targets because they
 // crash the targets that run them. The processes tell each other what they have seen.
 //
-// State is pure: time and randomness are passed in, and it does no I/O.
+// State is pure: time is passed in, and it does no I/O. Guard makes it safe for concurrent
+// use.
 package quarantine
 
 import (
@@ -12,7 +13,8 @@
 )
 
 // Key identifies a request across its repeats: two requests have the same key if they
-// have the same caller and the same content. The first bytes identify the caller.
+// have the same caller and the same content. The first bytes identify the caller, the
+// others the content.
 type Key [16]byte
 
 // callerBytes is the number of bytes of a Key that identify the caller.
@@ -20,22 +22,27 @@
 
 // KeyOf returns the key of a request of a caller with the given content. The hash is
 // cryptographic: a caller must not be able to make a request that has the key of another
-// caller's request.
+// request.
 func KeyOf(caller string, content ...string) Key {
 	var k Key
-	whole := sha256.New()
-	for _, part := range append([]string{caller}, content...) {
-		var size [8]byte // separates the parts
-		binary.LittleEndian.PutUint64(size[:], uint64(len(part)))
-		_, _ = whole.Write(size[:]) // never fails, like the next one
-		_, _ = io.WriteString(whole, part)
-	}
 	owner := sha256.Sum256([]byte(caller))
 	copy(k[:callerBytes], owner[:])
-	copy(k[callerBytes:], whole.Sum(nil))
+	copy(k[callerBytes:], digest(content...))
 	return k
 }
 
+// digest returns a hash of the parts, which differs if they are divided otherwise.
+func digest(parts ...string) []byte {
+	h := sha256.New()
+	for _, part := range parts {
+		var size [8]byte
+		binary.LittleEndian.PutUint64(size[:], uint64(len(part)))
+		_, _ = h.Write(size[:]) // never fails, like the next one
+		_, _ = io.WriteString(h, part)
+	}
+	return h.Sum(nil)
+}
+
 // Known reports whether the key is set.
 func (k Key) Known() bool { return k != Key{} }
 
@@ -44,3 +51,32 @@
 
 // MarshalText implements encoding.TextMarshaler, for logs.
 func (k Key) MarshalText() ([]byte, error) { return []byte(k.String()), nil }
+
+// At returns the key of the request at one service of many.
+func (k Key) At(service string) Key {
+	at := k
+	copy(at[callerBytes:], digest(string(k[callerBytes:]), service))
+	return at
+}
+
+type callerID [callerBytes]byte
+
+type contentID [len(Key{}) - callerBytes]byte
+
+// anyCaller stands for all callers that send requests with the same content.
+var anyCaller callerID
+
+func (k Key) caller() callerID { return callerID(k[:callerBytes]) }
+
+func (k Key) content() contentID { return contentID(k[callerBytes:]) }
+
+// ofAny returns the key that stands for the same content from any caller.
+func (k Key) ofAny() Key {
+	copy(k[:callerBytes], anyCaller[:])
+	return k
+}
+
+// fingerprint returns a number that differs between keys.
+func (k Key) fingerprint() uint64 {
+	return binary.LittleEndian.Uint64(k[:8]) ^ binary.LittleEndian.Uint64(k[8:])
+}
--- /dev/null
+++ b/quarantine/state.go
@@ -0,0 +1,387 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+// Bounds of what is remembered.
+const (
+	// maxSubjects is the number of requests that are remembered, and maxPerCaller that
+	// of one caller: a caller with many requests that fail must not displace those of
+	// others.
+	maxSubjects  = 512
+	maxPerCaller = 64
+	// maxDescription bounds the caller and the path that are kept of a request, in bytes.
+	maxDescription = 96
+)
+
+// Request is a request at one service, which may be one of many.
+type Request struct {
+	Key Key
+	// ID is the ID of this repeat of the request.
+	ID string
+	// Caller and Path describe the request to operators.
+	Caller, Path string
+	// Service is the service that the request, or this part of it, is sent to.
+	Service string
+	// Sharded is true if the request is sent to many services.
+	Sharded bool
+}
+
+// Verdict is what to do with an attempt of a request.
+type Verdict int
+
+// Verdicts.
+const (
+	Send   Verdict = iota // send it
+	Wait                  // ask again soon: another attempt or an objection may decide
+	Refuse                // do not send it
+)
+
+// Options configures a State.
+type Options struct {
+	// Self is the name of this process.
+	Self string
+	// StartedAt is when the process started.
+	StartedAt time.Time
+}
+
+// State is what one process knows of requests under which targets have ended. It is not
+// safe for concurrent use.
+type State struct {
+	opts     Options
+	recent   recent
+	subjects map[Key]*subject
+	// byContent and perCaller index subjects.
+	byContent map[contentID][]*subject
+	perCaller map[callerID]int
+	changes   []Change
+	bandwidth bandwidth
+	turn      int // of the subjects in regular messages
+}
+
+// Change is a request that was quarantined or released.
+type Change struct {
+	Report
+	// Released is true if the quarantine has ended.
+	Released bool
+}
+
+// New returns a State that knows nothing.
+func New(opts Options) *State {
+	return &State{
+		opts: opts, recent: recent{epoch: opts.StartedAt}, subjects: map[Key]*subject{},
+		byContent: map[contentID][]*subject{}, perCaller: map[callerID]int{},
+		bandwidth: bandwidth{available: burstBytes, at: opts.StartedAt},
+	}
+}
+
+// Watching reports whether any request is suspected. If not, completions need only be
+// remembered once for each request.
+func (s *State) Watching() bool { return len(s.subjects) > 0 }
+
+// Broke records that the connection to a target ended while the target ran a request.
+// Confirm must tell later whether the target has ended.
+func (s *State) Broke(now time.Time, r *Request, run Run) { s.record(now, r, run, false) }
+
+func (s *State) record(now time.Time, r *Request, run Run, confirmed bool) {
+	e := end{Run: run, caller: r.Key.caller(), confirmed: confirmed}
+	whole := s.subject(now, r.Key)
+	whole.describe(r.Caller, r.Path)
+	s.addEnd(now, whole, e)
+	if r.Sharded && !whole.soundAt.IsZero() {
+		// Targets of other services complete the request: those of this one may not.
+		part := s.subject(now, r.Key.At(r.Service))
+		part.describe(r.Caller, r.Path+" at "+r.Service)
+		s.addEnd(now, part, e)
+	}
+}
+
+// addEnd adds an end to what is known of a request, and of the same content from any
+// caller if several callers sent it.
+func (s *State) addEnd(now time.Time, j *subject, e end) {
+	if !j.add(e) {
+		return
+	}
+	s.learned(now, j)
+	if j.key.caller() == anyCaller {
+		return
+	}
+	related := s.byContent[j.key.content()]
+	if len(related) < minCallers {
+		return
+	}
+	any := s.subject(now, j.key.ofAny())
+	any.describe("", j.path)
+	for _, other := range slices.Clone(related) {
+		if other == any {
+			continue
+		}
+		for i := range other.ends {
+			if any.add(other.ends[i]) {
+				s.learned(now, any)
+			}
+		}
+	}
+}
+
+// Confirm records whether the run of a target has ended.
+func (s *State) Confirm(now time.Time, target string, incarnation int64, ended bool) {
+	for _, j := range s.subjects {
+		if j.confirm(target, incarnation, ended) {
+			s.learned(now, j)
+		}
+	}
+}
+
+// learned judges a request whose ends have changed.
+func (s *State) learned(now time.Time, j *subject) {
+	j.changedAt = now
+	j.pushes = max(j.pushes, pushesOfEnd)
+	switch onTrial := j.quarantined && j.trial != "" && j.trialEnded(); {
+	case onTrial:
+		j.failedTrials++
+		s.convict(now, j)
+	case !j.quarantined && j.suffices(j.evidence(now, false)):
+		s.convict(now, j)
+	}
+}
+
+// trialEnded reports whether a target has ended in the trial.
+func (s *subject) trialEnded() bool {
+	for i := range s.ends {
+		if e := &s.ends[i]; e.confirmed && e.EndedAt.After(s.trialEnds.Add(-trialTime)) {
+			return true
+		}
+	}
+	return false
+}
+
+// convict begins a term of quarantine.
+func (s *State) convict(now time.Time, j *subject) {
+	j.quarantined, j.convictedAt, j.until, j.trial = true, now, now.Add(j.term()), ""
+	j.pushes = pushesOfVerdict
+	s.changes = append(s.changes, Change{Report: j.report(now)})
+}
+
+// Completed records that a target has completed a request at a service.
+func (s *State) Completed(now time.Time, r *Request) {
+	s.recent.add(now, r.Key)
+	s.recent.add(now, r.Key.ofAny())
+	if !s.Watching() {
+		return
+	}
+	s.completed(now, r.Key, now)
+	s.completed(now, r.Key.ofAny(), now)
+	if r.Sharded {
+		part := r.Key.At(r.Service)
+		s.completed(now, part, now)
+		s.completed(now, part.ofAny(), now)
+	}
+}
+
+// completed records a completion of a request that is suspected.
+func (s *State) completed(now time.Time, k Key, at time.Time) {
+	j := s.subjects[k]
+	if j == nil {
+		return
+	}
+	suspected := len(j.ends) > 0 || j.quarantined
+	if j.setSound(at) && suspected {
+		j.changedAt = now
+		j.pushes = max(j.pushes, pushesOfEnd)
+		s.releaseSound(now, j)
+	}
+}
+
+// releaseSound ends the quarantine of a request if too little speaks against it since it
+// was last completed.
+func (s *State) releaseSound(now time.Time, j *subject) {
+	if !j.quarantined || len(j.ends) >= minEnds {
+		return
+	}
+	j.quarantined, j.failedTrials, j.trial = false, 0, ""
+	j.pushes = pushesOfVerdict
+	s.changes = append(s.changes, Change{Report: j.report(now), Released: true})
+}
+
+// Refusal returns how long a request is refused, or zero if it may be sent.
+func (s *State) Refusal(now time.Time, r *Request) time.Duration {
+	var wait time.Duration
+	s.eachSubject(r, func(j *subject) {
+		if j.quarantined && !j.objectionOpen(now) && j.trial != r.ID && !s.trialDue(now, j) {
+			wait = max(wait, j.waitFor(now))
+		}
+	})
+	if wait > 0 {
+		s.countRefusal(now, r)
+	}
+	return wait
+}
+
+func (s *State) countRefusal(now time.Time, r *Request) {
+	s.eachSubject(r, func(j *subject) {
+		if j.quarantined {
+			j.refused++
+			j.changedAt = now
+		}
+	})
+}
+
+// eachSubject calls f with what is known of a request: from its caller and from any, and at
+// its service if that is one of many.
+func (s *State) eachSubject(r *Request, f func(*subject)) {
+	if !s.Watching() {
+		return
+	}
+	keys := [...]Key{r.Key, r.Key.ofAny(), {}, {}}
+	n := 2
+	if r.Sharded && r.Service != "" {
+		keys[2] = r.Key.At(r.Service)
+		keys[3] = keys[2].ofAny()
+		n = 4
+	}
+	for _, k := range keys[:n] {
+		if j := s.subjects[k]; j != nil {
+			f(j)
+		}
+	}
+}
+
+// objectionOpen reports whether a process may still object to the quarantine of a
+// request.
+func (s *subject) objectionOpen(now time.Time) bool {
+	return s.failedTrials == 0 && now.Sub(s.convictedAt) < objectionTime
+}
+
+// waitFor returns how long a quarantined request is refused at least.
+func (s *subject) waitFor(now time.Time) time.Duration {
+	return max(s.until.Sub(now), s.trialEnds.Sub(now), trialSpread)
+}
+
+// trialDue reports whether this process may try a quarantined request at one target.
+func (s *State) trialDue(now time.Time, j *subject) bool {
+	spread := time.Duration(float64(trialSpread) * phase(s.opts.Self, j.key))
+	return !now.Before(j.until.Add(spread)) && now.After(j.trialEnds)
+}
+
+// Check returns what to do with an attempt of a request of which inProgress attempts are in
+// progress. If it returns Send for a quarantined request, the attempt is its trial.
+func (s *State) Check(now time.Time, r *Request, inProgress int) Verdict {
+	verdict := Send
+	var due []*subject
+	s.eachSubject(r, func(j *subject) {
+		v, trial := s.check(now, j, r, inProgress)
+		if trial {
+			due = append(due, j)
+		}
+		verdict = max(verdict, v)
+	})
+	if verdict == Send && inProgress > 0 && s.relatedQuarantined(r) {
+		verdict = Wait
+	}
+	if verdict != Send {
+		return verdict
+	}
+	for _, j := range due {
+		j.trial, j.trialEnds = r.ID, now.Add(trialTime)
+		j.changedAt, j.pushes = now, pushesOfVerdict
+	}
+	return Send
+}
+
+// check judges an attempt by one subject. Trial is true if the attempt would be its trial.
+func (s *State) check(now time.Time, j *subject, r *Request, inProgress int) (v Verdict, trial bool) {
+	switch {
+	case !j.quarantined:
+		if j.suffices(j.evidence(now, true)) || (inProgress > 0 && j.suspected(now)) {
+			return Wait, false
+		}
+		return Send, false
+	case j.objectionOpen(now):
+		return Wait, false
+	case j.trial == r.ID && now.Before(j.trialEnds):
+		return Wait, false
+	case s.trialDue(now, j):
+		return Send, true
+	}
+	return Refuse, false
+}
+
+// relatedQuarantined reports whether a request with the same content from another caller is
+// quarantined. A request is then sent to one target at a time.
+func (s *State) relatedQuarantined(r *Request) bool {
+	return slices.ContainsFunc(s.byContent[r.Key.content()], func(j *subject) bool { return j.quarantined })
+}
+
+// Tick forgets what is too old to count.
+func (s *State) Tick(now time.Time) {
+	for _, j := range s.subjects {
+		if j.expired(now) {
+			s.forget(j)
+		}
+	}
+}
+
+// subject returns what is known of a request, which it begins to remember.
+func (s *State) subject(now time.Time, k Key) *subject {
+	if j := s.subjects[k]; j != nil {
+		return j
+	}
+	s.makeRoom(k.caller())
+	j := &subject{key: k, changedAt: now, soundAt: s.recent.at(k)}
+	s.subjects[k] = j
+	s.byContent[k.content()] = append(s.byContent[k.content()], j)
+	s.perCaller[k.caller()]++
+	return j
+}
+
+// makeRoom forgets the request that matters least if there is no room for another one of
+// the caller.
+func (s *State) makeRoom(caller callerID) {
+	ofCaller := caller != anyCaller && s.perCaller[caller] >= maxPerCaller
+	if !ofCaller && len(s.subjects) < maxSubjects {
+		return
+	}
+	var least *subject
+	for _, j := range s.subjects {
+		if (!ofCaller || j.key.caller() == caller) && (least == nil || lighter(j, least) < 0) {
+			least = j
+		}
+	}
+	s.forget(least)
+}
+
+func (s *State) forget(j *subject) {
+	delete(s.subjects, j.key)
+	content := j.key.content()
+	related := slices.DeleteFunc(s.byContent[content], func(other *subject) bool { return other == j })
+	if len(related) == 0 {
+		delete(s.byContent, content)
+	} else {
+		s.byContent[content] = related
+	}
+	if s.perCaller[j.key.caller()]--; s.perCaller[j.key.caller()] == 0 {
+		delete(s.perCaller, j.key.caller())
+	}
+}
+
+// describe keeps a description of the request for operators.
+func (s *subject) describe(caller, path string) {
+	if s.caller == "" {
+		s.caller = truncate(caller)
+	}
+	if s.path == "" {
+		s.path = truncate(path)
+	}
+}
+
+func truncate(text string) string { return text[:min(len(text), maxDescription)] }
+
+// TakeChanges returns the requests that were quarantined or released since the last call.
+func (s *State) TakeChanges() []Change {
+	changes := s.changes
+	s.changes = nil
+	return changes
+}
--- a/upstream/call.go
+++ b/upstream/call.go
@@ -5,6 +5,7 @@
 import (
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/goldcrestmux/goldcrestmux/pushback"
@@ -33,7 +34,17 @@
 	// whichever is earlier.
 	Deadline time.Time
 
+	// Sharded is true if the call is sent to many services.
+	Sharded bool
+
 	prefix []byte // request line and headers that all attempts share, encoded
+	// completed is true once a target has completed the call.
+	completed atomic.Bool
+}
+
+// Quarantine returns the call at a service as package quarantine knows it.
+func (c *Call) Quarantine(service string) *quarantine.Request {
+	return &quarantine.Request{Key: c.Key, ID: c.ID, Caller: c.Caller, Path: c.Path(), Service: service, Sharded: c.Sharded}
 }
 
 // Path returns the path of the request without its query.
@@ -122,6 +133,8 @@
 	// closeAt is when the connection of an abandoned attempt is closed if no
 	// response has arrived.
 	closeAt time.Time
+	// sentAt is when a connection was assigned.
+	sentAt time.Time
 }
 
 type attemptState int
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -64,6 +64,7 @@
 	p.mu.Lock()
 	t.openConns--
 	a.state = stateDone
+	incarnation := t.entry.Incarnation
 	t.stats.Unreachable(now, a.StartedAt, isTimeout(err))
 	done := []*Result{}
 	if !a.abandoned {
@@ -73,6 +74,9 @@
 		done = append(done, p.failWaiting(t, err)...)
 	}
 	p.mu.Unlock()
+	if refusesConnections(err) {
+		p.opts.Guard.Confirm(now, t.ID, incarnation, true)
+	}
 	p.emit(Event{Message: "target unreachable", TargetID: t.ID, Service: t.Service, RequestID: a.Call.ID, Err: err})
 	deliver(done)
 }
@@ -187,6 +191,10 @@
 		}
 	}
 	report := active && !a.abandoned
+	broke := active && brokenByTarget(err)
+	if broke {
+		p.verifyEnd(c.target, now, a)
+	}
 	p.mu.Unlock()
 	if report {
 		p.emit(Event{
@@ -255,6 +263,9 @@
 	open := !c.closed
 	report := !a.abandoned
 	p.mu.Unlock()
+	if r.Outcome == Responded && r.Signature != "" && a.Call.Key.Known() {
+		p.opts.Guard.Completed(r.EndedAt, a.Call.Quarantine(t.Service), !a.Call.completed.Swap(true))
+	}
 	if report {
 		a.results <- r
 	}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"slices"
 	"sync"
@@ -10,6 +11,7 @@
 
 	"github.com/goldcrestmux/goldcrestmux/balance"
 	"github.com/goldcrestmux/goldcrestmux/catalog"
+	"github.com/goldcrestmux/goldcrestmux/quarantine"
 	"github.com/goldcrestmux/goldcrestmux/share"
 )
 
@@ -34,6 +36,8 @@
 	// nothing in the second after it, as an earlier incarnation of the process may have
 	// used that rate.
 	StartedAt time.Time
+	// Guard is told how the targets fare that run requests; New creates one if nil.
+	Guard *quarantine.Guard
 	// OnEvent is called with events of connections for logs and metrics; may be nil.
 	// It must not block.
 	OnEvent func(Event)
@@ -102,6 +106,9 @@
 
 // New returns a pool without targets.
 func New(opts Options) *Pool {
+	if opts.Guard == nil {
+		opts.Guard = quarantine.NewGuard(quarantine.Options{StartedAt: time.Now()}, slog.New(slog.DiscardHandler))
+	}
 	p := &Pool{
 		opts: opts, targets: map[string]*Target{}, services: map[string]*service{},
 		busy: map[*conn]struct{}{}, removed: map[string]removedTarget{},
@@ -110,6 +117,9 @@
 	return p
 }
 
+// Guard returns the guard that is told how the targets fare.
+func (p *Pool) Guard() *quarantine.Guard { return p.opts.Guard }
+
 func (p *Pool) getBuffer() []byte { return (*p.buffers.Get().(*[]byte))[:0] }
 
 func (p *Pool) putBuffer(b []byte) { p.buffers.Put(&b) }
@@ -360,6 +370,7 @@
 	c.current = a
 	c.lastID = a.Call.ID
 	c.writing = true
+	a.sentAt = time.Now()
 	a.conn = c
 	a.state = stateSent
 	p.busy[c] = struct{}{}
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -30,6 +30,9 @@
 	coldRate      share.RateLimiter
 	// pushback is what the target has asked of its callers.
 	pushback pushback.State
+	// verifying is true while a connection is about to be opened that tells whether the
+	// target has ended.
+	verifying bool
 	// removed is set by Pool.retire. No new requests are sent to the target.
 	removed bool
 	// evacuated is true if the data centre of the target is evacuated.
