Recognise repeats of a crashing request whose queries differ

The rule calls a request the same by path, caller and body, not by query.

Cause: the key contained the query, so that each query counted alone.

Change: a request has a second key without the query. What speaks against a path is outweighed by completions of any query for it, so that one query does not make a path unusable for the others.

--- a/entry/gather.go
+++ b/entry/gather.go
@@ -155,7 +155,7 @@
 		Header: req.Call.Header, Body: req.Call.Body, HasBody: req.Call.HasBody,
 		LeftMicros:    uint64(max(req.Call.Deadline.Sub(now), 0).Microseconds()),
 		ElapsedMicros: uint64(max(now.Sub(req.ReceivedAt), 0).Microseconds()), NewConnection: req.NewConnection,
-		Caller: req.Call.Caller, Key: req.Call.Key,
+		Caller: req.Call.Caller, Keys: req.Call.Keys,
 	}
 }
 
@@ -213,7 +213,7 @@
 		Call: &upstream.Call{
 			ID: q.RequestID, Method: q.Method, URI: q.URI, Host: q.Host, Header: q.Header, Body: q.Body, HasBody: q.HasBody,
 			Deadline: time.Now().Add(time.Duration(q.LeftMicros)*time.Microsecond - transitTime - hopMargin),
-			Caller:   q.Caller, Key: q.Key,
+			Caller:   q.Caller, Keys: q.Keys,
 		},
 		Route: route, Version: v.Version, ConfirmedAt: g.p.follower.ConfirmedAt(), ReceivedAt: receivedAt,
 		NewConnection: q.NewConnection, HopMargin: hopMargin, For: peer,
--- a/forward/response.go
+++ b/forward/response.go
@@ -59,7 +59,7 @@
 		return Response{}, false
 	}
 	resp = Response{Status: http.StatusServiceUnavailable, RetryAfter: delayed(wait, req.Call.ID), Reason: ReasonQuarantined}
-	e.opts.Logger.Info("request finished", "id", req.Call.ID, "request", req.Call.Key, "route", req.Route.Name, "version", req.Version,
+	e.opts.Logger.Info("request finished", "id", req.Call.ID, "request", req.Call.Keys.Exact, "route", req.Route.Name, "version", req.Version,
 		"status", resp.Status, "reason", resp.Reason, "retry_after", resp.RetryAfter, "attempts", 0, "for", req.For)
 	return resp, true
 }
@@ -175,7 +175,7 @@
 		return
 	}
 	r.engine.opts.Logger.Info("request finished",
-		"id", r.req.Call.ID, "request", r.req.Call.Key, "route", r.req.Route.Name, "version", r.req.Version,
+		"id", r.req.Call.ID, "request", r.req.Call.Keys.Exact, "route", r.req.Route.Name, "version", r.req.Version,
 		"picture_age", r.req.ReceivedAt.Sub(r.req.ConfirmedAt),
 		"status", resp.Status, "reason", resp.Reason, "took", took, "late", late,
 		"shards", len(r.services), "in", r.plan.Responses(), "missing", r.missingShards(),
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -146,7 +146,7 @@
 	return route, &upstream.Call{
 		ID: meta.ID, Method: r.Method, URI: uri, Host: r.Host, Header: removeHopByHop(r.Header),
 		Body: body, HasBody: r.ContentLength != 0, Deadline: receivedAt.Add(timeout),
-		Caller: caller, Key: quarantine.KeyOf(caller, r.Method, r.Host, uri, string(body)),
+		Caller: caller, Keys: quarantine.KeysOf(caller, r.Method, r.Host, uri, body),
 	}, nil
 }
 
--- a/quarantine/key.go
+++ b/quarantine/key.go
@@ -10,6 +10,7 @@
 	"encoding/binary"
 	"encoding/hex"
 	"io"
+	"strings"
 )
 
 // Key identifies a request across its repeats: two requests have the same key if they
@@ -43,6 +44,41 @@
 	return h.Sum(nil)
 }
 
+// Keys identify a request by all of its content, and without its query: the query may be
+// another one in each repeat.
+type Keys struct {
+	// Exact is the key of all of the content, and Path that without the query; zero if
+	// there is none.
+	Exact Key `cbor:"1,keyasint"`
+	Path  Key `cbor:"2,keyasint"`
+}
+
+// KeysOf returns the keys of an HTTP request of a caller. The URI is the path, with the
+// query if there is one.
+func KeysOf(caller, method, host, uri string, body []byte) Keys {
+	content := string(body)
+	keys := Keys{Exact: KeyOf(caller, method, host, uri, content)}
+	if path, _, ok := strings.Cut(uri, "?"); ok {
+		keys.Path = KeyOf(caller, method, host, path, content)
+	}
+	return keys
+}
+
+// Known reports whether the request is identified.
+func (k *Keys) Known() bool { return k.Exact.Known() }
+
+// all returns the keys that are known.
+func (k *Keys) all() []Key {
+	both := [...]Key{k.Exact, k.Path}
+	switch {
+	case !k.Exact.Known():
+		return nil
+	case !k.Path.Known():
+		return both[:1]
+	}
+	return both[:]
+}
+
 // Known reports whether the key is set.
 func (k Key) Known() bool { return k != Key{} }
 
--- a/quarantine/recent.go
+++ b/quarantine/recent.go
@@ -4,7 +4,7 @@
 
 // recentSlots is the number of requests whose last completion is remembered, for
 // soundFor and the rates of requests of single VMs.
-const recentSlots = 4096
+const recentSlots = 16384
 
 // recent remembers when targets last completed requests, in bounded memory: a request may
 // replace another one.
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -126,7 +126,7 @@
 	j.told = true
 	before := j.quarantined
 	if r.SoundMillis > 0 {
-		s.completed(now, r.Key, now.Add(-age(r.SoundMillis-1)))
+		s.completed(now, j, now.Add(-age(r.SoundMillis-1)))
 	}
 	for _, e := range r.Ends[:min(len(r.Ends), maxReportedEnds)] {
 		ended := now.Add(-age(e.EndedMillis))
--- a/quarantine/state.go
+++ b/quarantine/state.go
@@ -18,7 +18,7 @@
 
 // Request is a request at one service, which may be one of many.
 type Request struct {
-	Key Key
+	Keys Keys
 	// ID is the ID of this repeat of the request.
 	ID string
 	// Caller and Path describe the request to operators.
@@ -86,15 +86,17 @@
 func (s *State) Broke(now time.Time, r *Request, run Run) { s.record(now, r, run, false) }
 
 func (s *State) record(now time.Time, r *Request, run Run, confirmed bool) {
-	e := end{Run: run, caller: r.Key.caller(), confirmed: confirmed}
-	whole := s.subject(now, r.Key)
-	whole.describe(r.Caller, r.Path)
-	s.addEnd(now, whole, e)
-	if r.Sharded && !whole.soundAt.IsZero() {
-		// Targets of other services complete the request: those of this one may not.
-		part := s.subject(now, r.Key.At(r.Service))
-		part.describe(r.Caller, r.Path+" at "+r.Service)
-		s.addEnd(now, part, e)
+	for _, k := range r.Keys.all() {
+		e := end{Run: run, caller: k.caller(), confirmed: confirmed}
+		whole := s.subject(now, k)
+		whole.describe(r.Caller, r.Path)
+		s.addEnd(now, whole, e)
+		if r.Sharded && !whole.soundAt.IsZero() {
+			// Targets of other services complete the request: those of this one may not.
+			part := s.subject(now, k.At(r.Service))
+			part.describe(r.Caller, r.Path+" at "+r.Service)
+			s.addEnd(now, part, e)
+		}
 	}
 }
 
@@ -167,26 +169,15 @@
 
 // Completed records that a target has completed a request at a service.
 func (s *State) Completed(now time.Time, r *Request) {
-	s.recent.add(now, r.Key)
-	s.recent.add(now, r.Key.ofAny())
-	if !s.Watching() {
-		return
-	}
-	s.completed(now, r.Key, now)
-	s.completed(now, r.Key.ofAny(), now)
-	if r.Sharded {
-		part := r.Key.At(r.Service)
-		s.completed(now, part, now)
-		s.completed(now, part.ofAny(), now)
+	for _, k := range r.Keys.all() {
+		s.recent.add(now, k)
+		s.recent.add(now, k.ofAny())
 	}
+	s.eachSubject(r, func(j *subject) { s.completed(now, j, now) })
 }
 
 // completed records a completion of a request that is suspected.
-func (s *State) completed(now time.Time, k Key, at time.Time) {
-	j := s.subjects[k]
-	if j == nil {
-		return
-	}
+func (s *State) completed(now time.Time, j *subject, at time.Time) {
 	suspected := len(j.ends) > 0 || j.quarantined
 	if j.setSound(at) && suspected {
 		j.changedAt = now
@@ -235,18 +226,20 @@
 	if !s.Watching() {
 		return
 	}
-	keys := [...]Key{r.Key, r.Key.ofAny(), {}, {}}
-	n := 2
-	if r.Sharded && r.Service != "" {
-		keys[2] = r.Key.At(r.Service)
-		keys[3] = keys[2].ofAny()
-		n = 4
-	}
-	for _, k := range keys[:n] {
+	one := func(k Key) {
 		if j := s.subjects[k]; j != nil {
 			f(j)
 		}
 	}
+	for _, k := range r.Keys.all() {
+		one(k)
+		one(k.ofAny())
+		if r.Sharded && r.Service != "" {
+			part := k.At(r.Service)
+			one(part)
+			one(part.ofAny())
+		}
+	}
 }
 
 // objectionOpen reports whether a process may still object to the quarantine of a
@@ -312,7 +305,9 @@
 // relatedQuarantined reports whether a request with the same content from another caller is
 // quarantined. A request is then sent to one target at a time.
 func (s *State) relatedQuarantined(r *Request) bool {
-	return slices.ContainsFunc(s.byContent[r.Key.content()], func(j *subject) bool { return j.quarantined })
+	return slices.ContainsFunc(r.Keys.all(), func(k Key) bool {
+		return slices.ContainsFunc(s.byContent[k.content()], func(j *subject) bool { return j.quarantined })
+	})
 }
 
 // Tick forgets what is too old to count.
--- a/quarantine/state_test.go
+++ b/quarantine/state_test.go
@@ -20,7 +20,7 @@
 }
 
 func request(caller, path string) *Request {
-	return &Request{Key: KeyOf(caller, path), Caller: caller, Path: path, Service: "s1", ID: "r1"}
+	return &Request{Keys: KeysOf(caller, "GET", "h", path, nil), Caller: caller, Path: path, Service: "s1", ID: "r1"}
 }
 
 // crash lets the request run for 30 ms at a target that then ends.
@@ -288,7 +288,7 @@
 	if n := len(p.subjects); n > maxSubjects {
 		t.Errorf("%d requests are remembered, want at most %d", n, maxSubjects)
 	}
-	if p.settle(); !p.subjects[r.Key].quarantined {
+	if p.settle(); !p.subjects[r.Keys.Exact].quarantined {
 		t.Error("the quarantine of a request was forgotten")
 	}
 	if len(p.byContent) > len(p.subjects) || len(p.perCaller) > len(p.subjects) {
@@ -312,3 +312,33 @@
 		t.Error("a request without ends is watched")
 	}
 }
+
+// Guards against a request whose repeats have other queries being taken for many requests.
+func TestQueriesOfRepeatsMayDiffer(t *testing.T) {
+	p := newProcess("a")
+	for i := range 3 {
+		p.crash(request("c", fmt.Sprint("/x?page=", i)))
+	}
+	if p.settle(); !p.refused(request("c", "/x?page=9")) {
+		t.Error("not refused after three ends under the same path with other queries")
+	}
+	if p.refused(request("c", "/y?page=1")) {
+		t.Error("a request for another path is refused")
+	}
+}
+
+// Guards against a query that crashes targets making the path unusable for the others.
+func TestOtherQueriesOfPathAreServed(t *testing.T) {
+	p, sound := newProcess("a"), request("c", "/x?q=sound")
+	for range 5 {
+		p.Completed(p.now, sound)
+		p.crash(request("c", "/x?q=crash"))
+		p.settle()
+	}
+	if !p.refused(request("c", "/x?q=crash")) {
+		t.Error("the query under which targets ended is not refused")
+	}
+	if p.refused(sound) || p.Check(p.now, sound, 0) != Send {
+		t.Error("another query for the path is refused")
+	}
+}
--- a/upstream/call.go
+++ b/upstream/call.go
@@ -28,8 +28,8 @@
 	HasBody bool
 	// Caller identifies who sent the request.
 	Caller string
-	// Key identifies the request across its repeats, which have IDs of their own.
-	Key quarantine.Key
+	// Keys identify the request across its repeats, which have IDs of their own.
+	Keys quarantine.Keys
 	// Deadline is when the caller stops waiting or the timeout of the route expires,
 	// whichever is earlier.
 	Deadline time.Time
@@ -44,7 +44,7 @@
 
 // Quarantine returns the call at a service as package quarantine knows it.
 func (c *Call) Quarantine(service string) *quarantine.Request {
-	return &quarantine.Request{Key: c.Key, ID: c.ID, Caller: c.Caller, Path: c.Path(), Service: service, Sharded: c.Sharded}
+	return &quarantine.Request{Keys: c.Keys, ID: c.ID, Caller: c.Caller, Path: c.Path(), Service: service, Sharded: c.Sharded}
 }
 
 // Path returns the path of the request without its query.
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -199,7 +199,7 @@
 	if report {
 		p.emit(Event{
 			Message: "attempt broken", TargetID: c.target.ID, Service: c.target.Service, RequestID: a.Call.ID, Err: err,
-			Details: []any{"request", a.Call.Key, "caller", a.Call.Caller, "path", a.Call.Path(), "ran", now.Sub(a.StartedAt), "extra", a.Extra},
+			Details: []any{"request", a.Call.Keys.Exact, "caller", a.Call.Caller, "path", a.Call.Path(), "ran", now.Sub(a.StartedAt), "extra", a.Extra},
 		})
 		a.results <- &Result{Attempt: a, Outcome: Broken, Err: err, EndedAt: now}
 	}
@@ -263,7 +263,7 @@
 	open := !c.closed
 	report := !a.abandoned
 	p.mu.Unlock()
-	if r.Outcome == Responded && r.Signature != "" && a.Call.Key.Known() {
+	if r.Outcome == Responded && r.Signature != "" && a.Call.Keys.Known() {
 		p.opts.Guard.Completed(r.EndedAt, a.Call.Quarantine(t.Service), !a.Call.completed.Swap(true))
 	}
 	if report {
--- a/upstream/verify.go
+++ b/upstream/verify.go
@@ -28,7 +28,7 @@
 // verifyEnd tells the guard that a connection ended while the target ran an attempt, and
 // finds out whether the target has ended. mu must be held.
 func (p *Pool) verifyEnd(t *Target, now time.Time, a *Attempt) {
-	if !a.Call.Key.Known() {
+	if !a.Call.Keys.Known() {
 		return
 	}
 	p.opts.Guard.Broke(now, a.Call.Quarantine(t.Service), quarantine.Run{
--- a/wire/query.go
+++ b/wire/query.go
@@ -23,9 +23,9 @@
 	ElapsedMicros uint64 `cbor:"11,keyasint,omitempty"`
 	// NewConnection is true if the caller opened its connection for this request.
 	NewConnection bool `cbor:"12,keyasint,omitempty"`
-	// Caller and Key identify who sent the request, and the request across its repeats.
-	Caller string         `cbor:"13,keyasint,omitempty"`
-	Key    quarantine.Key `cbor:"14,keyasint"`
+	// Caller and Keys identify who sent the request, and the request across its repeats.
+	Caller string          `cbor:"13,keyasint,omitempty"`
+	Keys   quarantine.Keys `cbor:"14,keyasint"`
 }
 
 // QueryResponse is the response to a Query.
