Count no failure of a target as a completion of the request

Cause: a response with status 500 or more that a target signs was taken for a completion. For 10 s after that no end counted against the request: in a request to many shards, one such target is enough.

The simulated fleets with bystanders, added here, refute another explanation: news of the requests that were in progress at the same targets do not hold up those of the culprit (sent once with 9, 75 and 195 processes).

--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -375,3 +375,56 @@
 		}
 	})
 }
+
+// Guards against the news of a request that crashes targets being held up by those of the
+// requests that were in progress at the same targets. Each repeat ends a target of each of
+// many shards at once, then those that its retry goes to, and others are in progress there.
+func TestBystandersDoNotHoldUpNews(t *testing.T) {
+	const (
+		shards     = 20
+		bystanders = 12
+	)
+	for _, n := range []int{9, 75, 195} {
+		for seed := range uint64(4) {
+			f := newFleet(seed, n)
+			f.run(time.Second, nil)
+			from := f.now
+			repeats := 0
+			f.run(20*time.Second, func(elapsed time.Duration) {
+				if elapsed%time.Second != 0 {
+					return
+				}
+				repeats++
+				i := f.rng.IntN(n)
+				culprit := *request("c", "/x")
+				if p := f.processes[i]; p.Refusal(f.now, &culprit) > 0 || p.Check(f.now, &culprit, 0) != Send {
+					return
+				}
+				f.sent = append(f.sent, f.now)
+				for wave := range 2 { // the first attempts, then the retries
+					at := f.now.Add(time.Duration(wave) * 40 * time.Millisecond)
+					for range shards {
+						f.targets++
+						run := Run{Target: fmt.Sprint("i-000000000", f.targets), StartedAt: at, EndedAt: at.Add(30 * time.Millisecond)}
+						f.endAt(i, culprit, run)
+						for b := range bystanders {
+							f.endAt(b*7%n, *request(fmt.Sprint("c", b), fmt.Sprint("/bystander/", repeats, "/", b)), run)
+						}
+					}
+					f.crashed = append(f.crashed, at, at, at)
+				}
+			})
+			if late := f.lateSent(); late > lateSends {
+				t.Errorf("%d processes, seed %d: sent %d times late, allowed %d", n, seed, late, lateSends)
+			}
+			t.Logf("%d processes, seed %d: sent %d times", n, seed, len(f.sent))
+			f.checkBytes(t, from)
+		}
+	}
+}
+
+// endAt records the end of a run of a target while process i ran the request there.
+func (f *fleet) endAt(i int, r Request, run Run) {
+	f.processes[i].Broke(run.EndedAt, &r, run)
+	f.processes[i].Confirm(run.EndedAt, run.Target, 0, true)
+}
--- a/upstream/call.go
+++ b/upstream/call.go
@@ -111,6 +111,18 @@
 	EndedAt time.Time
 }
 
+// completes reports whether the target has completed the request. One that fails, such as
+// one that gives up at its deadline, may have been about to crash.
+func (r *Result) completes() bool {
+	switch {
+	case r.Outcome != Responded || r.Signature == "":
+		return false
+	case r.Status == http.StatusRequestTimeout || r.Status == http.StatusTooManyRequests:
+		return false
+	}
+	return r.Status < http.StatusInternalServerError
+}
+
 // Attempt is one try of a call, or of one shard of it, at one target.
 type Attempt struct {
 	Call *Call
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -263,7 +263,7 @@
 	open := !c.closed
 	report := !a.abandoned
 	p.mu.Unlock()
-	if r.Outcome == Responded && r.Signature != "" && a.Call.Keys.Known() {
+	if r.completes() && a.Call.Keys.Known() {
 		p.opts.Guard.Completed(r.EndedAt, a.Call.Quarantine(t.Service), !a.Call.completed.Swap(true))
 	}
 	if report {
