Ask again whether a target has ended if a connection attempt times out

A process that is busy, as when many targets end at once, may learn of the refusal later; the end was then dropped.

--- a/quarantine/subject.go
+++ b/quarantine/subject.go
@@ -26,7 +26,7 @@
 	// evidenceRetention is how long an end counts.
 	evidenceRetention = 10 * time.Minute
 	// confirmTimeout is how long an end counts that is not confirmed.
-	confirmTimeout = time.Second
+	confirmTimeout = 2 * time.Second
 	// maxEnds bounds the ends that are kept of one request.
 	maxEnds = 8
 )
--- a/upstream/verify.go
+++ b/upstream/verify.go
@@ -16,6 +16,10 @@
 // do not close at the same instant.
 const verifyDelay = 15 * time.Millisecond
 
+// verifyAttempts is how often a connection is attempted that times out. All attempts end
+// before package quarantine stops to wait for their result.
+const verifyAttempts = 4
+
 // brokenByTarget reports whether the target, or the network, ended a connection. Other
 // failures are decisions of this process.
 func brokenByTarget(err error) bool {
@@ -48,9 +52,16 @@
 	p.mu.Lock()
 	t.verifying = false // what breaks from now on is verified by another connection
 	p.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), p.opts.DialTimeout)
-	nc, err := p.opts.Dial(ctx, "tcp", address)
-	cancel()
+	var nc net.Conn
+	var err error
+	for range verifyAttempts {
+		ctx, cancel := context.WithTimeout(context.Background(), p.opts.DialTimeout)
+		nc, err = p.opts.Dial(ctx, "tcp", address)
+		cancel()
+		if err == nil || !isTimeout(err) {
+			break // a timeout tells nothing: this process may be busy
+		}
+	}
 	p.opts.Guard.Confirm(time.Now(), t.ID, incarnation, refusesConnections(err))
 	if err == nil {
 		p.adopt(t, nc)
