--- a/scenario/commands.go
+++ b/scenario/commands.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net/http"
 	"os"
 	"slices"
 	"strconv"
@@ -49,6 +50,7 @@
 		"config":   (*script).changeConfig,
 		"target":   (*script).changeTargets,
 		"load":     (*script).runLoad,
+		"repeat":   (*script).repeat,
 		"mark":     (*script).mark,
 		"until":    (*script).until,
 		"expect":   (*script).expect,
@@ -327,6 +329,28 @@
 	return parsePlan(append([]string{"search=" + s.tier.layout.Searches[0].Name}, args...))
 }
 
+// repeat sends a query with the same text to the gateways in turn, whatever the responses.
+func (s *script) repeat(_ *testscript.TestScript, args []string) error {
+	if len(args) != 3 {
+		return errUsage
+	}
+	n, err := strconv.Atoi(args[0])
+	if err != nil {
+		return errors.Trace(err)
+	}
+	gap, err := time.ParseDuration(args[1])
+	if err != nil {
+		return errors.Trace(err)
+	}
+	client := &http.Client{Timeout: probeTimeout}
+	gateways := s.tier.gateways()
+	for i := range n {
+		_ = querySearch(client, gateways[i%len(gateways)], s.tier.layout.Searches[0].Name, args[2]) // targets may crash
+		time.Sleep(gap)
+	}
+	return nil
+}
+
 func (s *script) mark(_ *testscript.TestScript, args []string) error {
 	var after time.Duration
 	switch len(args) {
--- a/scenario/scenario.go
+++ b/scenario/scenario.go
@@ -23,6 +23,8 @@
 //	config MODE [DATACENTRE...]    mode up, down, stale or torn
 //	target SELECTOR KEY[=VALUE]... change targets: "all", a data centre or names
 //	                               joined by commas; keys of standin.TargetChange
+//	repeat N GAP TEXT              send N queries with the same text, one after the other
+//	                               with a gap, to the gateways in turn
 //	load start KEY=VALUE...|FILE   start load: keys of load.Stream and "duration",
 //	                               or a plan in JSON
 //	load wait                      wait for the end of the load
@@ -33,7 +35,7 @@
 //	                               check until it holds or the duration has passed
 //
 // A document is "load" (the last report), "ledger" (the summary of the stand-in's
-// ledger), "ledger@MARK" (the same, in which started_since counts from the mark), or
+// ledger), "ledger@MARK" (the same, in which started_since and crashes_since count from the mark), or
 // "state:PROCESS", where PROCESS may also be "all", "relays" or "gateways". All
 // selected values must fulfil the comparison. A path that selects no value has the
 // value 0. A VALUE that starts with "@" is a mark, one that starts with "." a path in
--- a/scenario/tier.go
+++ b/scenario/tier.go
@@ -17,6 +17,7 @@
 	"github.com/goldcrestmux/goldcrestmux/platformapi"
 	"github.com/goldcrestmux/goldcrestmux/proc"
 	"github.com/goldcrestmux/goldcrestmux/standin"
+	"github.com/goldcrestmux/goldcrestmux/targetapi"
 	"github.com/goldcrestmux/goldcrestmux/wire"
 )
 
@@ -295,7 +296,7 @@
 		return errors.Errorf("gateway %s is not ready", gateway)
 	}
 	for _, s := range t.layout.Searches {
-		if err := probeSearch(&client, gateway, s.Name); err != nil {
+		if err := querySearch(&client, gateway, s.Name, ""); err != nil {
 			return err
 		}
 	}
@@ -305,8 +306,13 @@
 // probeTimeout bounds a request of a probe.
 const probeTimeout = 2 * time.Second
 
-func probeSearch(client *http.Client, gateway, search string) error {
-	body := []byte(`{"query": {"limit": 1}}`)
+// querySearch sends a query with the given text and returns an error unless the response is
+// complete.
+func querySearch(client *http.Client, gateway, search, text string) error {
+	body, err := json.Marshal(map[string]any{"query": targetapi.Query{Text: text, Limit: 1}})
+	if err != nil {
+		return err
+	}
 	req, err := http.NewRequest(http.MethodPost, "http://"+gateway+"/v1/search/"+search, bytes.NewReader(body))
 	if err != nil {
 		return err
--- a/standin/change.go
+++ b/standin/change.go
@@ -55,6 +55,9 @@
 	WarmTime  *Duration `json:"warm_time,omitempty"`
 	Load      []string  `json:"load,omitempty"` // index versions to load
 	Drop      []string  `json:"drop,omitempty"` // index versions to unload
+	// CrashText makes a target crash when it runs a query with this text; empty for
+	// none.
+	CrashText *string `json:"crash_text,omitempty"`
 	// TurnCold starts a new, cold boot; requests in progress continue.
 	TurnCold bool `json:"turn_cold,omitempty"`
 	TurnWarm bool `json:"turn_warm,omitempty"`
@@ -111,6 +114,7 @@
 	setIf(&s.faults, c.Faults)
 	setIf(&s.claimWarm, c.ClaimWarm)
 	setIf(&s.healthLag, c.HealthLag)
+	setIf(&s.crashText, c.CrashText)
 	setIf(&s.partitionedDataCentres, c.PartitionedDataCentres)
 	setIf(&s.warmAfter, c.WarmAfter)
 	setIf(&s.warmTime, c.WarmTime)
--- a/standin/ledger.go
+++ b/standin/ledger.go
@@ -106,8 +106,11 @@
 	// requested time, with a resolution of 10 ms, or all executions if no time was
 	// requested.
 	StartedSince []DataCentreStarts `json:"started_since"`
-	Config       ConfigCalls        `json:"config"`
-	Targets      []TargetStats      `json:"targets"`
+	// CrashesSince counts the crashes that queries caused since the requested time, or
+	// all if no time was requested.
+	CrashesSince int           `json:"crashes_since"`
+	Config       ConfigCalls   `json:"config"`
+	Targets      []TargetStats `json:"targets"`
 }
 
 // ledger records the executions at all targets. Methods are safe for concurrent
@@ -119,6 +122,8 @@
 	actions    map[string]int
 	// starts counts executions by data centre and time bucket.
 	starts map[string]map[int64]uint64
+	// crashes are the times of the crashes that queries caused.
+	crashes []time.Time
 }
 
 func newLedger() *ledger {
@@ -160,6 +165,12 @@
 	}
 }
 
+func (l *ledger) countCrash() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.crashes = append(l.crashes, time.Now())
+}
+
 func (l *ledger) countNotRun(c code.Code) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -181,6 +192,11 @@
 		}
 	}
 	slices.SortFunc(s.RepeatedActions, func(a, b ActionRuns) int { return cmp.Compare(a.Action, b.Action) })
+	for _, at := range l.crashes {
+		if at.After(since) {
+			s.CrashesSince++
+		}
+	}
 	first := bucket(since.Add(startBucket - 1))
 	for dc, buckets := range l.starts {
 		starts := DataCentreStarts{DataCentre: dc}
--- a/standin/serve.go
+++ b/standin/serve.go
@@ -106,6 +106,10 @@
 		return
 	}
 	t.gate.wait()
+	if t.crashOn(&j.query) {
+		j.end(false)
+		panic(http.ErrAbortHandler)
+	}
 	if !j.end(true) {
 		panic(http.ErrAbortHandler)
 	}
--- a/standin/target.go
+++ b/standin/target.go
@@ -42,6 +42,7 @@
 	faults                 AnswerFaults
 	claimWarm              bool
 	healthLag              Duration
+	crashText              string
 	partitionedDataCentres []string
 	warmAfter              int
 	warmTime               Duration
@@ -195,6 +196,21 @@
 	})
 }
 
+// crashOn crashes the target if it is configured to crash on the query. It reports whether
+// it did.
+func (t *Target) crashOn(q *targetapi.Query) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.settings.crashText == "" || q.Text != t.settings.crashText {
+		return false
+	}
+	if t.listener != nil {
+		t.ledger.countCrash()
+		t.crash()
+	}
+	return true
+}
+
 // stopListening ends all requests in progress, resets all connections and refuses
 // new ones. t.mu must be held.
 func (t *Target) stopListening() {
