Send a query no more that crashes targets, on the path of gateways and relays

Cause: as on the users' platform, nothing counted what ends under a query; each gateway sent it anew, and up to four times for each shard.

Change: gateways and relays take part in the quarantine. The relay sees how the target ended and probes whether it has; the gateway, which sees the whole query, sends it to one target at a time and decides on trials; both refuse. Reports go over links, at once to the peers, with heartbeats, and all of them to a process that has just started. Refused requests get the code quarantined, not run, with when to come back.

An end after the end of the same run by more than 250 ms counts as another run: a target may be back under its name before its new incarnation is known.

--- a/code/code.go
+++ b/code/code.go
@@ -30,6 +30,7 @@
 	VersionNotLoaded   Code = "version_not_loaded"
 	NoReplica          Code = "no_replica"  // no usable replica can be reached through a relay
 	OverBudget         Code = "over_budget" // the retry budget of the target is exhausted
+	Quarantined        Code = "quarantined" // targets that run this request crash
 
 	// The request failed: the work may have run.
 	Timeout          Code = "timeout"
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -39,7 +39,7 @@
 			Mode: admission.Mode(s.Admission), MaxLimit: s.Concurrency, MaxQueue: s.QueueLength,
 		},
 		Hedge: hedge.Options{Mode: hedge.Mode(s.Hedging)}, ReplicaChoice: replica.Mode(s.ReplicaChoice),
-		Ready: p.ready,
+		Guard: p.guard, Ready: p.ready,
 	})
 	p.newNode(wire.RoleRelay, node.Events{Contracts: p.setContracts, MemberStatus: p.updateGatewayCount})
 	err := p.listen(level, func() any { return p.dump() },
--- a/daemon/process.go
+++ b/daemon/process.go
@@ -11,6 +11,7 @@
 	"github.com/goldcrestmux/goldcrestmux/node"
 	"github.com/goldcrestmux/goldcrestmux/operator"
 	"github.com/goldcrestmux/goldcrestmux/platformapi"
+	"github.com/goldcrestmux/goldcrestmux/quarantine"
 	"github.com/goldcrestmux/goldcrestmux/settings"
 	"github.com/goldcrestmux/goldcrestmux/wire"
 	"goji.io"
@@ -31,6 +32,7 @@
 	tomb     tomb.Tomb
 	pool     *link.Pool
 	node     *node.Node
+	guard    *quarantine.Guard
 	servers  []*server
 }
 
@@ -38,11 +40,13 @@
 // need not be complete before start is called.
 func newProcess(s *settings.Settings, log *slog.Logger, h link.Handler) *process {
 	id := newIdentity(s)
+	started := time.Now()
 	return &process{
+		guard:    quarantine.NewGuard(quarantine.Options{Self: id.Name(), StartedAt: started}, log),
 		settings: s,
 		self:     id,
 		log:      log,
-		started:  time.Now(),
+		started:  started,
 		pool: link.NewPool(link.Options{
 			Self: id, Handler: h, Logger: log, Liveness: livenessOptions(s),
 		}),
@@ -56,7 +60,7 @@
 		Self: p.self, Region: s.Region, Logger: p.log, Links: p.pool,
 		VMListClient:       platformapi.NewVMListClient(platformapi.ClientOptions{Address: hostOf(s.VMListURL), DataCentre: s.DataCentre}),
 		VMListPollInterval: s.VMListPollInterval, VMListMaxAge: s.VMListMaxAge,
-		HeartbeatInterval: s.HeartbeatInterval, Peers: s.Peers, PersistentLinkRole: persistentLinkRole, Events: events,
+		HeartbeatInterval: s.HeartbeatInterval, Peers: s.Peers, PersistentLinkRole: persistentLinkRole, Guard: p.guard, Events: events,
 	}
 	for _, url := range s.FolderURLs {
 		client := platformapi.NewConfigClient(platformapi.ClientOptions{Address: hostOf(url), DataCentre: s.DataCentre})
@@ -133,6 +137,8 @@
 	UptimeSecs int64        `json:"uptime_s"`
 	Node       node.State   `json:"node"`
 	Links      []LinkState  `json:"links"`
+	// Quarantine lists the requests under which targets have ended.
+	Quarantine []quarantine.SubjectState `json:"quarantine,omitempty"`
 }
 
 // LinkState describes one link in a state dump.
@@ -148,6 +154,7 @@
 		Process:    p.self,
 		UptimeSecs: int64(time.Since(p.started).Seconds()),
 		Node:       p.node.State(),
+		Quarantine: p.guard.States(time.Now()),
 	}
 	for _, l := range p.pool.Links() {
 		s.Links = append(s.Links, LinkState{
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -23,7 +23,7 @@
 	p.process = newProcess(s, log, p)
 	r, err := relay.New(relay.Options{
 		Self: p.self, Logger: log, Links: p.pool, Workers: s.Workers, QueuePerTarget: s.TargetQueue,
-		Permit: s.PermitOptions(), PerVM: s.Permits == settings.PermitsPerVM,
+		Guard: p.guard, Permit: s.PermitOptions(), PerVM: s.Permits == settings.PermitsPerVM,
 	})
 	if err != nil {
 		return nil, err
--- a/gateway/action.go
+++ b/gateway/action.go
@@ -52,6 +52,10 @@
 		return nil, noVersionError()
 	}
 	shard := pinned.shardOf(b.Action.Key)
+	guard := g.newQueryGuard(req, "action", payload, 1)
+	if err := guard.refusal(); err != nil {
+		return nil, err
+	}
 	out := g.execute(context.WithoutCancel(ctx), &task{
 		search:       req.search,
 		version:      pinned.version,
@@ -62,6 +66,7 @@
 		deadline:     req.deadline,
 		action:       true,
 		priority:     req.caller.Priority,
+		guard:        guard,
 	})
 	if out.coverage.Complete() {
 		return &ActionResponse{ID: b.ID, Search: req.search.Name, Shard: shard.Name}, nil
--- a/gateway/exec.go
+++ b/gateway/exec.go
@@ -112,6 +112,7 @@
 	deadline     time.Time
 	action       bool
 	priority     int
+	guard        *queryGuard
 }
 
 // outcome is the result of executing a task.
@@ -144,6 +145,7 @@
 		},
 		Router: router,
 		Budget: router,
+		Guard:  t.guard,
 	})
 	x := &execution{gateway: g, task: t, id: id, box: box, machine: m}
 	x.run(ctx)
@@ -254,6 +256,7 @@
 		Deadline: x.task.deadline,
 		Action:   x.task.action,
 		Priority: uint8(x.task.priority),
+		Key:      x.task.guard.request.Keys.Exact,
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/goldcrestmux/goldcrestmux/folder"
 	"github.com/goldcrestmux/goldcrestmux/hedge"
 	"github.com/goldcrestmux/goldcrestmux/link"
+	"github.com/goldcrestmux/goldcrestmux/quarantine"
 	"github.com/goldcrestmux/goldcrestmux/replica"
 	"github.com/goldcrestmux/goldcrestmux/wire"
 )
@@ -40,6 +41,8 @@
 	Hedge hedge.Options
 	// ReplicaChoice selects how a replica is chosen.
 	ReplicaChoice replica.Mode
+	// Guard decides which requests are no longer sent to targets.
+	Guard *quarantine.Guard
 	// Ready reports whether the process may serve, and if not, the reason.
 	Ready func() (bool, string)
 }
@@ -63,6 +66,7 @@
 // code.NotReady until SetContracts is called.
 func New(opts Options) *Gateway {
 	opts.MaxBody = cmp.Or(opts.MaxBody, DefaultMaxBody)
+	opts.Guard = opts.Guard.OrNew(opts.Logger)
 	g := &Gateway{
 		opts:  opts,
 		links: opts.Links,
--- a/gateway/search.go
+++ b/gateway/search.go
@@ -58,6 +58,10 @@
 	t := &task{
 		search: req.search, payload: payload, deadline: req.deadline,
 		softDeadline: earliest(now.Add(req.search.StragglerWait), req.deadline), priority: req.caller.Priority,
+		guard: g.newQueryGuard(req, "search", payload, len(pinned.shards)),
+	}
+	if err := t.guard.refusal(); err != nil {
+		return nil, err
 	}
 	runStatus := code.NotRun
 	for restarts := 0; ; restarts++ {
--- a/node/members.go
+++ b/node/members.go
@@ -67,7 +67,7 @@
 // process.
 func (n *Node) heartbeatFrame(now time.Time, updates []wire.MemberUpdate) *wire.Frame {
 	offer := n.folder.offer()
-	return &wire.Frame{Members: updates, FolderOffer: &offer, VMListOffer: n.vmList.offer(now)}
+	return &wire.Frame{Members: updates, FolderOffer: &offer, VMListOffer: n.vmList.offer(now), QuarantineReports: n.opts.Guard.Regular(now, false)}
 }
 
 func (n *Node) sendHeartbeat(to string, f *wire.Frame) {
--- a/node/node.go
+++ b/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/goldcrestmux/goldcrestmux/link"
 	"github.com/goldcrestmux/goldcrestmux/member"
 	"github.com/goldcrestmux/goldcrestmux/platformapi"
+	"github.com/goldcrestmux/goldcrestmux/quarantine"
 	"github.com/goldcrestmux/goldcrestmux/revision"
 	"github.com/goldcrestmux/goldcrestmux/vmlist"
 	"github.com/goldcrestmux/goldcrestmux/wire"
@@ -80,24 +81,29 @@
 	// PersistentLinkRole is the role of the processes that persistent links are
 	// kept to; empty means none.
 	PersistentLinkRole wire.Role
-	Events             Events
+	// Guard is what this process knows of requests that crash targets. It is exchanged
+	// with the peers.
+	Guard  *quarantine.Guard
+	Events Events
 }
 
 // Node drives the state machines that gateways and relays have in common. Its
 // methods are safe for concurrent use.
 //
 // Lock order: the mu of at most one driver (members, folder, vmList) is held at a
-// time. Only locks of package link are acquired while it is held.
+// time, or that of reportExchange. Only locks of package link are acquired while it is held.
 type Node struct {
 	opts    Options
 	tomb    tomb.Tomb
 	members *memberDriver
 	folder  *folderDriver
 	vmList  *vmListDriver
+	reports *reportExchange
 }
 
 // New returns a node that is not started.
 func New(opts Options) *Node {
+	opts.Guard = opts.Guard.OrNew(opts.Logger)
 	n := &Node{opts: opts}
 	n.members = &memberDriver{
 		node: n,
@@ -109,6 +115,7 @@
 		Validate: validate,
 		Rand:     rand.New(rand.NewPCG(opts.Self.Incarnation, folderSeed)),
 	})
+	n.reports = &reportExchange{node: n, incarnations: map[string]uint64{}}
 	n.vmList = &vmListDriver{node: n, tracker: vmlist.New(vmlist.Options{MaxAge: opts.VMListMaxAge})}
 	return n
 }
@@ -146,6 +153,7 @@
 	n.members.receiveFrame(from, f)
 	n.folder.receiveFrame(from.Name(), f)
 	n.vmList.receiveFrame(from.Name(), f)
+	n.reports.receiveFrame(from, f)
 }
 
 // tick calls the state machines at intervals and detects pauses of the process.
@@ -158,6 +166,9 @@
 		select {
 		case <-n.tomb.Dying():
 			return nil
+		case <-n.opts.Guard.News():
+			n.reports.spread(time.Now())
+			continue
 		case <-ticker.C:
 		}
 		now := time.Now()
@@ -168,6 +179,7 @@
 		n.members.tick(now)
 		n.folder.tick()
 		n.vmList.tick(now)
+		n.reports.tick(now)
 	}
 }
 
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -28,6 +28,14 @@
 	return &Guard{logger: logger, news: make(chan struct{}, 1), state: New(opts)}
 }
 
+// OrNew returns the guard, or a new one that knows nothing if it is nil.
+func (g *Guard) OrNew(logger *slog.Logger) *Guard {
+	if g != nil {
+		return g
+	}
+	return NewGuard(Options{StartedAt: time.Now()}, logger)
+}
+
 // News has a value when Urgent should be called.
 func (g *Guard) News() <-chan struct{} { return g.news }
 
@@ -97,6 +105,17 @@
 	return g.state.Refusal(now, r)
 }
 
+// Blocked reports whether a request must not reach a target. A process that sends requests
+// on behalf of those that decide on trials goes by it.
+func (g *Guard) Blocked(now time.Time, r *Request) bool {
+	if !g.watching.Load() {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.state.Blocked(now, r)
+}
+
 // Check returns what to do with an attempt of a request of which inProgress attempts are in
 // progress.
 func (g *Guard) Check(now time.Time, r *Request, inProgress int) Verdict {
--- a/quarantine/state.go
+++ b/quarantine/state.go
@@ -211,6 +211,15 @@
 	return wait
 }
 
+// Blocked reports whether a request must not reach a target. A process that sends requests
+// on behalf of those that decide on trials goes by it.
+func (s *State) Blocked(now time.Time, r *Request) (blocked bool) {
+	s.eachSubject(r, func(j *subject) {
+		blocked = blocked || (j.quarantined && !j.objectionOpen(now) && now.Before(j.until) && now.After(j.trialEnds))
+	})
+	return blocked
+}
+
 func (s *State) countRefusal(now time.Time, r *Request) {
 	s.eachSubject(r, func(j *subject) {
 		if j.quarantined {
--- a/quarantine/subject.go
+++ b/quarantine/subject.go
@@ -34,7 +34,8 @@
 // Run is one run of a target, from its start to its end, and the time in which it ran
 // a request.
 type Run struct {
-	// Target is the target's ID, and Incarnation distinguishes its runs.
+	// Target is the target's ID, and Incarnation distinguishes its runs; zero if it is
+	// not known.
 	Target      string
 	Incarnation int64
 	// StartedAt is when the request was sent, EndedAt when the connection ended.
@@ -54,6 +55,22 @@
 	return e.Target == target && e.Incarnation == incarnation
 }
 
+// restartGap is the time after the end of a run from which a request that is sent to the
+// target runs in another one. It exceeds the time in which processes notice the end.
+const restartGap = 250 * time.Millisecond
+
+// same reports whether a later end is of the same run. If an incarnation is not known, ends
+// of a target that are close in time are.
+func (e *end) same(later *end) bool {
+	switch {
+	case e.Target != later.Target:
+		return false
+	case e.Incarnation == 0 || later.Incarnation == 0:
+		return e.EndedAt.Sub(later.EndedAt).Abs() < confirmTimeout && !later.StartedAt.After(e.EndedAt.Add(restartGap))
+	}
+	return e.Incarnation == later.Incarnation && !later.StartedAt.After(e.EndedAt.Add(restartGap))
+}
+
 // subject is what is known of the repeats of one request.
 type subject struct {
 	key Key
@@ -90,9 +107,10 @@
 		return false
 	}
 	for i := range s.ends {
-		if known := &s.ends[i]; known.sameRun(e.Target, e.Incarnation) {
+		if known := &s.ends[i]; known.same(&e) {
 			changed := e.confirmed && !known.confirmed
 			known.confirmed = known.confirmed || e.confirmed
+			known.Incarnation = cmp.Or(known.Incarnation, e.Incarnation)
 			return changed
 		}
 	}
--- a/query/attempt.go
+++ b/query/attempt.go
@@ -6,6 +6,7 @@
 
 	"github.com/goldcrestmux/goldcrestmux/attempt"
 	"github.com/goldcrestmux/goldcrestmux/code"
+	"github.com/goldcrestmux/goldcrestmux/quarantine"
 	"github.com/goldcrestmux/goldcrestmux/replica"
 	"github.com/goldcrestmux/goldcrestmux/wire"
 )
@@ -14,6 +15,16 @@
 func (m *Machine) sendNext(now time.Time, i int) {
 	s := &m.shards[i]
 	s.retryAt = time.Time{}
+	switch m.check(now, i) {
+	case quarantine.Wait:
+		s.retryAt = now.Add(quarantineRecheck)
+		m.wakeBy(s.retryAt)
+		return
+	case quarantine.Refuse:
+		m.settleMissing(i, code.Quarantined)
+		m.finishIfSettled(now)
+		return
+	}
 	route, c := m.opts.Router.Pick(now, m.opts.Shards[i].Replicas, replica.FirstAttempt, s.excluded)
 	if c != code.OK {
 		m.retryRouteLater(now, s, c)
@@ -34,6 +45,14 @@
 	}
 }
 
+// check returns what the guard says of an attempt for a shard.
+func (m *Machine) check(now time.Time, i int) quarantine.Verdict {
+	if m.opts.Guard == nil {
+		return quarantine.Send
+	}
+	return m.opts.Guard.Check(now, m.opts.Shards[i].Name, m.inProgress)
+}
+
 // retryRouteLater schedules another search for a route. Replicas that failed
 // before may be tried again then, except those that lack the pinned version.
 func (m *Machine) retryRouteLater(now time.Time, s *shardState, reason code.Code) {
@@ -50,6 +69,9 @@
 func (m *Machine) hedge(now time.Time, i int) {
 	s := &m.shards[i]
 	s.hedged = true
+	if m.check(now, i) != quarantine.Send {
+		return
+	}
 	exclude := m.excludeInProgress(i, s.excluded)
 	route, c := m.opts.Router.Pick(now, m.opts.Shards[i].Replicas, replica.ExtraAttempt, exclude)
 	if c != code.OK || !m.opts.Budget.TryExtra(now, route.Target) {
@@ -92,6 +114,7 @@
 	}
 	s := &m.shards[i]
 	s.inProgress++
+	m.inProgress++
 	a := attemptState{
 		Attempt: Attempt{
 			ID:    id,
@@ -184,6 +207,8 @@
 	a.done = true
 	m.tracker.Set(uint64(a.ID), attempt.StateOf(r.Run))
 	m.shards[a.shard].inProgress--
+	m.inProgress--
+	m.tellGuard(now, a, r)
 	o := Outcome{
 		Code:         r.Code,
 		Elapsed:      now.Sub(a.sent),
@@ -198,6 +223,17 @@
 	m.opts.Router.Done(now, a.Route, o)
 }
 
+// tellGuard tells the guard how the target fared that ran an attempt.
+func (m *Machine) tellGuard(now time.Time, a *attemptState, r *wire.SubResponse) {
+	switch {
+	case m.opts.Guard == nil:
+	case r.Code == code.OK:
+		m.opts.Guard.Completed(now, a.Shard)
+	case r.Code == code.ConnectionBroken && r.Target != "":
+		m.opts.Guard.Broke(now, a.Shard, a.Route.Target, a.sent)
+	}
+}
+
 // acceptResponse settles a shard with a response and cancels its other attempts.
 func (m *Machine) acceptResponse(now time.Time, i int, r *wire.SubResponse) {
 	m.shards[i].settled = true
@@ -230,6 +266,11 @@
 		m.restartOrSettleMissing(now, a.shard, r.Code)
 		return
 	}
+	if r.Code == code.Quarantined {
+		m.settleMissing(a.shard, r.Code)
+		m.finishIfSettled(now)
+		return
+	}
 	if !m.tracker.MayRetry(!m.opts.Action) {
 		m.settleMissing(a.shard, r.Code)
 		m.finishIfSettled(now)
--- a/query/query.go
+++ b/query/query.go
@@ -11,6 +11,7 @@
 	"github.com/goldcrestmux/goldcrestmux/attempt"
 	"github.com/goldcrestmux/goldcrestmux/code"
 	"github.com/goldcrestmux/goldcrestmux/coverage"
+	"github.com/goldcrestmux/goldcrestmux/quarantine"
 	"github.com/goldcrestmux/goldcrestmux/replica"
 	"github.com/goldcrestmux/goldcrestmux/wire"
 )
@@ -24,6 +25,9 @@
 	// without a usable replica; it doubles up to maxRouteRetryDoublings times.
 	routeRetryDelay        = 5 * time.Millisecond
 	maxRouteRetryDoublings = 3
+	// quarantineRecheck is the time between two questions whether an attempt may be sent
+	// that waits for what others tell of its request.
+	quarantineRecheck = 5 * time.Millisecond
 	// budgetRetryDelay is the time until a retry that the budget denied is
 	// requested again.
 	budgetRetryDelay = 20 * time.Millisecond
@@ -102,6 +106,20 @@
 	Action bool
 	Router Router
 	Budget Budget
+	// Guard may be nil.
+	Guard Guard
+}
+
+// Guard decides whether a request that may crash the targets that run it is sent.
+type Guard interface {
+	// Check returns what to do with an attempt for a shard while inProgress attempts of
+	// the query are in progress.
+	Check(now time.Time, shard string, inProgress int) quarantine.Verdict
+	// Broke records that the connection to a target ended while it ran an attempt that
+	// was sent at the given time.
+	Broke(now time.Time, shard, target string, sent time.Time)
+	// Completed records that a target completed an attempt for a shard.
+	Completed(now time.Time, shard string)
 }
 
 // Status is the state of a query.
@@ -137,10 +155,12 @@
 	status   Status
 	shards   []shardState
 	attempts []attemptState
-	pending  int       // number of shards that are not settled
-	due      time.Time // no retry or hedge is due earlier; zero if none is scheduled
-	tracker  *attempt.Tracker
-	actions  Actions
+	pending  int // number of shards that are not settled
+	// inProgress is the number of attempts in progress.
+	inProgress int
+	due        time.Time // no retry or hedge is due earlier; zero if none is scheduled
+	tracker    *attempt.Tracker
+	actions    Actions
 }
 
 type shardState struct {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -15,6 +15,7 @@
 	"github.com/goldcrestmux/goldcrestmux/link"
 	"github.com/goldcrestmux/goldcrestmux/permit"
 	"github.com/goldcrestmux/goldcrestmux/platformapi"
+	"github.com/goldcrestmux/goldcrestmux/quarantine"
 	"github.com/goldcrestmux/goldcrestmux/target"
 	"github.com/goldcrestmux/goldcrestmux/wire"
 	"gopkg.in/tomb.v2"
@@ -45,6 +46,9 @@
 	QueuePerTarget int
 	// Permit configures the table of permits. Its Self is set from Self.
 	Permit permit.Options
+	// Guard is told how the targets fare that run requests, and decides which requests
+	// are no longer sent to them.
+	Guard *quarantine.Guard
 	// PerVM lets this relay use all slots of each target without permits, as a
 	// baseline for comparisons. It overloads targets if several relays run.
 	PerVM bool
@@ -75,6 +79,7 @@
 	opts.Workers = cmp.Or(opts.Workers, DefaultWorkers)
 	opts.QueuePerTarget = cmp.Or(opts.QueuePerTarget, DefaultQueuePerTarget)
 	opts.Permit.Self = opts.Self.Name()
+	opts.Guard = opts.Guard.OrNew(opts.Logger)
 	table, err := permit.New(time.Now(), opts.Permit)
 	if err != nil {
 		return nil, err
--- a/relay/work.go
+++ b/relay/work.go
@@ -90,6 +90,11 @@
 		r.finish(w, targetapi.Result{Code: code.PermitNotHeld, Run: code.NotRun})
 		return
 	}
+	if r.blocked(j) {
+		r.finish(w, targetapi.Result{Code: code.Quarantined, Run: code.NotRun})
+		return
+	}
+	startedAt := time.Now()
 	request := &targetapi.TargetRequest{
 		ID:      fmt.Sprintf("%d-%s-%d", j.id.link.Peer().Incarnation, j.id.link.Peer().VM, j.sub.ID),
 		Search:  j.batch.Search,
@@ -99,11 +104,14 @@
 	}
 	metrics.sent.Add(1)
 	deadline := r.targetDeadline(time.Now(), j.deadline)
+	var result targetapi.Result
 	if j.batch.Action {
-		r.finish(w, e.client.Do(j.ctx, targetapi.PathAction, request, deadline))
-		return
+		result = e.client.Do(j.ctx, targetapi.PathAction, request, deadline)
+	} else {
+		result = r.search(e, j, request, deadline)
 	}
-	r.finish(w, r.search(e, j, request, deadline))
+	r.tellGuard(w, startedAt, &result)
+	r.finish(w, result)
 }
 
 // targetDeadline returns the deadline of a request at a target: that of the query,
--- a/target/machine.go
+++ b/target/machine.go
@@ -253,6 +253,9 @@
 	return m.turnCold(now, "new boot", true)
 }
 
+// BootID returns the ID of the target's present boot, as far as known.
+func (m *Machine) BootID() string { return m.bootID }
+
 func (m *Machine) setBootID(bootID string) {
 	if bootID == "" || bootID == m.bootID {
 		return
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -36,7 +36,7 @@
 	// nothing in the second after it, as an earlier incarnation of the process may have
 	// used that rate.
 	StartedAt time.Time
-	// Guard is told how the targets fare that run requests; New creates one if nil.
+	// Guard is told how the targets fare that run requests; one that knows nothing if nil.
 	Guard *quarantine.Guard
 	// OnEvent is called with events of connections for logs and metrics; may be nil.
 	// It must not block.
@@ -106,9 +106,7 @@
 
 // New returns a pool without targets.
 func New(opts Options) *Pool {
-	if opts.Guard == nil {
-		opts.Guard = quarantine.NewGuard(quarantine.Options{StartedAt: time.Now()}, slog.New(slog.DiscardHandler))
-	}
+	opts.Guard = opts.Guard.OrNew(slog.New(slog.DiscardHandler))
 	p := &Pool{
 		opts: opts, targets: map[string]*Target{}, services: map[string]*service{},
 		busy: map[*conn]struct{}{}, removed: map[string]removedTarget{},
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/goldcrestmux/goldcrestmux/code"
+	"github.com/goldcrestmux/goldcrestmux/quarantine"
 )
 
 // Bounds of the link protocol versions that this build supports.
@@ -70,6 +71,7 @@
 	Queries             []Query              `cbor:"23,keyasint,omitempty"`
 	QueryResponses      []QueryResponse      `cbor:"24,keyasint,omitempty"`
 	QueryCancels        []QueryCancel        `cbor:"25,keyasint,omitempty"`
+	QuarantineReports   []quarantine.Report  `cbor:"26,keyasint,omitempty"`
 }
 
 // Hello opens a link in both directions and negotiates the protocol version.
@@ -106,6 +108,8 @@
 	SubRequests []SubRequest `cbor:"7,keyasint"`
 	// Priority is the caller's priority; 0 is the most urgent.
 	Priority uint8 `cbor:"8,keyasint,omitempty"`
+	// Key identifies the request across its repeats.
+	Key quarantine.Key `cbor:"9,keyasint"`
 	// Deadline is local to a process. Links convert it to DeadlineMicros when they
 	// send a batch, and back when they receive one.
 	Deadline time.Time `cbor:"-"`
