--- a/soak/check.go
+++ b/soak/check.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/goldcrestmux/goldcrestmux/forward"
 	"github.com/goldcrestmux/goldcrestmux/platform/platformtest"
 )
 
@@ -37,6 +38,8 @@
 	sentAt     map[string]time.Time // by request ID
 	rejected   map[string]int       // status by ID of requests that must not run
 	newestSeen map[string]int       // newest version by VM and incarnation
+
+	crashLog crashLog
 }
 
 func newChecker(b *testbed) *checker {
@@ -61,10 +64,13 @@
 // there was no complete response.
 func (c *checker) send(client *http.Client, v *vm, kind, id string) int {
 	method, path := http.MethodGet, "/"+kind+"/"+id
-	if kind == "once" {
+	switch kind {
+	case "once":
 		method = http.MethodPost
+	case "popular":
+		kind, path = "all", popularPath
 	}
-	req, err := http.NewRequest(method, "http://"+v.callerAddress+path, strings.NewReader("body of "+id))
+	req, err := http.NewRequest(method, "http://"+v.callerAddress+path, strings.NewReader(bodyOf(path, id)))
 	if err != nil {
 		c.addViolation("request %s: %v", id, err)
 		return 0
@@ -92,6 +98,9 @@
 		c.mu.Lock()
 		c.rejected[id] = resp.StatusCode
 		c.mu.Unlock()
+		if bytes.Contains(body, []byte(forward.ReasonQuarantined)) {
+			c.addViolation("%s: %s was refused as if it crashed targets", id, path)
+		}
 	case resp.StatusCode >= 300 && resp.StatusCode < 500:
 		c.addViolation("%s: a valid request got status %d", id, resp.StatusCode)
 	case resp.StatusCode == http.StatusOK && kind == "all":
@@ -102,6 +111,14 @@
 	return resp.StatusCode
 }
 
+// bodyOf returns the body of a request. That of the popular one is always the same.
+func bodyOf(path, id string) string {
+	if path == popularPath {
+		return "popular"
+	}
+	return "body of " + id
+}
+
 // checkGathered checks a gathered response against the records of the shards whose
 // signatures it has.
 func (c *checker) checkGathered(id string, h http.Header, body []byte) {
@@ -191,7 +208,7 @@
 			path, ok := c.sent[r.ID]
 			status := c.rejected[r.ID]
 			c.mu.Unlock()
-			if !ok || r.URI != path || r.Body != "body of "+r.ID {
+			if !ok || r.URI != path || r.Body != bodyOf(path, r.ID) {
 				c.addViolation("%s executed %s %s with body %.40q, which no caller sent", t.ID, r.ID, r.URI, r.Body)
 			}
 			if !strings.HasPrefix(path, "/once/") {
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -28,10 +28,12 @@
 // Proxy forwards loopback connections to one server. Its methods are safe for
 // concurrent use.
 type Proxy struct {
-	listener net.Listener
-	server   string // host and port
+	address string // host and port
+	server  string // host and port
 
 	mu          sync.Mutex
+	closed      bool
+	listener    net.Listener // nil after a crash
 	fault       Fault
 	connections map[*proxiedConn]struct{}
 	// lastFault is when the fault was last set or cleared.
@@ -51,13 +53,51 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: l, server: server, connections: map[*proxiedConn]struct{}{}}
-	go p.accept()
+	p := &Proxy{listener: l, address: l.Addr().String(), server: server, connections: map[*proxiedConn]struct{}{}}
+	go p.accept(l)
 	return p, nil
 }
 
 // Address returns the proxy's host and port.
-func (p *Proxy) Address() string { return p.listener.Addr().String() }
+func (p *Proxy) Address() string { return p.address }
+
+// Crash resets all connections and refuses new ones for a while, as if the process of the
+// server had ended. It reports whether the proxy was up.
+func (p *Proxy) Crash(downtime time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener == nil {
+		return false
+	}
+	_ = p.listener.Close() // ends accept
+	p.listener = nil
+	for c := range p.connections {
+		reset(c.client)
+		reset(c.server)
+	}
+	time.AfterFunc(downtime, p.listen)
+	return true
+}
+
+// listen accepts connections again after a crash. It tries again later if the address is in
+// use, as it may be that of a connection of another process for a while.
+func (p *Proxy) listen() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return
+	}
+	l, err := net.Listen("tcp", p.address)
+	if err != nil {
+		time.AfterFunc(listenRetryInterval, p.listen)
+		return
+	}
+	p.listener = l
+	go p.accept(l)
+}
+
+// listenRetryInterval is the time between two attempts to listen again.
+const listenRetryInterval = 100 * time.Millisecond
 
 // SetFault sets the fault. NoFault ends it, but connections that stalled stay so.
 func (p *Proxy) SetFault(f Fault) {
@@ -89,9 +129,9 @@
 	_ = c.Close() // it may be closed already
 }
 
-func (p *Proxy) accept() {
+func (p *Proxy) accept(l net.Listener) {
 	for {
-		client, err := p.listener.Accept()
+		client, err := l.Accept()
 		if err != nil {
 			return
 		}
@@ -150,6 +190,11 @@
 
 // Close stops the proxy and resets its connections.
 func (p *Proxy) Close() {
-	_ = p.listener.Close() // ends accept
+	p.mu.Lock()
+	p.closed = true
+	if p.listener != nil {
+		_ = p.listener.Close() // ends accept
+	}
+	p.mu.Unlock()
 	p.SetFault(Reset)
 }
--- a/soak/run.go
+++ b/soak/run.go
@@ -58,6 +58,7 @@
 	}
 	defer b.close()
 	c := newChecker(b)
+	c.crashTargets()
 	time.Sleep(startupTime)
 	stop := make(chan struct{})
 	var callers sync.WaitGroup
@@ -68,6 +69,7 @@
 	inj.inject(o.FaultDuration)
 	time.Sleep(recoveryTime)
 	inj.checkWithoutFaults()
+	inj.checkCrashes()
 	inj.checkPushback()
 	close(stop)
 	callers.Wait()
@@ -82,7 +84,7 @@
 func (c *checker) runCaller(seed uint64, n int, stop <-chan struct{}) {
 	rng := rand.New(rand.NewPCG(seed, uint64(n)+100))
 	client := &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 4}, Timeout: 3 * time.Second}
-	kinds := []string{"all", "all", "once", "probe"}
+	kinds := []string{"all", "all", "once", "probe", "popular"}
 	for i := 0; ; i++ {
 		select {
 		case <-stop:
@@ -147,6 +149,7 @@
 		{"requests refused", inj.refuse},
 		{"limit named", inj.limit},
 		{"pause asked for", inj.requestPause},
+		{"request that crashes targets", inj.crashRequest},
 		{"shard disconnected", inj.disconnectShard},
 		{"version published", func(*vm, *target, time.Duration) { inj.testbed.configure() }},
 		{"store restored from a copy", inj.restoreStore},
