--- a/entry/gather_test.go
+++ b/entry/gather_test.go
@@ -8,10 +8,12 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/goldcrestmux/goldcrestmux/catalog"
 	"github.com/goldcrestmux/goldcrestmux/delegate"
 	"github.com/goldcrestmux/goldcrestmux/forward"
 	"github.com/goldcrestmux/goldcrestmux/mesh"
+	"github.com/goldcrestmux/goldcrestmux/quarantine"
 	"github.com/goldcrestmux/goldcrestmux/upstream"
 	"github.com/goldcrestmux/goldcrestmux/wire"
 )
@@ -70,6 +72,23 @@
 	}
 }
 
+// Guards against a request that crashes targets not being recognised at a peer that gathers
+// it for others.
+func TestPeerKnowsRequestByItsKeys(t *testing.T) {
+	call := &upstream.Call{ID: "id", Caller: "10.0.0.1", Keys: quarantine.KeysOf("10.0.0.1", "GET", "h", "/x?q=1", nil)}
+	data, err := cbor.Marshal(newQuery(&forward.Request{Call: call}, time.Now()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var q wire.Query
+	if err := cbor.Unmarshal(data, &q); err != nil {
+		t.Fatal(err)
+	}
+	if q.Keys != call.Keys || q.Caller != call.Caller || !q.Keys.Known() {
+		t.Errorf("the peer gets the keys %v of caller %q, want %v of %q", q.Keys, q.Caller, call.Keys, call.Caller)
+	}
+}
+
 func TestOutcomeOfRequestAtPeer(t *testing.T) {
 	canceled, cancel := context.WithCancel(context.Background())
 	cancel()
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -85,7 +85,12 @@
 // send sends one request whose deadline is after timeout, and returns its result.
 func send(t *testing.T, p *Pool, id string, timeout time.Duration) Result {
 	t.Helper()
-	call := &Call{ID: id, Method: "GET", URI: "/x", Host: "h", Deadline: time.Now().Add(timeout)}
+	return sendCall(t, p, &Call{ID: id, Method: "GET", URI: "/x", Host: "h", Deadline: time.Now().Add(timeout)})
+}
+
+// sendCall sends a call and returns its result.
+func sendCall(t *testing.T, p *Pool, call *Call) Result {
+	t.Helper()
 	p.Prepare(call)
 	results := make(chan *Result, 1)
 	a, _ := p.Start(call, 0, AttemptOptions{
--- a/upstream/verify_test.go
+++ b/upstream/verify_test.go
@@ -5,35 +5,28 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
-	"github.com/goldcrestmux/goldcrestmux/balance"
 	"github.com/goldcrestmux/goldcrestmux/quarantine"
 )
 
 // repeatOf is the keys of a request that tests send repeatedly.
 var repeatOf = quarantine.KeysOf("caller", "GET", "h", "/x", nil)
 
+// sendKeyed sends a repeat of a request that waits for timeout, and returns its result.
+func sendKeyed(t *testing.T, p *Pool, id string, timeout time.Duration) Result {
+	t.Helper()
+	return sendCall(t, p, &Call{ID: id, Method: "GET", URI: "/x", Host: "h", Keys: repeatOf, Deadline: time.Now().Add(timeout)})
+}
+
 // sendRepeat sends a repeat of a request and returns how it ended.
 func sendRepeat(t *testing.T, p *Pool, id string) Outcome {
 	t.Helper()
-	call := &Call{ID: id, Method: "GET", URI: "/x", Host: "h", Keys: repeatOf, Deadline: time.Now().Add(time.Second)}
-	p.Prepare(call)
-	results := make(chan *Result, 1)
-	a, _ := p.Start(call, 0, AttemptOptions{Service: "s1", Deadline: call.Deadline, Profile: balance.Profile{Expected: time.Millisecond, OverdueAfter: time.Second}}, results)
-	if a == nil {
-		t.Fatal("no target")
-	}
-	select {
-	case r := <-results:
-		return r.Outcome
-	case <-time.After(3 * time.Second):
-		t.Fatal("no result")
-		return 0
-	}
+	return sendKeyed(t, p, id, time.Second).Outcome
 }
 
 // refused reports whether repeats are refused once no process may object any more.
@@ -126,3 +119,51 @@
 		}
 	}
 }
+
+// Guards against targets that lost power or cannot be reached being taken for targets that
+// the request ended: their connections stay silent, and later they are reset by a host that
+// is up again.
+func TestSilentTargetIsNoEndOfTarget(t *testing.T) {
+	var conns atomic.Int32
+	var silent []net.Conn
+	var mu sync.Mutex
+	p := poolWith(t, serve(t, &conns, func(nc net.Conn, _ *http.Request) bool {
+		mu.Lock()
+		silent = append(silent, nc)
+		mu.Unlock()
+		time.Sleep(2 * time.Second)
+		return false
+	}))
+	endUnder(p, 2)
+	var wg sync.WaitGroup
+	for i := range 2 {
+		wg.Go(func() {
+			if r := sendKeyed(t, p, fmt.Sprint("silent-", i), 100*time.Millisecond); r.Outcome != Broken {
+				t.Errorf("outcome %v", r.Outcome)
+			}
+		})
+	}
+	wg.Wait()
+	if refused(p) {
+		t.Fatal("refused after targets that were silent")
+	}
+	for i := range 2 {
+		wg.Go(func() {
+			if r := sendKeyed(t, p, fmt.Sprint("returned-", i), 3*time.Second); r.Outcome != Broken {
+				t.Errorf("outcome %v", r.Outcome)
+			}
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	mu.Lock()
+	for _, nc := range silent {
+		_ = nc.(*net.TCPConn).SetLinger(0)
+		_ = nc.Close()
+	}
+	mu.Unlock()
+	wg.Wait()
+	time.Sleep(10 * verifyDelay)
+	if refused(p) {
+		t.Error("refused after a host that was away reset its connections")
+	}
+}
