--- a/soak/check.go
+++ b/soak/check.go
@@ -36,6 +36,7 @@
 	counts     map[string]int
 	sent       map[string]string    // path by request ID
 	sentAt     map[string]time.Time // by request ID
+	sentTo     map[string]string    // name of the VM by request ID
 	rejected   map[string]int       // status by ID of requests that must not run
 	newestSeen map[string]int       // newest version by VM and incarnation
 
@@ -44,7 +45,7 @@
 
 func newChecker(b *testbed) *checker {
 	return &checker{
-		testbed: b, counts: map[string]int{}, sent: map[string]string{}, sentAt: map[string]time.Time{}, rejected: map[string]int{}, newestSeen: map[string]int{},
+		testbed: b, counts: map[string]int{}, sent: map[string]string{}, sentAt: map[string]time.Time{}, sentTo: map[string]string{}, rejected: map[string]int{}, newestSeen: map[string]int{},
 	}
 }
 
@@ -78,7 +79,7 @@
 	req.Host = platformtest.Host
 	platformtest.SetRequestHeaders(req.Header, id, callerTimeout)
 	c.mu.Lock()
-	c.sent[id], c.sentAt[id] = path, time.Now()
+	c.sent[id], c.sentAt[id], c.sentTo[id] = path, time.Now(), v.name
 	c.mu.Unlock()
 	sentAt, incarnation := time.Now(), v.incarnation()
 	resp, err := client.Do(req)
--- a/soak/pushback.go
+++ b/soak/pushback.go
@@ -21,8 +21,11 @@
 	askedPause  = 4 * time.Second
 	pauseNotice = 500 * time.Millisecond
 	pauseSlack  = 2
-	// toldTime is longer than it takes until each process has had a response of the target.
+	// toldTime is longer than it takes until the processes that use the target have had a
+	// response of it.
 	toldTime = 2 * time.Second
+	// responseTime is longer than a response of the target takes.
+	responseTime = 100 * time.Millisecond
 )
 
 // nameLimit makes a target name its limit in all responses.
@@ -80,10 +83,33 @@
 		platformtest.TellLeaving(w.Header())
 		return false
 	})
-	told := time.Now().Add(toldTime)
+	since := time.Now()
 	time.Sleep(toldTime + drainPeriod + limitWindow)
-	if n := arrivals(leaving, told.Add(drainPeriod), time.Now()); n > 0 {
-		c.addViolation("%s got %d requests later than %v after it said that it is leaving", leaving.ID, n, drainPeriod)
+	c.checkLeaving(leaving, since)
+}
+
+// checkLeaving checks that a target which has said since the given time that it is leaving
+// gets no requests from VMs that it told so longer than drainPeriod ago. A VM is told by the
+// response to its first request.
+func (c *checker) checkLeaving(t *target, since time.Time) {
+	c.mu.Lock()
+	first := map[string]time.Time{} // arrival by VM
+	late := 0
+	for _, a := range t.Arrivals() {
+		if a.At.Before(since) {
+			continue
+		}
+		vm := c.sentTo[a.ID]
+		if first[vm].IsZero() {
+			first[vm] = a.At
+		}
+		if a.At.Sub(first[vm]) > drainPeriod+responseTime {
+			late++
+		}
+	}
+	c.mu.Unlock()
+	if late > 0 {
+		c.addViolation("%s got %d requests later than %v after it said that it is leaving to the VM that sent them", t.ID, late, drainPeriod)
 	}
 }
 
