Simplify how ends are judged and told, and spare the usual request an allocation

No change of what is decided. The pool tells the guard with its lock released, as its comment on locks says; the number of shards that were refused is in the line of the request.

--- a/forward/active_request.go
+++ b/forward/active_request.go
@@ -199,7 +199,7 @@
 		if !ok {
 			return
 		}
-		switch r.engine.opts.Pool.Guard().Check(now, r.req.Call.Quarantine(r.services[i]), r.inProgress) {
+		switch r.check(now, i) {
 		case quarantine.Wait:
 			r.plan.Hold(i, now.Add(quarantineRecheck))
 			continue
@@ -240,6 +240,15 @@
 	}
 }
 
+// check returns what to do with an attempt at shard i, as the request may crash targets.
+func (r *activeRequest) check(now time.Time, i int) quarantine.Verdict {
+	guard := r.engine.opts.Pool.Guard()
+	if !guard.Watching() {
+		return quarantine.Send // the usual case, which costs no allocation
+	}
+	return guard.Check(now, r.req.Call.Quarantine(r.services[i]), r.inProgress)
+}
+
 // attemptDeadline returns when the response to an attempt is no longer useful.
 // After that a sharded request is completed without the shard, so the target
 // need not continue to work on it.
--- a/forward/response.go
+++ b/forward/response.go
@@ -181,7 +181,7 @@
 		"shards", len(r.services), "in", r.plan.Responses(), "missing", r.missingShards(),
 		"attempts", len(r.attempts), "extra", r.extraAttempts, "denied_by_budget", r.denied,
 		"refused", r.failures[upstream.Refused], "broken", r.failures[upstream.Broken],
-		"not_sent", r.failures[upstream.NotSent], "misdirected", r.failures[upstream.Misdirected], "for", r.req.For)
+		"not_sent", r.failures[upstream.NotSent], "misdirected", r.failures[upstream.Misdirected], "quarantined", r.quarantined, "for", r.req.For)
 }
 
 // missingShards returns the services of shards that have not responded, each
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -39,6 +39,9 @@
 // News has a value when Urgent should be called.
 func (g *Guard) News() <-chan struct{} { return g.news }
 
+// Watching reports whether any request is suspected. If not, all attempts may be sent.
+func (g *Guard) Watching() bool { return g.watching.Load() }
+
 // update changes the state and logs what has come of it.
 func (g *Guard) update(f func(s *State)) {
 	g.mu.Lock()
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -124,7 +124,7 @@
 	j := s.subject(now, r.Key)
 	j.describe(r.Caller, r.Path)
 	j.told = true
-	before := j.quarantined
+	wasQuarantined := j.quarantined
 	if r.SoundMillis > 0 {
 		s.completed(now, j, now.Add(-age(r.SoundMillis-1)))
 	}
@@ -140,17 +140,18 @@
 		s.addEnd(now, j, received)
 	}
 	if r.Quarantined && len(j.ends) >= minEnds {
-		s.mergeVerdict(now, j, r, before)
+		s.mergeVerdict(now, j, r, wasQuarantined)
 	}
 	return j
 }
 
-// mergeVerdict merges the quarantine that a report tells.
-func (s *State) mergeVerdict(now time.Time, j *subject, r *Report, before bool) {
+// mergeVerdict merges the quarantine that a report tells of a request that was quarantined
+// before its ends were merged, or was not.
+func (s *State) mergeVerdict(now time.Time, j *subject, r *Report, wasQuarantined bool) {
 	until, trialEnds := now.Add(age(r.TermMillis)), now.Add(age(r.TrialMillis))
 	failed := int(r.FailedTrials)
 	switch {
-	case !before || failed > j.failedTrials:
+	case !wasQuarantined || failed > j.failedTrials:
 		j.quarantined, j.failedTrials, j.until, j.trial = true, failed, until, ""
 		j.convictedAt = now.Add(-age(r.ConvictedMillis))
 		j.changedAt, j.pushes = now, pushesOfVerdict
--- a/quarantine/state.go
+++ b/quarantine/state.go
@@ -83,11 +83,9 @@
 
 // Broke records that the connection to a target ended while the target ran a request.
 // Confirm must tell later whether the target has ended.
-func (s *State) Broke(now time.Time, r *Request, run Run) { s.record(now, r, run, false) }
-
-func (s *State) record(now time.Time, r *Request, run Run, confirmed bool) {
+func (s *State) Broke(now time.Time, r *Request, run Run) {
 	for _, k := range r.Keys.all() {
-		e := end{Run: run, caller: k.caller(), confirmed: confirmed}
+		e := end{Run: run, caller: k.caller()}
 		whole := s.subject(now, k)
 		whole.describe(r.Caller, r.Path)
 		s.addEnd(now, whole, e)
@@ -100,29 +98,26 @@
 	}
 }
 
-// addEnd adds an end to what is known of a request, and of the same content from any
-// caller if several callers sent it.
+// addEnd adds an end to what is known of a request of one caller, and of the same content
+// from any caller if several callers sent it.
 func (s *State) addEnd(now time.Time, j *subject, e end) {
 	if !j.add(e) {
 		return
 	}
-	s.learned(now, j)
-	if j.key.caller() == anyCaller {
-		return
-	}
+	s.judge(now, j)
 	related := s.byContent[j.key.content()]
-	if len(related) < minCallers {
+	if j.key.caller() == anyCaller || len(related) < minCallers {
 		return
 	}
-	any := s.subject(now, j.key.ofAny())
-	any.describe("", j.path)
+	pooled := s.subject(now, j.key.ofAny())
+	pooled.describe("", j.path)
 	for _, other := range slices.Clone(related) {
-		if other == any {
+		if other == pooled {
 			continue
 		}
 		for i := range other.ends {
-			if any.add(other.ends[i]) {
-				s.learned(now, any)
+			if pooled.add(other.ends[i]) {
+				s.judge(now, pooled)
 			}
 		}
 	}
@@ -132,17 +127,17 @@
 func (s *State) Confirm(now time.Time, target string, incarnation int64, ended bool) {
 	for _, j := range s.subjects {
 		if j.confirm(target, incarnation, ended) {
-			s.learned(now, j)
+			s.judge(now, j)
 		}
 	}
 }
 
-// learned judges a request whose ends have changed.
-func (s *State) learned(now time.Time, j *subject) {
+// judge quarantines a request, the ends of which have changed, if enough speaks against it.
+func (s *State) judge(now time.Time, j *subject) {
 	j.changedAt = now
 	j.pushes = max(j.pushes, pushesOfEnd)
-	switch onTrial := j.quarantined && j.trial != "" && j.trialEnded(); {
-	case onTrial:
+	switch {
+	case j.quarantined && j.trial != "" && j.trialFailed():
 		j.failedTrials++
 		s.convict(now, j)
 	case !j.quarantined && j.suffices(j.evidence(now, false)):
@@ -150,8 +145,8 @@
 	}
 }
 
-// trialEnded reports whether a target has ended in the trial.
-func (s *subject) trialEnded() bool {
+// trialFailed reports whether a target has ended in the trial.
+func (s *subject) trialFailed() bool {
 	for i := range s.ends {
 		if e := &s.ends[i]; e.confirmed && e.EndedAt.After(s.trialEnds.Add(-trialTime)) {
 			return true
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -191,11 +191,14 @@
 		}
 	}
 	report := active && !a.abandoned
-	broke := active && brokenByTarget(err)
-	if broke {
-		p.verifyEnd(c.target, now, a)
+	var tellGuard func()
+	if active && brokenByTarget(err) && a.Call.Keys.Known() {
+		tellGuard = p.verifyEnd(c.target, now, a)
 	}
 	p.mu.Unlock()
+	if tellGuard != nil {
+		tellGuard()
+	}
 	if report {
 		p.emit(Event{
 			Message: "attempt broken", TargetID: c.target.ID, Service: c.target.Service, RequestID: a.Call.ID, Err: err,
@@ -264,7 +267,9 @@
 	report := !a.abandoned
 	p.mu.Unlock()
 	if r.completes() && a.Call.Keys.Known() {
-		p.opts.Guard.Completed(r.EndedAt, a.Call.Quarantine(t.Service), !a.Call.completed.Swap(true))
+		if first := !a.Call.completed.Swap(true); first || p.opts.Guard.Watching() {
+			p.opts.Guard.Completed(r.EndedAt, a.Call.Quarantine(t.Service), first)
+		}
 	}
 	if report {
 		a.results <- r
--- a/upstream/verify.go
+++ b/upstream/verify.go
@@ -29,20 +29,20 @@
 // refusesConnections reports whether no process listens at the address of a target.
 func refusesConnections(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
-// verifyEnd tells the guard that a connection ended while the target ran an attempt, and
-// finds out whether the target has ended. mu must be held.
-func (p *Pool) verifyEnd(t *Target, now time.Time, a *Attempt) {
-	if !a.Call.Keys.Known() {
-		return
-	}
-	p.opts.Guard.Broke(now, a.Call.Quarantine(t.Service), quarantine.Run{
-		Target: t.ID, Incarnation: t.entry.Incarnation, StartedAt: a.sentAt, EndedAt: now,
-	})
-	if t.verifying {
-		return
-	}
+// verifyEnd returns a function that tells the guard that a connection ended while the target
+// ran an attempt, and finds out whether the target has ended. mu must be held, and released
+// before the function is called.
+func (p *Pool) verifyEnd(t *Target, now time.Time, a *Attempt) func() {
+	address := t.entry.Address
+	run := quarantine.Run{Target: t.ID, Incarnation: t.entry.Incarnation, StartedAt: a.sentAt, EndedAt: now}
+	pending := t.verifying
 	t.verifying = true
-	go p.verify(t, t.entry.Address, t.entry.Incarnation)
+	return func() {
+		p.opts.Guard.Broke(now, a.Call.Quarantine(t.Service), run)
+		if !pending {
+			go p.verify(t, address, run.Incarnation)
+		}
+	}
 }
 
 // verify opens a connection to a target and tells the guard whether the target has ended.
