Tell a process that starts late of a quarantine that lasts longer than its ends count

Cause: a report left out ends that are older than ten minutes, and a verdict without ends is not taken over. A process that started in a term of half an hour or more did not know of it, and three more targets would have ended.

Evidence: TestLongQuarantineIsToldToNewProcess failed before. TestTrialsOfFleet, added here: 6 and 75 processes send the request 3 times late in 12 minutes while the fault is not mended, and serve it once it is.

--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -428,3 +428,43 @@
 	f.processes[i].Broke(run.EndedAt, &r, run)
 	f.processes[i].Confirm(run.EndedAt, run.Target, 0, true)
 }
+
+// Guards against trials that several processes begin at once, and against targets that go on
+// ending while the fault is not mended. Then the fault is mended: the request must be served
+// everywhere within a term.
+func TestTrialsOfFleet(t *testing.T) {
+	const (
+		span   = 12 * time.Minute
+		trials = 3 // after 30 s, 2.5 and 10.5 minutes
+	)
+	for _, n := range []int{6, 75} {
+		for seed := range uint64(3) {
+			f := newFleet(seed, n)
+			f.run(time.Second, nil)
+			f.run(span, func(elapsed time.Duration) {
+				if elapsed%(500*time.Millisecond) == 0 {
+					f.serve(f.rng.IntN(n), *request(fmt.Sprint("c", f.rng.IntN(2)), "/x"), true)
+				}
+			})
+			t.Logf("%d processes, seed %d: sent %d times late in %v", n, seed, f.lateSent(), span)
+			if late := f.lateSent(); late < trials-1 || late > 2*trials {
+				t.Errorf("%d processes, seed %d: sent %d times late in %v, want about %d", n, seed, late, span, trials)
+			}
+			f.run(maxTerm, func(elapsed time.Duration) {
+				if elapsed%(2*time.Second) == 0 {
+					f.serve(f.rng.IntN(n), *request(fmt.Sprint("c", f.rng.IntN(2)), "/x"), false)
+				}
+			})
+			f.refused = 0
+			f.refused = 0
+			f.run(30*time.Second, func(elapsed time.Duration) {
+				if elapsed%(500*time.Millisecond) == 0 {
+					f.serve(f.rng.IntN(n), *request("c0", "/x"), false)
+				}
+			})
+			if f.refused > 0 {
+				t.Errorf("%d processes, seed %d: refused %d times after the fault was mended", n, seed, f.refused)
+			}
+		}
+	}
+}
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -75,8 +75,8 @@
 	}
 	for i := len(s.ends) - 1; i >= 0 && len(r.Ends) < maxReportedEnds; i-- {
 		e := &s.ends[i]
-		if !e.confirmed || !s.counts(now, e) {
-			continue
+		if !e.confirmed || (!s.quarantined && !s.counts(now, e)) {
+			continue // the ends that led to a quarantine are told for as long as it lasts
 		}
 		reported := EndReport{Target: e.Target, Incarnation: e.Incarnation, EndedMillis: millis(now.Sub(e.EndedAt)), RanMillis: millis(e.EndedAt.Sub(e.StartedAt))}
 		if s.key.caller() == anyCaller {
--- a/quarantine/state_test.go
+++ b/quarantine/state_test.go
@@ -373,3 +373,25 @@
 		t.Errorf("%d ends, want 2", e.ends)
 	}
 }
+
+// Guards against a process that starts late in a long term of quarantine not being told of it.
+func TestLongQuarantineIsToldToNewProcess(t *testing.T) {
+	p, r := newProcess("a"), request("c", "/x")
+	for range 3 {
+		p.crash(r)
+	}
+	for range 3 { // failed trials
+		for p.Check(p.now, r, 0) != Send {
+			p.wait(time.Second)
+		}
+		p.crash(r)
+		r.ID += "+"
+	}
+	p.wait(15 * time.Minute)
+	fresh := newProcess("b")
+	fresh.now = p.now
+	fresh.Receive(fresh.now, p.Regular(p.now, MaxInitialReports))
+	if !fresh.refused(r) {
+		t.Error("a new process does not refuse the request")
+	}
+}
