Tell first of quarantined requests that come again

Cause: regular messages told of quarantined requests by turns. Each crash also convicts some of the requests that were in progress, which do not come again; a process that had been cut off for a while could learn of the one that does only after many messages.

Evidence: TestVerdictOnRequestThatComesAgainIsToldFirst failed before (60 other verdicts, three messages).

--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -210,45 +210,46 @@
 	return reports
 }
 
-// Regular returns the reports that go with a regular message: those of quarantined requests
-// by turns, then of others.
+// Regular returns the reports that go with a regular message: half of them of the quarantined
+// requests that were active last, the others of all requests by turns, quarantined ones first.
 func (s *State) Regular(now time.Time, most int) []Report {
 	if !s.Watching() {
 		return nil
 	}
-	var known []*subject
+	var quarantined, others []*subject
 	for _, j := range s.subjects {
-		if j.telling(now) {
-			known = append(known, j)
+		switch {
+		case !j.telling(now):
+		case j.quarantined:
+			quarantined = append(quarantined, j)
+		default:
+			others = append(others, j)
 		}
 	}
-	slices.SortFunc(known, func(a, b *subject) int { return slices.Compare(a.key[:], b.key[:]) })
+	slices.SortFunc(quarantined, func(a, b *subject) int { return b.changedAt.Compare(a.changedAt) })
+	slices.SortFunc(others, byKey)
+	active := min(max(most/2, 1), len(quarantined))
+	rest := slices.Clone(quarantined[active:])
+	slices.SortFunc(rest, byKey)
 	s.turn++
-	quarantined := turn(known, s.turn, func(j *subject) bool { return j.quarantined })
-	others := turn(known, s.turn, func(j *subject) bool { return !j.quarantined })
+	told := append(slices.Clone(quarantined[:active]), rotate(rest, s.turn)...)
+	told = append(told, rotate(others, s.turn)...)
 	var reports []Report
-	for _, j := range append(quarantined, others...) {
-		if len(reports) == most {
-			break
-		}
+	for _, j := range told[:min(len(told), most)] {
 		reports = append(reports, j.report(now))
 	}
 	return reports
 }
 
-// turn returns the subjects that match, beginning with another one in each turn.
-func turn(all []*subject, n int, match func(*subject) bool) []*subject {
-	var found []*subject
-	for _, j := range all {
-		if match(j) {
-			found = append(found, j)
-		}
-	}
-	if len(found) == 0 {
+func byKey(a, b *subject) int { return slices.Compare(a.key[:], b.key[:]) }
+
+// rotate returns the subjects, beginning with another one in each turn.
+func rotate(all []*subject, turn int) []*subject {
+	if len(all) == 0 {
 		return nil
 	}
-	from := n * maxRegularReports % len(found)
-	return append(found[from:len(found):len(found)], found[:from]...)
+	from := turn % len(all)
+	return append(all[from:len(all):len(all)], all[:from]...)
 }
 
 // size estimates the size of a report in bytes.
--- a/quarantine/state_test.go
+++ b/quarantine/state_test.go
@@ -395,3 +395,34 @@
 		t.Error("a new process does not refuse the request")
 	}
 }
+
+// Guards against the verdict on a request that comes again being told late, among those on
+// many requests that do not.
+func TestVerdictOnRequestThatComesAgainIsToldFirst(t *testing.T) {
+	p, r := newProcess("a"), request("c", "/x")
+	quarantine := func(r *Request) {
+		for range 3 {
+			p.crash(r)
+		}
+	}
+	quarantine(r)
+	for i := range 60 {
+		quarantine(request("c2", fmt.Sprint("/", i)))
+	}
+	p.settle()
+	if !p.refused(r) {
+		t.Fatal("not refused")
+	}
+	p.wait(time.Second)
+	fresh := newProcess("b")
+	fresh.now = p.now
+	for range 3 {
+		fresh.Receive(p.now, p.Regular(p.now, maxRegularReports))
+	}
+	if !fresh.refused(r) {
+		t.Error("a process that got three messages does not refuse the request")
+	}
+	if n := len(fresh.subjects); n < 3 {
+		t.Errorf("only %d requests were told of in three messages: the others are never told", n)
+	}
+}
