Let the soak give VMs live seeds back before it checks requests that crash targets

Before the check all VMs now get live seeds, as a platform that mends them does, and 4 s to learn what the others know.

--- a/soak/crash.go
+++ b/soak/crash.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/goldcrestmux/goldcrestmux/platform/platformtest"
@@ -87,11 +88,24 @@
 	inj.checker.repeatCrash(rng, fmt.Sprint(crashPath, "/", t.ID, "/", span.Milliseconds()), span)
 }
 
+// restoreSeeds gives all VMs seeds that are up. After a reload a VM has none but itself; if
+// all processes are killed then, it cannot find the others, nor they it.
+func (inj *injector) restoreSeeds() {
+	for _, v := range inj.testbed.vms {
+		if err := v.writeSettings(inj.testbed.seeds()); err != nil {
+			inj.checker.addViolation("write settings of %s: %v", v.name, err)
+		}
+		v.signal(syscall.SIGHUP)
+	}
+	time.Sleep(contactTime)
+}
+
 // checkCrashes checks that a request that crashes targets reaches them at most lateArrivals
 // times once all VMs must know it. It must run while there are no faults.
 func (inj *injector) checkCrashes() {
 	c := inj.checker
 	rng := rand.New(rand.NewPCG(inj.rng.Uint64(), 8))
+	inj.restoreSeeds()
 	c.crashLog.mu.Lock()
 	c.crashLog.arrivals, c.crashLog.crashes = nil, nil
 	c.crashLog.mu.Unlock()
--- a/soak/testbed.go
+++ b/soak/testbed.go
@@ -138,7 +138,7 @@
 		b.vms = append(b.vms, v)
 	}
 	for _, v := range b.vms {
-		if err := v.writeSettings([]string{b.vms[0].peerAddress, b.vms[1].peerAddress}); err != nil {
+		if err := v.writeSettings(b.seeds()); err != nil {
 			return err
 		}
 		if err := v.start(); err != nil {
@@ -148,6 +148,9 @@
 	return nil
 }
 
+// seeds returns the addresses by which the processes find each other.
+func (b *testbed) seeds() []string { return []string{b.vms[0].peerAddress, b.vms[1].peerAddress} }
+
 // publish writes the target's entry, with the address of its proxy, to the store.
 func (b *testbed) publish(t *target, state string) {
 	entry := t.Entry("dc1", state)
