--- a/entry/entry.go
+++ b/entry/entry.go
@@ -43,6 +43,8 @@
 	HeaderCodec ingress.HeaderCodec
 	// DroppedLogLines returns the number of log lines that were dropped.
 	DroppedLogLines func() int64
+	// Dial opens connections to the store and to targets; a net.Dialer's if nil.
+	Dial DialFunc
 }
 
 // DialFunc opens a connection.
@@ -349,6 +351,9 @@
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
 
 func (p *process) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	if p.adapter.Dial != nil {
+		return p.adapter.Dial(ctx, network, address)
+	}
 	d := net.Dialer{KeepAliveConfig: keepAlive}
 	return d.DialContext(ctx, network, address)
 }
