--- a/delegate/chooser.go
+++ b/delegate/chooser.go
@@ -40,33 +40,23 @@
 	DataCentre string
 	// Capacity is its processor share in thousandths of a core; zero if unknown.
 	Capacity uint32
+	// CutOff is true if it has told that it reaches no targets.
+	CutOff bool
 }
 
 // Chooser chooses the peers that gather the requests of one process.
 type Chooser struct {
-	self   Peer
-	picked []Peer
-	stats  map[string]*balance.Stats // by name of a picked peer
-	turn   uint64
+	self Peer
+	picked
 }
 
 // New returns the Chooser of the process self, which knows no peers.
-func New(self Peer) *Chooser { return &Chooser{self: self, stats: map[string]*balance.Stats{}} }
+func New(self Peer) *Chooser { return &Chooser{self: self, picked: newPicked()} }
 
 // Update picks the peers to hand requests to, among those that are alive. Served is the
 // fraction of the shards, from 0 to 1, that have a target in each data centre.
 func (c *Chooser) Update(alive []Peer, served map[string]float64) {
-	c.picked = c.pick(alive, served)
-	for name := range c.stats {
-		if !slices.ContainsFunc(c.picked, func(p Peer) bool { return p.Name == name }) {
-			delete(c.stats, name)
-		}
-	}
-	for _, p := range c.picked {
-		if c.stats[p.Name] == nil {
-			c.stats[p.Name] = &balance.Stats{}
-		}
-	}
+	c.set(c.pick(alive, served))
 }
 
 func (c *Chooser) pick(alive []Peer, served map[string]float64) []Peer {
@@ -84,7 +74,7 @@
 	}
 	var candidates []Peer
 	for _, p := range alive {
-		if p.Capacity >= minCapacity && near(p.DataCentre) && p.Name != c.self.Name {
+		if p.Capacity >= minCapacity && near(p.DataCentre) && p.Name != c.self.Name && !p.CutOff {
 			candidates = append(candidates, p)
 		}
 	}
@@ -92,14 +82,14 @@
 		candidates = local
 	}
 	slices.SortFunc(candidates, func(a, b Peer) int {
-		return cmp.Or(cmp.Compare(c.rank(b), c.rank(a)), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(rank(c.self, b), rank(c.self, a)), cmp.Compare(a.Name, b.Name))
 	})
 	return spread(candidates)
 }
 
-// rank returns the rank of a peer for this process. Ranks differ between processes, so
-// that requests spread over the peers.
-func (c *Chooser) rank(p Peer) uint64 { return xxhash.Sum64String(c.self.Name + "/" + p.Name) }
+// rank returns the rank of a peer for a process. Ranks differ between processes, so that
+// requests spread over the peers.
+func rank(self, p Peer) uint64 { return xxhash.Sum64String(self.Name + "/" + p.Name) }
 
 func inDataCentre(peers []Peer, dc string) []Peer {
 	var out []Peer
@@ -131,33 +121,13 @@
 	return picked
 }
 
-// Picked returns the names of the picked peers. Links to them should be kept open.
-func (c *Chooser) Picked() []string {
-	var names []string
-	for _, p := range c.picked {
-		names = append(names, p.Name)
-	}
-	return names
-}
-
 // Choose returns the peer that gathers a request, among the picked ones that are
 // reachable. It returns "" if the process gathers the request itself: there is none, or
 // all are stalled or avoided.
 func (c *Chooser) Choose(now time.Time, profile balance.Profile, reachable func(name string) bool) string {
-	var candidates []balance.Candidate
-	var names []string
-	for _, p := range c.picked {
-		candidate := balance.Candidate{Stats: c.stats[p.Name], Slots: slots}
-		if reachable(p.Name) && candidate.Cost(now, profile) <= maxExpectedFactor*profile.Expected+maxExtraCost {
-			candidates = append(candidates, candidate)
-			names = append(names, p.Name)
-		}
-	}
-	if len(names) == 0 {
-		return ""
-	}
-	c.turn++
-	return names[balance.Choose(now, profile, candidates, c.turn)]
+	return c.choose(now, profile, func(p Peer, cost time.Duration) bool {
+		return reachable(p.Name) && cost <= maxExpectedFactor*profile.Expected+maxExtraCost
+	}, c.self.DataCentre)
 }
 
 // The process gathers a request itself if the cost of each peer is above
@@ -167,42 +137,3 @@
 	maxExpectedFactor = 2
 	maxExtraCost      = 100 * time.Millisecond
 )
-
-// Sent records that a request was handed to a peer.
-func (c *Chooser) Sent(now time.Time, peer string, profile balance.Profile) {
-	if s := c.stats[peer]; s != nil {
-		s.Sent(now, profile.OverdueAfter)
-	}
-}
-
-// Result is how a request that was handed to a peer ended.
-type Result int
-
-// Results.
-const (
-	Responded Result = iota + 1 // the peer responded
-	Refused                     // the peer has not begun with the request
-	Late                        // the peer did not respond before the deadline, but its link lives
-	Lost                        // the link was lost
-	Canceled                    // the caller left
-)
-
-// Ended records the result of a request that was handed to a peer at the given time.
-func (c *Chooser) Ended(now, sent time.Time, peer string, result Result, profile balance.Profile) {
-	s := c.stats[peer]
-	if s == nil {
-		return
-	}
-	switch result {
-	case Responded:
-		s.Responded(now, sent, profile.Expected)
-	case Refused:
-		s.Unreachable(now, sent, false)
-	case Late:
-		s.Failed(now, sent)
-	case Lost:
-		s.Unreachable(now, sent, true)
-	default:
-		s.Canceled(sent)
-	}
-}
