Find out whether a process reaches targets at all

Cause: each target was judged by itself, so that a VM that had lost its path to all of them kept sending every request to them. Change: package reach suspects the path if attempts at two targets are silent, or connections to two fail, with nothing else heard; then it probes three others, and only if all fail the path is cut, or narrow if open connections still work. While it is suspected, refused connections prove no end of a target: ends are told to the quarantine once the path works, or the store says that the run is over.

--- a/balance/stats.go
+++ b/balance/stats.go
@@ -92,6 +92,14 @@
 // was received on it. TimedOut is true if the attempt ended by a timeout.
 func (s *Stats) Unreachable(now, sent time.Time, timedOut bool) {
 	s.Failed(now, sent)
+	s.Avoid(now, timedOut)
+}
+
+// Avoided reports whether the target is avoided after a failure to connect.
+func (s *Stats) Avoided(now time.Time) bool { return now.Before(s.avoidUntil) }
+
+// Avoid records that a connection could not be established that was for no attempt.
+func (s *Stats) Avoid(now time.Time, timedOut bool) {
 	avoid := minAvoidRefused
 	if timedOut {
 		avoid = minAvoidTimeout
--- a/upstream/call.go
+++ b/upstream/call.go
@@ -136,8 +136,9 @@
 	// Extra is true for a hedge or a retry.
 	Extra bool
 
-	expected time.Duration
-	results  chan<- *Result
+	expected     time.Duration
+	overdueAfter time.Duration
+	results      chan<- *Result
 	// The fields below are guarded by Pool.mu.
 	state     attemptState
 	conn      *conn
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -113,7 +113,7 @@
 	for {
 		c.source.allowed = maxHeadBytes
 		_, err := c.reader.Peek(1)
-		a := c.pool.currentAttempt(c)
+		a := c.pool.currentAttempt(c, err == nil)
 		if err != nil {
 			c.pool.failConn(c, a, errors.Trace(err))
 			return
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -20,6 +20,7 @@
 	}
 	c := newConn(p, t, nc)
 	p.mu.Lock()
+	p.reach.Connected(time.Now())
 	next, unsent := p.dialed(c, a)
 	open := !c.closed
 	p.mu.Unlock()
@@ -66,6 +67,7 @@
 	a.state = stateDone
 	incarnation := t.entry.Incarnation
 	t.stats.Unreachable(now, a.StartedAt, isTimeout(err))
+	p.reach.Unreachable(now, t.ID)
 	done := []*Result{}
 	if !a.abandoned {
 		done = append(done, &Result{Attempt: a, Outcome: NotSent, Err: errors.Annotate(err, "connect"), EndedAt: now})
@@ -75,7 +77,7 @@
 	}
 	p.mu.Unlock()
 	if refusesConnections(err) {
-		p.opts.Guard.Confirm(now, t.ID, incarnation, true)
+		p.confirmEnd(t.ID, incarnation, true)
 	}
 	p.emit(Event{Message: "target unreachable", TargetID: t.ID, Service: t.Service, RequestID: a.Call.ID, Err: err})
 	deliver(done)
@@ -120,10 +122,14 @@
 	return nil
 }
 
-// currentAttempt returns the attempt in progress on a connection, or nil.
-func (p *Pool) currentAttempt(c *conn) *Attempt {
+// currentAttempt returns the attempt in progress on a connection, or nil. Heard is true if
+// something was received on the connection.
+func (p *Pool) currentAttempt(c *conn, heard bool) *Attempt {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if heard {
+		p.reach.Heard()
+	}
 	return c.current
 }
 
@@ -181,6 +187,9 @@
 	if active {
 		c.current = nil
 		a.state = stateDone
+		if brokenByTarget(err) {
+			p.reach.Broke(now, c.target.ID)
+		}
 		switch {
 		case errors.Is(err, errNoResponse) && now.After(a.Deadline):
 			c.target.stats.Unreachable(now, a.StartedAt, true)
--- a/upstream/maintenance.go
+++ b/upstream/maintenance.go
@@ -53,7 +53,7 @@
 	p.mu.Unlock()
 	deliver(done)
 	for _, c := range expired {
-		if a := p.currentAttempt(c); a != nil {
+		if a := p.currentAttempt(c, false); a != nil {
 			p.failConn(c, a, errNoResponse)
 		}
 	}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -12,6 +12,7 @@
 	"github.com/goldcrestmux/goldcrestmux/balance"
 	"github.com/goldcrestmux/goldcrestmux/catalog"
 	"github.com/goldcrestmux/goldcrestmux/quarantine"
+	"github.com/goldcrestmux/goldcrestmux/reach"
 	"github.com/goldcrestmux/goldcrestmux/share"
 )
 
@@ -73,6 +74,12 @@
 	busy      map[*conn]struct{} // connections that are not idle
 	// removed holds what targets that are no longer registered have asked for, by ID.
 	removed map[string]removedTarget
+	// reach is whether targets can be reached at all.
+	reach reach.State
+	// unproven holds ends of targets that may be failures of this process's own path.
+	unproven []unprovenEnd
+	// broken holds the latest runs of targets whose connections ended.
+	broken []brokenRun
 	buffers sync.Pool
 	// buffered is the number of bytes that count against MaxBufferedBytes.
 	buffered atomic.Int64
@@ -189,6 +196,7 @@
 		if t != nil && (t.entry.Address != e.Address || t.entry.Incarnation != e.Incarnation || t.Service != e.Service) {
 			p.retire(t)
 			p.remember(now, t)
+			p.proveReplaced(now, t)
 			coldRate = t.coldRate
 			t = nil
 		}
@@ -223,6 +231,7 @@
 		if !seen[id] {
 			p.retire(t)
 			p.remember(now, t)
+			p.proveReplaced(now, t)
 			delete(p.targets, id)
 		}
 		if t.removed || t.evacuated {
@@ -307,7 +316,7 @@
 	}
 	a := &Attempt{
 		Call: call, Shard: shard, Target: t, StartedAt: now, Deadline: opts.Deadline, Extra: opts.Extra,
-		results: results, expected: opts.Profile.Expected,
+		results: results, expected: opts.Profile.Expected, overdueAfter: opts.Profile.OverdueAfter,
 	}
 	t.stats.Sent(now, opts.Profile.OverdueAfter)
 	t.pushback.Sent(now, opts.Extra)
@@ -369,6 +378,7 @@
 	c.lastID = a.Call.ID
 	c.writing = true
 	a.sentAt = time.Now()
+	p.reach.Sent(a.sentAt, a.Target.ID, a.overdueAfter)
 	a.conn = c
 	a.state = stateSent
 	p.busy[c] = struct{}{}
--- a/upstream/verify.go
+++ b/upstream/verify.go
@@ -37,8 +37,10 @@
 	run := quarantine.Run{Target: t.ID, Incarnation: t.entry.Incarnation, StartedAt: a.sentAt, EndedAt: now}
 	pending := t.verifying
 	t.verifying = true
+	r := a.Call.Quarantine(t.Service)
+	p.keepBroken(brokenRun{request: r, run: run})
 	return func() {
-		p.opts.Guard.Broke(now, a.Call.Quarantine(t.Service), run)
+		p.opts.Guard.Broke(now, r, run)
 		if !pending {
 			go p.verify(t, address, run.Incarnation)
 		}
@@ -62,7 +64,7 @@
 			break // a timeout tells nothing: this process may be busy
 		}
 	}
-	p.opts.Guard.Confirm(time.Now(), t.ID, incarnation, refusesConnections(err))
+	p.confirmEnd(t.ID, incarnation, refusesConnections(err))
 	if err == nil {
 		p.adopt(t, nc)
 	}
@@ -77,6 +79,7 @@
 		return
 	}
 	t.openConns++
+	p.reach.Connected(time.Now())
 	c := newConn(p, t, nc)
 	next := p.assignNext(c)
 	open := !c.closed
