Serve callers through peers while no target can be reached

Cause: the VM had no other way than its own path, though its peers served the same routes. Change: requests of all kinds are handed to a peer that reaches the targets, over links, one hop at most. A peer that is cut off, stopping, full, paused or older refuses, and another is asked; if none takes the request it is refused at once. Requests that could be sent to no target of their service are handed over as well. Log lines, counters and the state page tell of it.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -23,6 +23,7 @@
 	"github.com/goldcrestmux/goldcrestmux/mesh"
 	"github.com/goldcrestmux/goldcrestmux/peers"
 	"github.com/goldcrestmux/goldcrestmux/quarantine"
+	"github.com/goldcrestmux/goldcrestmux/reach"
 	"github.com/goldcrestmux/goldcrestmux/share"
 	"github.com/goldcrestmux/goldcrestmux/upstream"
 	"github.com/goldcrestmux/goldcrestmux/wire"
@@ -74,8 +75,11 @@
 	callerServer    *ingress.Server
 	readinessServer *http.Server
 	metrics         *metrics
-	// loadMeter is used by runMaintenance only.
-	loadMeter share.LoadMeter
+	// loadMeter, lastPath and lastPathSince are used by runMaintenance only. The latter
+	// are the path to targets as last logged.
+	loadMeter     share.LoadMeter
+	lastPath      reach.Mode
+	lastPathSince time.Time
 
 	// reloadMu guards latestSettings, the settings as they were last read.
 	reloadMu       sync.Mutex
@@ -135,7 +139,7 @@
 	p.engine = forward.New(forward.Options{Pool: p.pool, Budget: s.RetryBudget, Logger: log, Hedge: shardHedging, SingleHedge: singleHedging})
 	p.gatherer = newGatherer(p)
 	p.handler = ingress.New(ingress.Options{
-		HeaderCodec: adapter.HeaderCodec, Engine: p.engine, Delegate: p.gatherer.Gather, View: p.view.Load, ConfirmedAt: func() time.Time { return p.follower.ConfirmedAt() },
+		HeaderCodec: adapter.HeaderCodec, Engine: p.engine, Delegate: p.gatherer.Gather, Rescue: p.gatherer.Rescue, Behind: p.gatherer.behind, View: p.view.Load, ConfirmedAt: func() time.Time { return p.follower.ConfirmedAt() },
 		StaleAfter: staleAfter, DefaultTimeout: defaultTimeout, Logger: log, Observe: p.metrics.observe,
 	})
 	p.callerServer = ingress.NewServer(p.handler)
@@ -287,7 +291,7 @@
 		addresses[m.Name] = m.Address
 		readers = append(readers, storeReader(m.Name, m.DataCentre))
 	}
-	p.mesh.SetPeers(addresses, p.gatherer.update(alive))
+	p.mesh.SetPeers(addresses, p.gatherer.update(alive, p.lastPath != reach.Open))
 	p.source.SetPeers(readers)
 	p.shareLoad(time.Now())
 }
@@ -330,10 +334,12 @@
 		}
 		now := time.Now()
 		p.gatherer.pauses.tick(now)
+		p.checkPath(now)
 		if now.Sub(lastPeerUpdate) >= peerUpdateInterval {
 			lastPeerUpdate = now
 			p.updatePeers()
 			p.engine.EvictIdle(now)
+			p.gatherer.forgetUnhelped(now)
 		}
 		p.pool.CloseExpired(now)
 		var limits catalog.Limits
@@ -374,7 +380,7 @@
 	out := map[string]any{
 		"process": p.settings.Name, "uptime_s": int(time.Since(p.startedAt).Seconds()),
 		"stopping": p.stopping.Load(), "ready": v.Configured() && !p.stopping.Load(),
-		"upstream": p.pool.Stats(), "pushback": p.pool.Pushback(time.Now()), "quarantine": p.guard.States(time.Now()), "retry_budget": p.engine.BudgetState(time.Now()), "active_requests": p.handler.Active(), "caller_connections": p.callerServer.OpenConnections(),
+		"upstream": p.pool.Stats(), "path": p.pathState(), "pushback": p.pool.Pushback(time.Now()), "quarantine": p.guard.States(time.Now()), "retry_budget": p.engine.BudgetState(time.Now()), "active_requests": p.handler.Active(), "caller_connections": p.callerServer.OpenConnections(),
 		"bytes": p.traffic(), "gathering": p.gatherer.state(), "store_calls": p.follower.Calls() - p.source.PeerRequests(), "peer_asks": p.source.PeerRequests(), "links": p.mesh.LinkCount(),
 	}
 	if v.Configured() {
--- a/entry/gather.go
+++ b/entry/gather.go
@@ -13,6 +13,7 @@
 	"github.com/goldcrestmux/goldcrestmux/forward"
 	"github.com/goldcrestmux/goldcrestmux/mesh"
 	"github.com/goldcrestmux/goldcrestmux/peers"
+	"github.com/goldcrestmux/goldcrestmux/reach"
 	"github.com/goldcrestmux/goldcrestmux/upstream"
 	"github.com/goldcrestmux/goldcrestmux/wire"
 	"github.com/juju/errors"
@@ -26,6 +27,9 @@
 	// maxQueryBody is the largest body that is handed to a peer: frames of links are
 	// bounded, and small answers wait behind large queries.
 	maxQueryBody = 256 << 10
+	// maxQueryResponseBody is the largest body that a peer returns: headers and the
+	// encoding take some of a frame.
+	maxQueryResponseBody = wire.MaxFrameBytes - 256<<10
 	// transitTime is the assumed time that a query takes to a peer.
 	transitTime = time.Millisecond
 	// hopMargin is reserved for the way of the response back to the process that the
@@ -43,11 +47,12 @@
 // queryClient hands requests to peers.
 type queryClient interface {
 	Reachable(vm string) bool
+	Connect(vm string)
 	Query(ctx context.Context, vm string, q wire.Query) (wire.QueryResponse, error)
 }
 
-// gatherer hands sharded requests to peers, and serves those of peers. Its methods are
-// safe for concurrent use.
+// gatherer hands requests to peers, and serves those of peers. Its methods are safe for
+// concurrent use.
 //
 // Lock order: mu is acquired before the locks of the mesh and its links.
 type gatherer struct {
@@ -56,22 +61,33 @@
 	// gathered is the number of shards of peers' requests that are being served.
 	gathered atomic.Int64
 	pauses   *pauseDetector
+	// versionSeen is the highest version of the configuration with which peers have served
+	// requests of this process.
+	versionSeen atomic.Uint64
 
 	mu      sync.Mutex
 	chooser *delegate.Chooser
+	helpers *delegate.Helpers
+	// unhelped holds, by service, until when no peer is asked to help with it.
+	unhelped map[string]time.Time
 }
 
 func newGatherer(p *process) *gatherer {
 	s := &p.settings
-	return &gatherer{p: p, pauses: newPauseDetector(p.startedAt), chooser: delegate.New(delegate.Peer{Name: s.Name, DataCentre: s.DataCentre, Capacity: s.Capacity})}
+	self := delegate.Peer{Name: s.Name, DataCentre: s.DataCentre, Capacity: s.Capacity}
+	return &gatherer{
+		p: p, pauses: newPauseDetector(p.startedAt), chooser: delegate.New(self), helpers: delegate.NewHelpers(self),
+		unhelped: map[string]time.Time{},
+	}
 }
 
-// update picks the peers to hand requests to, and returns their names.
-func (g *gatherer) update(alive []peers.Member) []string {
+// update picks the peers to hand requests to, and returns the names of those to which links
+// are kept open. Without a path to targets, these include helpers.
+func (g *gatherer) update(alive []peers.Member, cutOff bool) []string {
 	known := make([]delegate.Peer, 0, len(alive))
 	for _, m := range alive {
 		if g.sameRegion(m.DataCentre) {
-			known = append(known, delegate.Peer{Name: m.Name, DataCentre: m.DataCentre, Capacity: m.Capacity})
+			known = append(known, delegate.Peer{Name: m.Name, DataCentre: m.DataCentre, Capacity: m.Capacity, CutOff: m.CutOff})
 		}
 	}
 	var served map[string]float64
@@ -81,6 +97,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.chooser.Update(known, served)
+	g.helpers.Update(known)
+	if cutOff {
+		return append(g.chooser.Picked(), g.helpers.Picked()...)
+	}
 	return g.chooser.Picked()
 }
 
@@ -96,10 +116,17 @@
 	return balance.Profile{Expected: time.Duration(expectedFraction * objective), OverdueAfter: time.Duration(overdueFactor * objective)}
 }
 
-// Gather hands a sharded request to a peer. It returns false if no peer has begun with it:
-// the process must then serve it itself.
+// Gather hands a request to a peer: a sharded one to a peer that gathers its shards, or any
+// request if this process does not reach the targets. It returns false if no peer has begun
+// with it: the process must then serve it itself.
 func (g *gatherer) Gather(ctx context.Context, req *forward.Request) (forward.Response, bool) {
-	if !req.Route.Sharded() || len(req.Call.Body) > maxQueryBody {
+	if len(req.Call.Body) > maxQueryBody {
+		return forward.Response{}, false
+	}
+	if !g.direct(req) {
+		return g.detour(ctx, req)
+	}
+	if !req.Route.Sharded() {
 		return forward.Response{}, false
 	}
 	profile := profileOf(req.Route)
@@ -108,25 +135,32 @@
 	if peer == "" {
 		return forward.Response{}, false
 	}
-	// A slow peer is waited for: what it has begun is not given up while its link lives.
+	response, result := g.hand(ctx, peer, req, newQuery(req, sentAt), sentAt)
+	g.ended(sentAt, peer, result, profile)
+	return response, result != delegate.Refused
+}
+
+// hand hands a request to a peer and waits for its response. A slow peer is waited for: what
+// it has begun is not given up while its link lives.
+func (g *gatherer) hand(ctx context.Context, peer string, req *forward.Request, q wire.Query, sentAt time.Time) (forward.Response, delegate.Result) {
 	waitCtx, cancel := context.WithDeadline(ctx, deadline(req).Add(-lateMargin))
 	defer cancel()
-	response, err := g.client.Query(waitCtx, peer, newQuery(req, sentAt))
+	response, err := g.client.Query(waitCtx, peer, q)
 	result := resultOf(ctx, response, err)
-	g.ended(sentAt, peer, result, profile)
 	switch result {
 	case delegate.Responded:
-		return responseOf(&response), true
+		g.sawVersion(response.Version)
+		return responseOf(&response), result
 	case delegate.Refused:
-		return forward.Response{}, false
+		return forward.Response{Reason: response.Refused}, result
 	case delegate.Canceled:
-		return forward.Response{Reason: forward.ReasonCallerDisconnected}, true
+		return forward.Response{Reason: forward.ReasonCallerDisconnected}, result
 	}
 	g.p.log.Warn("request lost at a peer", "id", req.Call.ID, "route", req.Route.Name, "peer", peer, "took", time.Since(sentAt), "error", err)
 	if result == delegate.Late {
-		return forward.Response{Status: http.StatusGatewayTimeout, Reason: "the peer that gathered the shards did not respond in time"}, true
+		return forward.Response{Status: http.StatusGatewayTimeout, Reason: "the peer that served the request did not respond in time"}, result
 	}
-	return forward.Response{Status: http.StatusBadGateway, Reason: "the peer that gathered the shards was lost"}, true
+	return forward.Response{Status: http.StatusBadGateway, Reason: "the peer that served the request was lost"}, result
 }
 
 // choose returns the peer to hand a request to, or "" if there is none, and records that
@@ -161,8 +195,8 @@
 
 func responseOf(r *wire.QueryResponse) forward.Response {
 	return forward.Response{
-		Status: r.Status, Sharded: r.Status == http.StatusOK, Signatures: r.Signatures, Missing: r.Missing,
-		Body: r.Body, RetryAfter: time.Duration(r.RetryAfterMicros) * time.Microsecond, Reason: r.Reason,
+		Status: r.Status, Sharded: r.Status == http.StatusOK && !r.Single, Signatures: r.Signatures, Missing: r.Missing,
+		Header: r.Header, Signature: r.Signature, Body: r.Body, RetryAfter: time.Duration(r.RetryAfterMicros) * time.Microsecond, Reason: r.Reason,
 	}
 }
 
@@ -189,39 +223,66 @@
 	return delegate.Lost
 }
 
-// serve serves a request that a peer handed to this process.
+// serve serves a request that a peer handed to this process. It never hands it on: what this
+// process cannot serve by itself is refused.
 func (g *gatherer) serve(ctx context.Context, peer string, q *wire.Query) wire.QueryResponse {
-	receivedAt := time.Now().Add(-time.Duration(q.ElapsedMicros)*time.Microsecond - transitTime)
-	if g.pauses.paused(time.Now()) {
+	now := time.Now()
+	receivedAt := now.Add(-time.Duration(q.ElapsedMicros)*time.Microsecond - transitTime)
+	deadline := now.Add(time.Duration(q.LeftMicros)*time.Microsecond - transitTime - hopMargin)
+	if g.pauses.paused(now) {
 		return wire.QueryResponse{Refused: "was paused: the request may have waited"}
 	}
-	v := g.p.view.Load()
-	if g.p.stopping.Load() || !v.Configured() || v.Version != q.Version {
+	v := g.viewFor(ctx, q)
+	if v == nil {
 		return wire.QueryResponse{Refused: "stopping, or another version of the configuration is in force"}
 	}
-	route := v.RouteOfURI(q.Host, q.URI)
-	if route == nil || !route.Sharded() {
-		return wire.QueryResponse{Refused: "no sharded route"}
+	req := &forward.Request{
+		Call: &upstream.Call{
+			ID: q.RequestID, Method: q.Method, URI: q.URI, Host: q.Host, Header: q.Header, Body: q.Body, HasBody: q.HasBody,
+			Deadline: deadline, Caller: q.Caller, Keys: q.Keys,
+		},
+		Route: v.RouteOfURI(q.Host, q.URI), Version: v.Version, ConfirmedAt: g.p.follower.ConfirmedAt(), ReceivedAt: receivedAt,
+		NewConnection: q.NewConnection, HopMargin: hopMargin, For: peer, Counted: q.Counted,
+	}
+	if req.Route == nil || (!q.CutOff && !req.Route.Sharded()) {
+		return wire.QueryResponse{Refused: "no such route, or not a sharded one"}
+	}
+	if !g.reaches(req, q.CutOff) {
+		return wire.QueryResponse{Refused: refusedCutOff}
 	}
-	shards := int64(len(route.Shards))
+	shards := int64(len(req.Services()))
 	before := g.gathered.Add(shards) - shards
 	defer g.gathered.Add(-shards)
 	if before > 0 && before+shards > gatheredPerCore*int64(g.p.settings.Capacity)/1000 {
 		return wire.QueryResponse{Refused: "too many requests of peers"}
 	}
-	resp := g.p.engine.Do(ctx, &forward.Request{
-		Call: &upstream.Call{
-			ID: q.RequestID, Method: q.Method, URI: q.URI, Host: q.Host, Header: q.Header, Body: q.Body, HasBody: q.HasBody,
-			Deadline: time.Now().Add(time.Duration(q.LeftMicros)*time.Microsecond - transitTime - hopMargin),
-			Caller:   q.Caller, Keys: q.Keys,
-		},
-		Route: route, Version: v.Version, ConfirmedAt: g.p.follower.ConfirmedAt(), ReceivedAt: receivedAt,
-		NewConnection: q.NewConnection, HopMargin: hopMargin, For: peer,
-	})
-	return wire.QueryResponse{
-		Status: resp.Status, Signatures: resp.Signatures, Missing: resp.Missing, Body: resp.Body,
-		RetryAfterMicros: uint64(resp.RetryAfter.Microseconds()), Reason: resp.Reason,
+	return queryResponse(req, g.p.engine.Do(ctx, req))
+}
+
+// reaches reports whether this process may serve a request of a peer, which does not reach
+// the targets itself if cutOff is true.
+func (g *gatherer) reaches(req *forward.Request, cutOff bool) bool {
+	if cutOff {
+		return g.p.pool.Helps(time.Now(), req.Services())
 	}
+	mode, _ := g.p.pool.Path()
+	return mode == reach.Open
+}
+
+// queryResponse returns the response to a query. One that does not fit into a frame is a
+// failure that may have run.
+func queryResponse(req *forward.Request, resp forward.Response) wire.QueryResponse {
+	out := wire.QueryResponse{
+		Status: resp.Status, Signatures: resp.Signatures, Missing: resp.Missing, Body: resp.Body, Version: req.Version,
+		RetryAfterMicros: uint64(resp.RetryAfter.Microseconds()), Reason: resp.Reason, Single: !req.Route.Sharded(),
+	}
+	if out.Single {
+		out.Header, out.Signature = resp.Header, resp.Signature
+	}
+	if len(out.Body) > maxQueryResponseBody {
+		return wire.QueryResponse{Status: http.StatusBadGateway, Reason: "the response is too large for a link", Single: out.Single, Version: req.Version}
+	}
+	return out
 }
 
 // gatheringState is the content of the state page about requests that are handed between
@@ -229,17 +290,23 @@
 type gatheringState struct {
 	// Peers are those to which sharded requests are handed, with whether there is a link.
 	Peers map[string]bool `json:"peers"`
+	// Helpers are those that serve requests while no target can be reached, with whether
+	// there is a link.
+	Helpers map[string]bool `json:"helpers"`
 	// Serving is the number of shards of peers' requests in progress.
 	Serving int64 `json:"serving"`
 }
 
 func (g *gatherer) state() gatheringState {
 	g.mu.Lock()
-	names := g.chooser.Picked()
+	names, helpers := g.chooser.Picked(), g.helpers.Picked()
 	g.mu.Unlock()
-	s := gatheringState{Peers: map[string]bool{}, Serving: g.gathered.Load()}
+	s := gatheringState{Peers: map[string]bool{}, Helpers: map[string]bool{}, Serving: g.gathered.Load()}
 	for _, name := range names {
 		s.Peers[name] = g.client.Reachable(name)
 	}
+	for _, name := range helpers {
+		s.Helpers[name] = g.client.Reachable(name)
+	}
 	return s
 }
--- a/entry/gather_test.go
+++ b/entry/gather_test.go
@@ -23,6 +23,8 @@
 
 func (peerFunc) Reachable(string) bool { return true }
 
+func (peerFunc) Connect(string) {}
+
 func (f peerFunc) Query(ctx context.Context, _ string, q wire.Query) (wire.QueryResponse, error) {
 	return f(ctx, q)
 }
@@ -31,7 +33,7 @@
 func newTestGatherer(client queryClient) *gatherer {
 	p := &process{
 		settings: Settings{Name: "small", DataCentre: "dc1", Capacity: 192}, log: slog.New(slog.DiscardHandler),
-		metrics: newMetrics(), startedAt: time.Now(),
+		metrics: newMetrics(), startedAt: time.Now(), pool: upstream.New(upstream.Options{}),
 	}
 	g := newGatherer(p)
 	g.client = client
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -22,7 +22,8 @@
 	reasons     *expvar.Map // by reason
 	latency     *expvar.Map // responses by exclusive upper bound of their latency in milliseconds
 	connections *expvar.Map // by event
-	delegated   *expvar.Map // requests that were handed to peers, by result
+	delegated   *expvar.Map // sharded requests that were handed to peers that gather, by result
+	detours     *expvar.Map // requests that were handed to peers as no target was reached, by result
 	partial     *expvar.Int
 	late        *expvar.Int
 }
@@ -33,7 +34,7 @@
 func newMetrics() *metrics {
 	m := &metrics{
 		responses: new(expvar.Map).Init(), reasons: new(expvar.Map).Init(), latency: new(expvar.Map).Init(),
-		connections: new(expvar.Map).Init(), delegated: new(expvar.Map).Init(), partial: new(expvar.Int), late: new(expvar.Int),
+		connections: new(expvar.Map).Init(), delegated: new(expvar.Map).Init(), detours: new(expvar.Map).Init(), partial: new(expvar.Int), late: new(expvar.Int),
 	}
 	return m
 }
@@ -52,6 +53,7 @@
 	expvar.Publish("latency_ms", m.latency)
 	expvar.Publish("connections", m.connections)
 	expvar.Publish("delegated", m.delegated)
+	expvar.Publish("detours", m.detours)
 	expvar.Publish("partial_answers", m.partial)
 	expvar.Publish("late_answers", m.late)
 	expvar.Publish("log_lines_dropped", expvar.Func(func() any { return p.adapter.DroppedLogLines() }))
@@ -68,6 +70,10 @@
 	m.delegated.Add(delegationNames[result], 1)
 }
 
+func (m *metrics) observeDetour(result delegate.Result) {
+	m.detours.Add(delegationNames[result], 1)
+}
+
 func (m *metrics) observe(route *catalog.Route, resp *forward.Response, took time.Duration) {
 	m.responses.Add(strconv.Itoa(resp.Status), 1)
 	if resp.Reason != "" {
--- a/forward/active_request.go
+++ b/forward/active_request.go
@@ -105,10 +105,7 @@
 // the request to the timeout of its route.
 func (e *Engine) newActiveRequest(req *Request) *activeRequest {
 	route := req.Route
-	r := &activeRequest{engine: e, req: req, services: route.Shards, failures: map[upstream.Outcome]int{}}
-	if !route.Sharded() {
-		r.services = []string{route.Pick(req.Call.ID)}
-	}
+	r := &activeRequest{engine: e, req: req, services: req.Services(), failures: map[upstream.Outcome]int{}}
 	objective := LatencyObjective(route)
 	maxAttempts := min(max(cmp.Or(route.MaxAttempts, defaultMaxAttempts), 1), maxTargets)
 	now := time.Now()
@@ -129,7 +126,7 @@
 		PartialAt:     req.ReceivedAt.Add(objective - margin - shardMargins),
 		OnTimeUntil:   req.ReceivedAt.Add(objective - minResponseMargin - req.HopMargin - shardMargins),
 		LatePartialAt: req.ReceivedAt.Add(lateFactor * objective),
-		SendBy:        r.sendBy(),
+		SendBy:        req.SendBy(),
 		Deadline:      req.Call.Deadline.Add(-deadlineMargin), HedgeAfter: min(hedgeAfter, time.Duration(maxHedgeDelayFraction*float64(objective))),
 	}
 	if route.Sharded() {
@@ -148,11 +145,6 @@
 	return r
 }
 
-// sendBy returns until when the request may wait for a target.
-func (r *activeRequest) sendBy() time.Time {
-	return r.req.ReceivedAt.Add(time.Duration(maxUnsentFraction * float64(LatencyObjective(r.req.Route))))
-}
-
 // capHedgeDelay returns the hedge delay of a sharded request, reduced so that
 // the response to a hedge can still arrive within available. Expected is the
 // usual duration of an attempt.
@@ -186,8 +178,10 @@
 	r.routeStats = stats
 	r.profile.Expected = cmp.Or(stats.latency.Quantile(now, 0.5), e.opts.Hedge.InitialDelay/2)
 	delay, _ := stats.latency.Delay(now)
-	for _, service := range r.services {
-		e.serviceBudget(now, service).AddFirst(now)
+	if !r.req.Counted {
+		for _, service := range r.services {
+			e.serviceBudget(now, service).AddFirst(now)
+		}
 	}
 	return delay
 }
--- a/forward/engine.go
+++ b/forward/engine.go
@@ -31,6 +31,21 @@
 	HopMargin time.Duration
 	// For is the VM of that process; empty if it is this one.
 	For string
+	// Counted is true if the retry budget of that process has counted the request.
+	Counted bool
+}
+
+// Services returns the services that the request needs.
+func (r *Request) Services() []string {
+	if r.Route.Sharded() {
+		return r.Route.Shards
+	}
+	return []string{r.Route.Pick(r.Call.ID)}
+}
+
+// SendBy returns until when the request may wait for a target, or for a peer that reaches one.
+func (r *Request) SendBy() time.Time {
+	return r.ReceivedAt.Add(time.Duration(maxUnsentFraction * float64(LatencyObjective(r.Route))))
 }
 
 // Response is the response to a request of a caller.
@@ -50,6 +65,9 @@
 	RetryAfter time.Duration
 	// Reason is why the request was refused or failed; empty for success.
 	Reason string
+	// Unreached is true if the request was sent to no target because no connection to any
+	// could be opened.
+	Unreached bool
 }
 
 // Options configures an Engine.
--- a/forward/response.go
+++ b/forward/response.go
@@ -23,6 +23,15 @@
 // targets of too many shards, or of its only service, want no more requests for now.
 const ReasonLimited = "the targets want no more requests for now"
 
+// ReasonUnreached is the reason of a response to a request that was refused because this
+// process reaches no target, and no peer took the request.
+const ReasonUnreached = "no target can be reached, and no peer serves the request"
+
+// Unreached returns the response to a request that was refused for ReasonUnreached.
+func Unreached(id string) Response {
+	return Response{Status: http.StatusServiceUnavailable, RetryAfter: spread(unservedRetryAfter, id), Reason: ReasonUnreached}
+}
+
 // ReasonQuarantined is the reason of a response to a request that was refused because the
 // targets that run it crash.
 const ReasonQuarantined = "targets that run this request crash"
@@ -40,6 +49,7 @@
 	case plan.NotRun:
 		wait, _ := r.unservable(now)
 		resp = Response{Status: http.StatusServiceUnavailable, RetryAfter: max(r.retryAfter(now), wait), Reason: "no target took the request"}
+		resp.Unreached = r.failures[upstream.NotSent] > 0 && r.failures[upstream.Refused]+r.failures[upstream.Misdirected] == 0
 		if wait := r.engine.quarantinedFor(now, r.req); wait > 0 {
 			resp.RetryAfter, resp.Reason = delayed(wait, r.req.Call.ID), ReasonQuarantined
 		}
@@ -96,7 +106,7 @@
 // request is refused, and for the others that have a target, in ascending order, how long
 // until it may.
 func (r *activeRequest) availability(now time.Time) (servable int, waits []time.Duration) {
-	until := r.sendBy()
+	until := r.req.SendBy()
 	for _, at := range r.engine.opts.Pool.AvailableAt(now, r.services) {
 		switch {
 		case at.IsZero():
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -42,6 +42,12 @@
 	// Delegate hands a request to a peer. It returns false if no peer has begun with it;
 	// may be nil.
 	Delegate func(ctx context.Context, req *forward.Request) (forward.Response, bool)
+	// Rescue hands a request to a peer that could not be sent to any target. It returns
+	// false if no peer has begun with it; may be nil.
+	Rescue func(ctx context.Context, req *forward.Request) (forward.Response, bool)
+	// Behind reports whether a peer has served requests with a later configuration than
+	// the one in force here; may be nil.
+	Behind func() bool
 	// View returns the current view; nil if there is none yet.
 	View func() *catalog.View
 	// ConfirmedAt returns when the store last confirmed the view.
@@ -113,7 +119,13 @@
 			return route, resp
 		}
 	}
-	return route, h.opts.Engine.Do(r.Context(), req)
+	resp := h.opts.Engine.Do(r.Context(), req)
+	if resp.Unreached && h.opts.Rescue != nil {
+		if rescued, ok := h.opts.Rescue(r.Context(), req); ok {
+			return route, rescued
+		}
+	}
+	return route, resp
 }
 
 // prepareCall finds the route of a request and reads its body. If the request is
@@ -175,7 +187,7 @@
 // refuseUnknownRoute returns the response to a request without a route. The
 // caller may retry while the view is stale, as the route may have been published.
 func (h *Handler) refuseUnknownRoute(receivedAt time.Time) *forward.Response {
-	if receivedAt.Sub(h.opts.ConfirmedAt()) > h.opts.StaleAfter {
+	if receivedAt.Sub(h.opts.ConfirmedAt()) > h.opts.StaleAfter || (h.opts.Behind != nil && h.opts.Behind()) {
 		return &forward.Response{Status: http.StatusServiceUnavailable, RetryAfter: unknownRetryAfter, Reason: "no route is known, and the configuration may be old"}
 	}
 	return &forward.Response{Status: http.StatusNotFound, Reason: "no route"}
--- a/link/pool.go
+++ b/link/pool.go
@@ -161,6 +161,15 @@
 	return nil
 }
 
+// Connect begins to dial the named process if it is known and there is no link to it.
+func (p *Pool) Connect(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.peers[name]; s != nil && s.known && s.link == nil {
+		p.dial(name, s, time.Now())
+	}
+}
+
 // Links returns all open links.
 func (p *Pool) Links() []*Link {
 	p.mu.Lock()
--- a/mesh/query.go
+++ b/mesh/query.go
@@ -31,6 +31,9 @@
 // Reachable reports whether there is a link to the process on a VM.
 func (m *Mesh) Reachable(vm string) bool { return m.pool.Get(ProcessName(vm)) != nil }
 
+// Connect begins to open a link to the process on a VM if there is none.
+func (m *Mesh) Connect(vm string) { m.pool.Connect(ProcessName(vm)) }
+
 // Query hands a query to the peer on a VM, over a link that is open already. If ctx ends
 // before the response, it tells the peer and returns the error of ctx.
 func (m *Mesh) Query(ctx context.Context, vm string, q wire.Query) (wire.QueryResponse, error) {
--- a/peers/node.go
+++ b/peers/node.go
@@ -208,6 +208,16 @@
 	n.state.SetLoad(l)
 }
 
+// SetCutOff tells the other processes whether this one reaches no targets, a few of them at
+// once.
+func (n *Node) SetCutOff(cutOff bool) {
+	now := time.Now()
+	n.mu.Lock()
+	messages := n.state.SetCutOff(now, cutOff, newsPeerAge, newsFanout)
+	n.mu.Unlock()
+	n.send(messages)
+}
+
 // SetSeeds replaces the seed addresses.
 func (n *Node) SetSeeds(seeds []string) {
 	n.mu.Lock()
--- a/peers/state.go
+++ b/peers/state.go
@@ -33,6 +33,8 @@
 	Capacity uint32 `cbor:"6,keyasint,omitempty"`
 	// Load is the rate of requests that the process serves; nil if unknown.
 	Load *Load `cbor:"7,keyasint,omitempty" json:",omitempty"`
+	// CutOff is true if the process reaches no targets.
+	CutOff bool `cbor:"8,keyasint,omitempty" json:",omitempty"`
 }
 
 // Load is the rate of requests that a process serves, in hundredths of a request per second.
@@ -287,6 +289,17 @@
 // SetLoad sets the load that the other processes are told.
 func (s *State) SetLoad(l *Load) { s.opts.Self.Load = l }
 
+// SetCutOff sets whether the other processes are told that this one reaches no targets. It
+// returns messages for up to n of those that are alive within the given time, if that is new.
+func (s *State) SetCutOff(now time.Time, cutOff bool, within time.Duration, n int) []Outgoing {
+	if s.opts.Self.CutOff == cutOff {
+		return nil
+	}
+	s.opts.Self.CutOff = cutOff
+	s.opts.Self.Heartbeat++ // makes receivers take it for newer
+	return s.Spread(now, within, n, nil)
+}
+
 // SetSeeds replaces the seed addresses.
 func (s *State) SetSeeds(seeds []string) { s.opts.Seeds = seeds }
 
--- a/wire/query.go
+++ b/wire/query.go
@@ -2,10 +2,11 @@
 
 import "github.com/goldcrestmux/goldcrestmux/quarantine"
 
-// Query hands a caller's request to a peer, which gathers the responses of its shards.
+// Query hands a caller's request to a peer, which serves it in place of the sender.
 type Query struct {
 	ID uint64 `cbor:"1,keyasint"` // unique within the sending process
-	// Version is the version of the configuration that the sender has in force.
+	// Version is the version of the configuration that the peer must have in force. With
+	// CutOff set it may have a higher one.
 	Version uint64 `cbor:"2,keyasint"`
 	// RequestID, Method, URI, Host, Header and Body are as the caller sent them, without
 	// hop-by-hop headers.
@@ -26,6 +27,11 @@
 	// Caller and Keys identify who sent the request, and the request across its repeats.
 	Caller string          `cbor:"13,keyasint,omitempty"`
 	Keys   quarantine.Keys `cbor:"14,keyasint"`
+	// CutOff is true if the sender does not reach the targets. The peer takes the query
+	// only if it does; it may be one for a single service.
+	CutOff bool `cbor:"15,keyasint,omitempty"`
+	// Counted is true if the sender has counted the request towards its retry budget.
+	Counted bool `cbor:"16,keyasint,omitempty"`
 }
 
 // QueryResponse is the response to a Query.
@@ -42,6 +48,13 @@
 	Body             []byte   `cbor:"6,keyasint,omitempty"`
 	RetryAfterMicros uint64   `cbor:"7,keyasint,omitempty"`
 	Reason           string   `cbor:"8,keyasint,omitempty"`
+	// Single is true if the response is one for a single service. Header and Signature
+	// are then those of the target's response.
+	Single    bool                `cbor:"9,keyasint,omitempty"`
+	Header    map[string][]string `cbor:"10,keyasint,omitempty"`
+	Signature string              `cbor:"11,keyasint,omitempty"`
+	// Version is the version of the configuration that the peer served the query with.
+	Version uint64 `cbor:"12,keyasint,omitempty"`
 }
 
 // QueryCancel tells a peer that the response to a query is no longer needed.
