Hand over requests that are in progress when the path to targets is lost

What callers saw: requests that were in progress when a VM was cut off ended 502 or 504 after up to 3.2 s, though the VM knew after 0.45 s that it reached no target; requests to one service that alone was out of reach ended 503 or 504. Cause: only requests that came after the verdict took the detour. Change: at the verdict, requests that may run again are withdrawn from targets and handed to a peer with their history: targets that may have run them count towards max_attempts, each attempt of the peer draws on its retry budget, and the caller is never told that such a request has not run. A process that stops waits for the requests of peers that it has begun.

--- a/entry/detour.go
+++ b/entry/detour.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/goldcrestmux/goldcrestmux/balance"
@@ -18,6 +19,9 @@
 	// helperRecheck is the time between two looks for a helper while links are being
 	// opened.
 	helperRecheck = 5 * time.Millisecond
+	// maxLinkWait is the longest time that a request in progress waits for a link when the
+	// path is lost. Links are opened as soon as that is suspected.
+	maxLinkWait = 50 * time.Millisecond
 	// unhelpedTime is how long no peer is asked to help with a service again that one has
 	// refused, while this process reaches other targets.
 	unhelpedTime = time.Second
@@ -54,7 +58,7 @@
 // detour hands a request to a helper. It returns false if none has begun with it, and this
 // process may reach targets by itself.
 func (g *gatherer) detour(ctx context.Context, req *forward.Request) (forward.Response, bool) {
-	if resp, ok := g.handToHelper(ctx, req, delegate.MaxHelpers, req.SendBy(), false); ok {
+	if resp, ok := g.handToHelper(ctx, req, delegate.MaxHelpers, req.SendBy(), nil); ok {
 		return resp, true
 	}
 	mode, since := g.p.pool.Path()
@@ -66,12 +70,26 @@
 	return resp, true
 }
 
-// Rescue hands a request to a helper that could not be sent to any target of its service. It
+// Rescue hands a request to a helper that this process has tried to serve, as detour says. It
 // returns false if no peer has begun with it.
-func (g *gatherer) Rescue(ctx context.Context, req *forward.Request) (forward.Response, bool) {
-	if req.Route.Sharded() || len(req.Call.Body) > maxQueryBody {
+func (g *gatherer) Rescue(ctx context.Context, req *forward.Request, detour *forward.Detour) (forward.Response, bool) {
+	now := time.Now()
+	if len(req.Call.Body) > maxQueryBody {
 		return forward.Response{}, false
 	}
+	if detour.PathLost {
+		return g.handToHelper(ctx, req, delegate.MaxHelpers, now.Add(maxLinkWait), detour)
+	}
+	if req.Route.Sharded() {
+		return forward.Response{}, false
+	}
+	return g.askHelper(ctx, req, detour)
+}
+
+// askHelper hands a request to a helper whose only service this process does not reach,
+// though it reaches others. If the helper does not reach it either, no helper is asked for a
+// while.
+func (g *gatherer) askHelper(ctx context.Context, req *forward.Request, detour *forward.Detour) (forward.Response, bool) {
 	service, now := req.Services()[0], time.Now()
 	g.mu.Lock()
 	wait := now.Before(g.unhelped[service])
@@ -79,7 +97,7 @@
 	if wait {
 		return forward.Response{}, false
 	}
-	resp, ok := g.handToHelper(ctx, req, 1, now, true)
+	resp, ok := g.handToHelper(ctx, req, 1, now.Add(maxLinkWait), detour)
 	if !ok {
 		g.mu.Lock()
 		g.unhelped[service] = now.Add(unhelpedTime)
@@ -100,9 +118,9 @@
 }
 
 // handToHelper hands a request to a helper, and to others if helpers refuse it, up to the
-// given number. It waits until waitBy for links to helpers. It returns false if no peer has
-// begun with the request.
-func (g *gatherer) handToHelper(ctx context.Context, req *forward.Request, most int, waitBy time.Time, counted bool) (forward.Response, bool) {
+// given number. It waits until waitBy for links to helpers. Detour is set if this process has
+// tried to serve the request. It returns false if no peer has begun with the request.
+func (g *gatherer) handToHelper(ctx context.Context, req *forward.Request, most int, waitBy time.Time, detour *forward.Detour) (forward.Response, bool) {
 	profile := profileOf(req.Route)
 	refused := map[string]bool{}
 	for len(refused) < most {
@@ -115,10 +133,16 @@
 			continue
 		}
 		q := newQuery(req, now)
-		q.CutOff, q.Counted, q.Version = true, counted, max(req.Version, g.versionSeen.Load())
+		q.CutOff, q.Version = true, max(req.Version, g.versionSeen.Load())
+		if detour != nil {
+			q.Counted, q.Repeat, q.MaxTargets = true, detour.Repeat, uint32(detour.MaxTargets)
+		}
 		resp, result := g.hand(ctx, peer, req, q, now)
 		g.helped(now, peer, result, profile)
 		if result != delegate.Refused {
+			if q.Repeat && forward.PromisesNotRun(resp.Status) {
+				resp.Status, resp.RetryAfter = http.StatusBadGateway, 0 // targets of this process may have run it
+			}
 			g.p.log.Info("request handed to a peer", "id", req.Call.ID, "route", req.Route.Name, "peer", peer, "status", resp.Status, "reason", resp.Reason, "refusals", len(refused), "took", time.Since(req.ReceivedAt))
 			return resp, true
 		}
--- a/entry/gather.go
+++ b/entry/gather.go
@@ -58,9 +58,10 @@
 type gatherer struct {
 	p      *process
 	client queryClient
-	// gathered is the number of shards of peers' requests that are being served.
-	gathered atomic.Int64
-	pauses   *pauseDetector
+	// gathered is the number of shards of peers' requests that are being served, and
+	// serving the number of these requests.
+	gathered, serving atomic.Int64
+	pauses            *pauseDetector
 	// versionSeen is the highest version of the configuration with which peers have served
 	// requests of this process.
 	versionSeen atomic.Uint64
@@ -127,7 +128,10 @@
 		return g.detour(ctx, req)
 	}
 	if !req.Route.Sharded() {
-		return forward.Response{}, false
+		if !g.p.pool.Blocked(time.Now(), req.Services()[0]) {
+			return forward.Response{}, false
+		}
+		return g.askHelper(ctx, req, nil)
 	}
 	profile := profileOf(req.Route)
 	sentAt := time.Now()
@@ -226,6 +230,8 @@
 // serve serves a request that a peer handed to this process. It never hands it on: what this
 // process cannot serve by itself is refused.
 func (g *gatherer) serve(ctx context.Context, peer string, q *wire.Query) wire.QueryResponse {
+	g.serving.Add(1)
+	defer g.serving.Add(-1)
 	now := time.Now()
 	receivedAt := now.Add(-time.Duration(q.ElapsedMicros)*time.Microsecond - transitTime)
 	deadline := now.Add(time.Duration(q.LeftMicros)*time.Microsecond - transitTime - hopMargin)
@@ -243,6 +249,7 @@
 		},
 		Route: v.RouteOfURI(q.Host, q.URI), Version: v.Version, ConfirmedAt: g.p.follower.ConfirmedAt(), ReceivedAt: receivedAt,
 		NewConnection: q.NewConnection, HopMargin: hopMargin, For: peer, Counted: q.Counted,
+		Repeat: q.Repeat, MaxTargets: int(q.MaxTargets),
 	}
 	if req.Route == nil || (!q.CutOff && !req.Route.Sharded()) {
 		return wire.QueryResponse{Refused: "no such route, or not a sharded one"}
@@ -259,6 +266,18 @@
 	return queryResponse(req, g.p.engine.Do(ctx, req))
 }
 
+// drainPollInterval is the time between two looks for requests of peers in progress.
+const drainPollInterval = 10 * time.Millisecond
+
+// drain waits until no request of a peer is being served, at most until the given time. It
+// returns the number of those that are.
+func (g *gatherer) drain(until time.Time) (inProgress int) {
+	for g.serving.Load() > 0 && time.Now().Before(until) {
+		time.Sleep(drainPollInterval)
+	}
+	return int(g.serving.Load())
+}
+
 // reaches reports whether this process may serve a request of a peer, which does not reach
 // the targets itself if cutOff is true.
 func (g *gatherer) reaches(req *forward.Request, cutOff bool) bool {
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -66,6 +66,7 @@
 	if err != nil {
 		p.log.Warn("closing the listener for callers failed", "error", err)
 	}
+	inProgress += p.gatherer.drain(startedAt.Add(time.Duration(abortAt * float64(p.settings.StopTimeout))))
 	if inProgress > 0 {
 		code = exitAborted
 		p.log.Error("requests in progress were aborted", "in_progress", inProgress)
--- a/forward/active_request.go
+++ b/forward/active_request.go
@@ -35,6 +35,8 @@
 	inProgress    int             // attempts without a result
 	quarantined   int             // shards that no attempt may be sent to, as the request crashes targets
 	extraAttempts int
+	maxTargets    int // of each shard
+	sendBy        time.Time
 	failures      map[upstream.Outcome]int
 }
 
@@ -50,6 +52,7 @@
 	}
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	lost := e.opts.Pool.PathLost()
 	for {
 		r.sendDue(now)
 		decision := r.plan.Decide(now)
@@ -63,6 +66,11 @@
 		case res := <-r.results:
 			r.handleResult(res)
 		case <-timer.C:
+		case <-lost:
+			lost = nil
+			if resp, ended := r.pathLost(time.Now()); ended {
+				return resp
+			}
 		case <-ctx.Done():
 			r.abandonAttempts(disconnectLinger)
 			return r.callerDisconnected(time.Now())
@@ -108,6 +116,10 @@
 	r := &activeRequest{engine: e, req: req, services: req.Services(), failures: map[upstream.Outcome]int{}}
 	objective := LatencyObjective(route)
 	maxAttempts := min(max(cmp.Or(route.MaxAttempts, defaultMaxAttempts), 1), maxTargets)
+	if req.MaxTargets > 0 {
+		maxAttempts = min(maxAttempts, req.MaxTargets)
+	}
+	r.maxTargets = maxAttempts
 	now := time.Now()
 	hedgeAfter := e.recordRequest(now, route, r)
 	if route.Timeout > 0 {
@@ -115,6 +127,12 @@
 			req.Call.Deadline = at
 		}
 	}
+	r.sendBy = req.SendBy()
+	latePartialAt := req.ReceivedAt.Add(lateFactor * objective)
+	if req.Counted { // the time that another process took for it does not count
+		r.sendBy = r.sendBy.Add(now.Sub(req.ReceivedAt))
+		latePartialAt = latePartialAt.Add(now.Sub(req.ReceivedAt))
+	}
 	shardMargins := time.Duration(len(r.services)) * shardMargin
 	margin := responseMargin + req.HopMargin
 	if req.NewConnection {
@@ -125,8 +143,8 @@
 		MinFraction:   1,
 		PartialAt:     req.ReceivedAt.Add(objective - margin - shardMargins),
 		OnTimeUntil:   req.ReceivedAt.Add(objective - minResponseMargin - req.HopMargin - shardMargins),
-		LatePartialAt: req.ReceivedAt.Add(lateFactor * objective),
-		SendBy:        req.SendBy(),
+		LatePartialAt: latePartialAt,
+		SendBy:        r.sendBy,
 		Deadline:      req.Call.Deadline.Add(-deadlineMargin), HedgeAfter: min(hedgeAfter, time.Duration(maxHedgeDelayFraction*float64(objective))),
 	}
 	if route.Sharded() {
@@ -202,6 +220,7 @@
 			r.plan.GiveUp(i)
 			continue
 		}
+		extra = extra || r.req.Repeat
 		var taken budget.Taken
 		if extra {
 			if taken, ok = r.takeExtra(now, i); !ok {
@@ -289,12 +308,12 @@
 	if res.Status >= 200 && res.Status < 300 {
 		return res.Signature != ""
 	}
-	return !r.req.Route.Sharded() && res.Status < 500 && !promisesNotRun(res.Status)
+	return !r.req.Route.Sharded() && res.Status < 500 && !PromisesNotRun(res.Status)
 }
 
-// promisesNotRun reports whether the status tells a caller that its request has not run
+// PromisesNotRun reports whether the status tells a caller that its request has not run
 // and never will.
-func promisesNotRun(status int) bool {
+func PromisesNotRun(status int) bool {
 	switch status {
 	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return true
--- a/forward/engine.go
+++ b/forward/engine.go
@@ -33,6 +33,12 @@
 	For string
 	// Counted is true if the retry budget of that process has counted the request.
 	Counted bool
+	// Repeat is true if that process may have sent the request to targets: each attempt
+	// draws on the retry budget.
+	Repeat bool
+	// MaxTargets bounds the targets of the request, or of each of its shards, besides the
+	// bound of the route; zero for none.
+	MaxTargets int
 }
 
 // Services returns the services that the request needs.
@@ -65,9 +71,18 @@
 	RetryAfter time.Duration
 	// Reason is why the request was refused or failed; empty for success.
 	Reason string
-	// Unreached is true if the request was sent to no target because no connection to any
-	// could be opened.
-	Unreached bool
+	// Detour is set if a peer that reaches the targets may serve the request instead; the
+	// response is then for the case that none does.
+	Detour *Detour
+}
+
+// Detour describes what a peer may do that serves a request in place of this process.
+type Detour struct {
+	// PathLost is true if this process reaches no target, rather than none of one service.
+	PathLost bool
+	// Repeat and MaxTargets are those of the request at the peer.
+	Repeat     bool
+	MaxTargets int
 }
 
 // Options configures an Engine.
--- a/forward/response.go
+++ b/forward/response.go
@@ -49,7 +49,9 @@
 	case plan.NotRun:
 		wait, _ := r.unservable(now)
 		resp = Response{Status: http.StatusServiceUnavailable, RetryAfter: max(r.retryAfter(now), wait), Reason: "no target took the request"}
-		resp.Unreached = r.failures[upstream.NotSent] > 0 && r.failures[upstream.Refused]+r.failures[upstream.Misdirected] == 0
+		if r.failures[upstream.NotSent] > 0 && r.failures[upstream.Refused]+r.failures[upstream.Misdirected] == 0 {
+			resp.Detour = &Detour{}
+		}
 		if wait := r.engine.quarantinedFor(now, r.req); wait > 0 {
 			resp.RetryAfter, resp.Reason = delayed(wait, r.req.Call.ID), ReasonQuarantined
 		}
@@ -106,7 +108,7 @@
 // request is refused, and for the others that have a target, in ascending order, how long
 // until it may.
 func (r *activeRequest) availability(now time.Time) (servable int, waits []time.Duration) {
-	until := r.req.SendBy()
+	until := r.sendBy
 	for _, at := range r.engine.opts.Pool.AvailableAt(now, r.services) {
 		switch {
 		case at.IsZero():
@@ -154,7 +156,7 @@
 // failureResponse returns the error response of a target to an unsharded
 // request, or else a response that says how the request failed.
 func (r *activeRequest) failureResponse(decision plan.Decision) Response {
-	if !r.req.Route.Sharded() && r.lastFailure.Outcome == upstream.Responded && r.lastFailure.Status >= 500 && !promisesNotRun(r.lastFailure.Status) {
+	if !r.req.Route.Sharded() && r.lastFailure.Outcome == upstream.Responded && r.lastFailure.Status >= 500 && !PromisesNotRun(r.lastFailure.Status) {
 		return Response{Status: r.lastFailure.Status, Header: r.lastFailure.Header, Signature: r.lastFailure.Signature, Body: r.lastFailure.Body, Reason: "the target failed"}
 	}
 	if decision == plan.Expired {
@@ -169,6 +171,36 @@
 	return max(r.req.Call.Deadline.Sub(now)/20, minRetryAfter)
 }
 
+// pathLost ends a request whose targets can no longer be reached. It returns false if the
+// request may not run again: its attempts may yet respond if the path comes back.
+func (r *activeRequest) pathLost(now time.Time) (resp Response, ended bool) {
+	if !r.req.Route.Idempotent && !r.req.Route.Sharded() {
+		return Response{}, false
+	}
+	reached := make([]map[string]bool, len(r.services))
+	detour := &Detour{PathLost: true, MaxTargets: r.maxTargets}
+	for _, a := range r.attempts {
+		if !r.engine.opts.Pool.Withdraw(a) {
+			continue
+		}
+		if reached[a.Shard] == nil {
+			reached[a.Shard] = map[string]bool{}
+		}
+		reached[a.Shard][a.Target.ID] = true
+		detour.Repeat = true
+		detour.MaxTargets = min(detour.MaxTargets, r.maxTargets-len(reached[a.Shard]))
+	}
+	resp = Response{Status: http.StatusBadGateway, Reason: "the path to the targets was lost"}
+	if !detour.Repeat {
+		resp = Unreached(r.req.Call.ID)
+	}
+	if detour.MaxTargets > 0 {
+		resp.Detour = detour
+	}
+	r.logResponse(now, plan.Failed, &resp)
+	return resp, true
+}
+
 // callerDisconnected returns and logs the response to a caller that has
 // disconnected. It is not sent.
 func (r *activeRequest) callerDisconnected(now time.Time) Response {
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -42,9 +42,9 @@
 	// Delegate hands a request to a peer. It returns false if no peer has begun with it;
 	// may be nil.
 	Delegate func(ctx context.Context, req *forward.Request) (forward.Response, bool)
-	// Rescue hands a request to a peer that could not be sent to any target. It returns
-	// false if no peer has begun with it; may be nil.
-	Rescue func(ctx context.Context, req *forward.Request) (forward.Response, bool)
+	// Rescue hands a request to a peer that this process could not serve, as the Detour of
+	// its response says. It returns false if no peer has begun with it; may be nil.
+	Rescue func(ctx context.Context, req *forward.Request, detour *forward.Detour) (forward.Response, bool)
 	// Behind reports whether a peer has served requests with a later configuration than
 	// the one in force here; may be nil.
 	Behind func() bool
@@ -120,8 +120,8 @@
 		}
 	}
 	resp := h.opts.Engine.Do(r.Context(), req)
-	if resp.Unreached && h.opts.Rescue != nil {
-		if rescued, ok := h.opts.Rescue(r.Context(), req); ok {
+	if resp.Detour != nil && h.opts.Rescue != nil {
+		if rescued, ok := h.opts.Rescue(r.Context(), req, resp.Detour); ok {
 			return route, rescued
 		}
 	}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -309,3 +309,23 @@
 	}
 	a.closeAt = time.Now().Add(linger)
 }
+
+// Withdraw abandons an attempt, and reports whether a target may have got it. Its connection
+// is closed.
+func (p *Pool) Withdraw(a *Attempt) (sent bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch a.state {
+	case stateDone:
+		return !a.sentAt.IsZero()
+	case stateSent:
+		a.abandoned, a.closeAt = true, time.Now()
+		return true
+	}
+	a.abandoned = true
+	if a.state == stateQueued && a.Target.removeWaiting(a) {
+		a.state = stateDone
+		a.Target.stats.Canceled(a.StartedAt)
+	}
+	return false
+}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -76,10 +76,13 @@
 	removed map[string]removedTarget
 	// reach is whether targets can be reached at all.
 	reach reach.State
+	// pathLost is closed while no target can be reached, which lost tells.
+	pathLost chan struct{}
+	lost     bool
 	// unproven holds ends of targets that may be failures of this process's own path.
 	unproven []unprovenEnd
 	// broken holds the latest runs of targets whose connections ended.
-	broken []brokenRun
+	broken  []brokenRun
 	buffers sync.Pool
 	// buffered is the number of bytes that count against MaxBufferedBytes.
 	buffered atomic.Int64
@@ -116,7 +119,7 @@
 	opts.Guard = opts.Guard.OrNew(slog.New(slog.DiscardHandler))
 	p := &Pool{
 		opts: opts, targets: map[string]*Target{}, services: map[string]*service{},
-		busy: map[*conn]struct{}{}, removed: map[string]removedTarget{},
+		busy: map[*conn]struct{}{}, removed: map[string]removedTarget{}, pathLost: make(chan struct{}),
 	}
 	p.buffers.New = func() any { b := make([]byte, 0, 1024); return &b }
 	return p
--- a/upstream/reach.go
+++ b/upstream/reach.go
@@ -111,10 +111,30 @@
 		go p.probe(t, t.entry.Address)
 	}
 	p.settleEnds(now)
+	p.signalPath()
 	mode, since = p.reach.Mode()
 	return mode, since, n > 0
 }
 
+// signalPath ends the waiting of those who wait for the loss of the path. mu must be held.
+func (p *Pool) signalPath() {
+	mode, _ := p.reach.Mode()
+	switch lost := mode == reach.Cut; {
+	case lost && !p.lost:
+		close(p.pathLost)
+	case !lost && p.lost:
+		p.pathLost = make(chan struct{})
+	}
+	p.lost = mode == reach.Cut
+}
+
+// PathLost returns a channel that is closed once no target can be reached.
+func (p *Pool) PathLost() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pathLost
+}
+
 // Path returns whether targets can be reached, and since when that is so.
 func (p *Pool) Path() (mode reach.Mode, since time.Time) {
 	p.mu.Lock()
@@ -159,6 +179,7 @@
 	if err != nil {
 		t.stats.Avoid(now, isTimeout(err))
 	}
+	p.signalPath()
 	p.mu.Unlock()
 	if err == nil {
 		p.adopt(t, nc)
@@ -200,15 +221,33 @@
 		return false
 	}
 	for _, name := range services {
-		svc, found := p.services[name], false
-		if svc != nil {
-			for _, t := range svc.targets {
-				found = found || (t.usable(now, p.opts.DrainGrace) && (len(t.idle) > 0 || !t.stats.Avoided(now)))
-			}
-		}
-		if !found {
+		if usable, reached := p.reached(now, name); !usable || !reached {
 			return false
 		}
 	}
 	return true
 }
+
+// Blocked reports whether connections to all targets of a service have failed just now.
+func (p *Pool) Blocked(now time.Time, name string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	usable, reached := p.reached(now, name)
+	return usable && !reached
+}
+
+// reached reports whether a service has targets that may get requests, and whether one of
+// them has a free connection, or has not just failed to accept one. mu must be held.
+func (p *Pool) reached(now time.Time, name string) (usable, reached bool) {
+	svc := p.services[name]
+	if svc == nil {
+		return false, false
+	}
+	for _, t := range svc.targets {
+		if t.usable(now, p.opts.DrainGrace) {
+			usable = true
+			reached = reached || len(t.idle) > 0 || !t.stats.Avoided(now)
+		}
+	}
+	return usable, reached
+}
--- a/wire/query.go
+++ b/wire/query.go
@@ -32,6 +32,11 @@
 	CutOff bool `cbor:"15,keyasint,omitempty"`
 	// Counted is true if the sender has counted the request towards its retry budget.
 	Counted bool `cbor:"16,keyasint,omitempty"`
+	// Repeat is true if the sender may have sent the request to targets, so that each
+	// attempt of the peer draws on its retry budget. MaxTargets is then the number of
+	// targets that the request, or each of its shards, may still be sent to.
+	Repeat     bool   `cbor:"17,keyasint,omitempty"`
+	MaxTargets uint32 `cbor:"18,keyasint,omitempty"`
 }
 
 // QueryResponse is the response to a Query.
