--- a/standin/change.go
+++ b/standin/change.go
@@ -48,6 +48,10 @@
 	// PartitionedDataCentres names the data centres whose requests receive no
 	// response, as in a network partition.
 	PartitionedDataCentres *[]string `json:"cut_off,omitempty"`
+	// CutVMs names the VMs whose relays have no path to the target: their requests receive
+	// no response or, with ResetVMs, their connections are reset.
+	CutVMs   *[]string `json:"cut_vms,omitempty"`
+	ResetVMs *[]string `json:"reset_vms,omitempty"`
 	// WarmAfter and WarmTime determine when a cold target is warm: every WarmAfter
 	// completed requests add one slot, and all slots are available WarmTime after
 	// the boot.
@@ -116,6 +120,8 @@
 	setIf(&s.healthLag, c.HealthLag)
 	setIf(&s.crashText, c.CrashText)
 	setIf(&s.partitionedDataCentres, c.PartitionedDataCentres)
+	setIf(&s.cutVMs, c.CutVMs)
+	setIf(&s.resetVMs, c.ResetVMs)
 	setIf(&s.warmAfter, c.WarmAfter)
 	setIf(&s.warmTime, c.WarmTime)
 	if c.Drain != nil {
--- a/standin/serve.go
+++ b/standin/serve.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -319,10 +320,18 @@
 // blockIfPartitioned blocks a request from a partitioned data centre until the
 // client or the target ends it, and aborts it without a response.
 func (t *Target) blockIfPartitioned(from string, r *http.Request) {
+	vm := vmOf(r)
 	t.mu.Lock()
-	partitioned := slices.Contains(t.settings.partitionedDataCentres, from)
+	partitioned := slices.Contains(t.settings.partitionedDataCentres, from) || slices.Contains(t.settings.cutVMs, vm)
+	resets := slices.Contains(t.settings.resetVMs, vm)
 	ctx := t.ctx
 	t.mu.Unlock()
+	if resets {
+		if c, ok := r.Context().Value(connKey{}).(*targetConn); ok {
+			reset(c.Conn)
+		}
+		panic(http.ErrAbortHandler)
+	}
 	if !partitioned {
 		return
 	}
@@ -333,6 +342,12 @@
 	panic(http.ErrAbortHandler)
 }
 
+// vmOf returns the VM of the relay that sent a request.
+func vmOf(r *http.Request) string {
+	vm, _, _ := strings.Cut(r.Header.Get(targetapi.HeaderRelay), "/")
+	return vm
+}
+
 // drawServiceTime returns a random service time for the next request.
 func (t *Target) drawServiceTime() time.Duration {
 	t.mu.Lock()
--- a/standin/target.go
+++ b/standin/target.go
@@ -44,6 +44,7 @@
 	healthLag              Duration
 	crashText              string
 	partitionedDataCentres []string
+	cutVMs, resetVMs       []string
 	warmAfter              int
 	warmTime               Duration
 }
