Keep a relay that reaches no target from speaking for the targets

What callers saw: with one of six VMs cut off from targets, 41% of the answers of all gateways lacked shards and took 300 ms. Cause: the relay took each failure for one of the target. It told the other relays that all targets were cold or lost, and went on to offer its permits to gateways. Change: the relay uses package reach. While probes are in progress the failures of targets wait; if no target can be reached they are dropped, grants are void, and ends are not confirmed to the quarantine. When the path is back each target is probed before its use, as it may have started again cold.

--- a/reach/state.go
+++ b/reach/state.go
@@ -171,6 +171,9 @@
 	return s.mode != Open || s.probes > 0 || s.suspicious(now)
 }
 
+// Undecided reports whether probes are in progress that may change the mode.
+func (s *State) Undecided() bool { return s.probes > 0 && !s.void }
+
 func (s *State) suspicious(now time.Time) bool {
 	refused := 0
 	for i := range s.refused {
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/goldcrestmux/goldcrestmux/code"
 	"github.com/goldcrestmux/goldcrestmux/quarantine"
+	"github.com/goldcrestmux/goldcrestmux/reach"
 	"github.com/goldcrestmux/goldcrestmux/targetapi"
 	"github.com/juju/errors"
 )
@@ -63,5 +64,6 @@
 	ctx, cancel := context.WithTimeout(r.tomb.Context(context.Background()), probeTimeout)
 	defer cancel()
 	_, err := e.client.Probe(ctx)
-	r.opts.Guard.Confirm(time.Now(), e.name, incarnation, errors.Is(err, syscall.ECONNREFUSED))
+	ended := errors.Is(err, syscall.ECONNREFUSED) && r.path.await() == reach.Open
+	r.opts.Guard.Confirm(time.Now(), e.name, incarnation, ended)
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -58,8 +58,8 @@
 // SetContracts must not be called concurrently with itself.
 //
 // Lock order: Relay.mu, permitDriver.mu and targetEntry.mu are each taken with none
-// of the others held. While targetEntry.mu is held, only the locks of links may be
-// taken. The actions of state machines are performed with no lock held.
+// of the others held. While targetEntry.mu is held, only the locks of links and path.mu
+// may be taken. The actions of state machines are performed with no lock held.
 type Relay struct {
 	opts    Options
 	started time.Time
@@ -67,6 +67,7 @@
 	work    *workQueue
 	permits *permitDriver
 	leaving *leavingSet
+	path    *path
 
 	mu        sync.RWMutex
 	entries   map[string]*targetEntry
@@ -91,6 +92,7 @@
 		leaving: newLeavingSet(),
 		entries: make(map[string]*targetEntry),
 	}
+	r.path = &path{relay: r}
 	r.permits = newPermitDriver(r, table)
 	for range opts.Workers {
 		r.tomb.Go(r.worker)
@@ -124,6 +126,7 @@
 
 func (r *Relay) tick(now time.Time) {
 	r.permits.tick()
+	r.path.tick(now)
 	for _, e := range r.allEntries() {
 		if e.isDue(now) {
 			e.applyEvent(func(now time.Time, m *target.Machine) []target.Action { return m.Tick(now) })
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/goldcrestmux/goldcrestmux/reach"
 	"github.com/goldcrestmux/goldcrestmux/target"
 	"github.com/goldcrestmux/goldcrestmux/targetapi"
 	"github.com/juju/errors"
@@ -63,16 +64,20 @@
 // connection that was retired afterwards.
 func (h *connHealth) isRetired(sent time.Time) bool { return sent.Before(h.lastRetired) }
 
+// stallTime returns the time without a response after which a request counts as stalled.
+func (e *targetEntry) stallTime() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.conns.stallTime()
+}
+
 // search sends an idempotent request. If the request stalls while the target responds
 // on a new connection, it is canceled and sent once more, on a new connection.
 func (r *Relay) search(e *targetEntry, j *job, request *targetapi.TargetRequest, deadline time.Time) targetapi.Result {
 	ctx, cancel := context.WithCancelCause(j.ctx)
 	defer cancel(nil)
-	e.mu.Lock()
-	stallTime := e.conns.stallTime()
-	e.mu.Unlock()
 	sent := time.Now()
-	timer := time.AfterFunc(stallTime, func() { r.handleStall(e, sent, cancel) })
+	timer := time.AfterFunc(e.stallTime(), func() { r.handleStall(e, sent, cancel) })
 	result := e.client.Do(ctx, targetapi.PathSearch, request, deadline)
 	timer.Stop()
 	if context.Cause(ctx) != errStalled || result.Response != nil || j.ctx.Err() != nil {
@@ -112,7 +117,13 @@
 		e.mu.Unlock()
 		e.client.RetireConnections()
 	}
+	failedByPath := !responded && r.path.await() != reach.Open
 	e.applyEvent(func(now time.Time, m *target.Machine) []target.Action {
+		if failedByPath {
+			m.ProbeAborted(now)
+			return nil
+		}
+		e.pathRestored()
 		if !responded || health.Draining {
 			return m.ProbeDone(now, false, "", false)
 		}
--- a/relay/state.go
+++ b/relay/state.go
@@ -11,7 +11,10 @@
 
 // State is the relay's part of the state page.
 type State struct {
-	Leaving bool          `json:"leaving"`
+	Leaving bool `json:"leaving"`
+	// Path is whether targets can be reached, PathSince since when; zero if since the start.
+	Path      string        `json:"path"`
+	PathSince time.Time     `json:"path_since,omitzero"`
 	Mode    string        `json:"permit_mode"`
 	Permits []permit.Info `json:"permits"`
 	// Overlaps is the number of permits that were taken from an unreachable relay
@@ -42,6 +45,8 @@
 func (r *Relay) State() State {
 	var s State
 	s.Leaving = r.leaving.leavingByRelay()[r.opts.Self.Name()]
+	mode, since := r.path.current()
+	s.Path, s.PathSince = mode.String(), since
 	r.permits.mu.Lock()
 	s.Mode = r.permits.table.Mode(time.Now()).String()
 	s.Permits = r.permits.table.Infos()
@@ -62,7 +67,7 @@
 		Target:  e.name,
 		State:   stateNames[e.machine.State()],
 		Reason:  e.machine.Reason(),
-		Limit:   e.machine.Limit(),
+		Limit:   e.limit(),
 		Running: len(e.running),
 		Queued:  len(e.queue),
 	}
--- a/relay/target_entry.go
+++ b/relay/target_entry.go
@@ -33,6 +33,9 @@
 	lastGrant   wire.Grant // the grant last sent to the gateways
 	removed     bool       // no longer in Relay.entries
 	conns       connHealth
+	// pathLost is true from when no target can be reached until this one has responded
+	// again.
+	pathLost bool
 }
 
 func (r *Relay) newEntry(c folder.Target, contract target.Contract) *targetEntry {
@@ -80,9 +83,9 @@
 		return code.PermitNotHeld
 	case e.machine.State() == wire.TargetOutOfService:
 		return code.TargetOutOfService
-	case e.machine.Limit() == 0 && e.machine.State() == wire.TargetCold:
+	case e.limit() == 0 && e.machine.State() == wire.TargetCold:
 		return code.TargetCold
-	case e.machine.Limit() == 0:
+	case e.limit() == 0:
 		return code.PermitNotHeld
 	case len(e.queue) >= e.relay.opts.QueuePerTarget:
 		return code.Overloaded
@@ -108,10 +111,10 @@
 	defer e.updateNextTick()
 	var ready []readyJob
 	for len(e.queue) > 0 {
-		if e.machine.Limit() == 0 {
+		if e.limit() == 0 {
 			return append(ready, e.refuseQueued()...)
 		}
-		if e.machine.Inflight() >= e.machine.Limit() {
+		if e.machine.Inflight() >= e.limit() {
 			break
 		}
 		j := e.queue.next()
@@ -182,12 +185,12 @@
 
 // overLimit reports whether more requests are in progress at the target than its
 // limit, which happens when the limit is lowered. mu must be held.
-func (e *targetEntry) overLimit() bool { return e.machine.Inflight() > e.machine.Limit() }
+func (e *targetEntry) overLimit() bool { return e.machine.Inflight() > e.limit() }
 
 // pushGrant sends the target's grant to every gateway if it has changed. mu must
 // be held, so that gateways receive changes in order.
 func (e *targetEntry) pushGrant() {
-	grant := wire.Grant{Target: e.name, State: e.machine.State(), Limit: uint16(e.machine.Limit())}
+	grant := wire.Grant{Target: e.name, State: e.machine.State(), Limit: uint16(e.limit())}
 	if grant == e.lastGrant {
 		return
 	}
--- a/relay/work.go
+++ b/relay/work.go
@@ -103,13 +103,15 @@
 		Payload: j.batch.Payload,
 	}
 	metrics.sent.Add(1)
-	deadline := r.targetDeadline(time.Now(), j.deadline)
+	deadline := r.targetDeadline(startedAt, j.deadline)
+	r.path.sent(startedAt, e, e.stallTime())
 	var result targetapi.Result
 	if j.batch.Action {
 		result = e.client.Do(j.ctx, targetapi.PathAction, request, deadline)
 	} else {
 		result = r.search(e, j, request, deadline)
 	}
+	r.path.observe(time.Now(), e, &result)
 	r.tellGuard(w, startedAt, &result)
 	r.finish(w, result)
 }
@@ -142,9 +144,7 @@
 	queueLength = len(e.queue) + len(e.running)
 	e.mu.Unlock()
 	response := newSubResponse(result, queueLength)
-	e.applyEvent(func(now time.Time, m *target.Machine) []target.Action {
-		return m.Done(now, outcome(w.epoch, result))
-	})
+	r.done(e, outcome(w.epoch, result))
 	j.respond(response)
 }
 
--- a/target/machine.go
+++ b/target/machine.go
@@ -291,6 +291,15 @@
 	return append(out, m.finishRamp(now)...)
 }
 
+// ProbeAborted records that a probe told nothing of the target: no target can be reached from
+// here.
+func (m *Machine) ProbeAborted(now time.Time) {
+	m.probing = false
+	if m.unavailable {
+		m.backOffProbe(now)
+	}
+}
+
 func (m *Machine) startProbe() []Action {
 	if m.probing {
 		return nil
