Hand the permits of relays that reach no target to those that do

What callers saw: with four of six VMs cut off from targets, 27% of the shards were missing from the answers of all gateways, and one request got no answer. Cause: permits stayed with relays that could not use them; other relays knew nothing of it. Change: a relay whose path has been lost for 600 ms says so in the membership, as a count of changes that each incarnation has. All relays then compute owners without it, unless no relay would remain: targets that are down for all have no better owners. The hand-over is that of a graceful stop. When the path is back the relay gets its permits again.

--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -36,6 +36,7 @@
 		Paused:       r.Paused,
 		MemberStatus: p.setMemberStatus,
 	})
+	r.OnPath(p.node.SetPathLost)
 	if err := p.listen(level, func() any { return p.dump() }); err != nil {
 		return nil, err
 	}
@@ -62,8 +63,9 @@
 // or reachable again.
 func (p *relayProcess) setMemberStatus(name string, status wire.MemberStatus) {
 	switch status {
-	case wire.MemberAlive:
+	case wire.MemberAlive, wire.MemberCutOff:
 		p.relay.SetPeerLeaving(name, false)
+		p.relay.SetPeerPathLost(name, status == wire.MemberCutOff)
 		p.relay.SetReachable(name, true)
 	case wire.MemberLeaving:
 		p.relay.SetPeerLeaving(name, true)
--- a/member/gossip.go
+++ b/member/gossip.go
@@ -33,6 +33,7 @@
 	}
 	r.incarnation = incarnation
 	r.leaving = false
+	r.pathChanges = 0
 	s.dirty = true
 	r.incarnationSince = now
 	s.clearAccusation(r)
@@ -87,6 +88,11 @@
 		r.revision = u.Revision
 	}
 	r.revision = max(r.revision, u.Revision)
+	if u.PathChanges > r.pathChanges {
+		r.pathChanges = u.PathChanges
+		s.dirty = true
+		s.queue.putAlive(u.Name)
+	}
 	if u.SeenMillis > 0 {
 		s.recordContact(r, now.Add(-time.Duration(u.SeenMillis-1)*time.Millisecond))
 	}
--- a/member/record.go
+++ b/member/record.go
@@ -42,6 +42,8 @@
 	revision    uint64
 	// leaving is true if the member itself announced that it leaves.
 	leaving bool
+	// pathChanges is how often the incarnation has lost and regained its path to targets.
+	pathChanges uint32
 	// lastDirectContact is when this process last received a heartbeat of the
 	// member; lastContact is when any process did, as far as this one knows.
 	lastDirectContact time.Time
@@ -120,6 +122,8 @@
 		return wire.MemberLeaving
 	case r.region.silent || !r.suspectSince.IsZero():
 		return wire.MemberSuspect
+	case pathLost(r.pathChanges):
+		return wire.MemberCutOff
 	default:
 		return wire.MemberAlive
 	}
@@ -132,6 +136,7 @@
 		Incarnation: r.incarnation,
 		Status:      wire.MemberAlive,
 		Revision:    r.revision,
+		PathChanges: r.pathChanges,
 	}
 	if !r.lastContact.IsZero() {
 		u.SeenMillis = seenMillis(now.Sub(r.lastContact))
--- a/member/state.go
+++ b/member/state.go
@@ -66,9 +66,10 @@
 	antiEntropyTurn uint64
 	lastTick        time.Time
 	conflicts       uint64
-	// revision and leaving are what this process reports of itself.
-	revision uint64
-	leaving  bool
+	// revision, leaving and pathChanges are what this process reports of itself.
+	revision    uint64
+	leaving     bool
+	pathChanges uint32
 }
 
 // New returns a State without members.
@@ -218,6 +219,23 @@
 	}
 }
 
+// SetPathLost sets whether this process reports to its peers, with the next Tick, that it
+// reaches no target.
+func (s *State) SetPathLost(now time.Time, lost bool) {
+	if pathLost(s.pathChanges) == lost {
+		return
+	}
+	s.pathChanges++
+	s.dirty = true
+	s.updateSelf()
+	for name := range s.nextHeartbeat {
+		s.nextHeartbeat[name] = now
+	}
+}
+
+// pathLost reports whether a member that has changed its path so often reaches no target.
+func pathLost(changes uint32) bool { return changes%2 == 1 }
+
 // updateSelf copies what this process reports of itself into its record, which
 // exists only while the process is on the VM list.
 func (s *State) updateSelf() {
@@ -228,6 +246,7 @@
 	self.incarnation = max(self.incarnation, s.opts.Self.Incarnation)
 	self.revision = s.revision
 	self.leaving = s.leaving
+	self.pathChanges = s.pathChanges
 }
 
 // Paused records that this process did not run for a while. Its knowledge is
--- a/member/state_test.go
+++ b/member/state_test.go
@@ -123,6 +123,20 @@
 	f.runUntil(10*time.Second, everyone, wire.MemberAlive)
 }
 
+// All members learn that one reaches no target, that it does again, and that a new incarnation
+// has not lost its path.
+func TestLossOfPathIsKnownToAllMembers(t *testing.T) {
+	f := newFleet(t, step, newEntries(100, 3, 10))
+	lost := f.entries[0].Name
+	f.runUntil(10*time.Second, everyone, wire.MemberAlive)
+	for _, status := range []wire.MemberStatus{wire.MemberCutOff, wire.MemberAlive, wire.MemberCutOff} {
+		f.states[lost].SetPathLost(f.now, status == wire.MemberCutOff)
+		f.runUntil(6*time.Second, named(lost), status)
+	}
+	f.start(&f.entries[0], startTime.Add(-2*time.Hour))
+	f.runUntil(10*time.Second, everyone, wire.MemberAlive)
+}
+
 func TestUnlistedProcessIsNotAMember(t *testing.T) {
 	list := newEntries(9, 1, 3)
 	s := New(Options{Self: process(list[0], startTime), Region: list[0].Region})
--- a/node/members.go
+++ b/node/members.go
@@ -109,6 +109,13 @@
 	m.tick(time.Now())
 }
 
+func (m *memberDriver) setPathLost(lost bool) {
+	m.mu.Lock()
+	m.state.SetPathLost(time.Now(), lost)
+	m.mu.Unlock()
+	m.tick(time.Now())
+}
+
 // notify logs changes of status and passes them to Events.MemberStatus. mu must
 // not be held.
 func (m *memberDriver) notify(changes []member.StatusChange) {
@@ -128,4 +135,5 @@
 	wire.MemberSuspect: "suspect",
 	wire.MemberLeaving: "leaving",
 	wire.MemberGone:    "gone",
+	wire.MemberCutOff:  "cut off from targets",
 }
--- a/node/node.go
+++ b/node/node.go
@@ -136,6 +136,9 @@
 	_ = n.tomb.Wait()
 }
 
+// SetPathLost notifies the peers whether this process reaches no target.
+func (n *Node) SetPathLost(lost bool) { n.members.setPathLost(lost) }
+
 // Leave notifies the peers that this process is about to stop.
 func (n *Node) Leave() { n.members.leave() }
 
--- a/relay/leaving.go
+++ b/relay/leaving.go
@@ -18,6 +18,7 @@
 type leavingSet struct {
 	mu               sync.Mutex
 	announced        map[string]bool   // relays that have announced that they leave
+	pathLost         map[string]bool   // relays that have announced that they reach no target
 	relayDataCentres map[string]string // of each relay in the VM list
 	outDataCentres   map[string]bool   // data centres that the folder marks as out
 	leavingVMs       map[string]bool   // VMs that the VM list marks as leaving
@@ -26,6 +27,7 @@
 func newLeavingSet() *leavingSet {
 	return &leavingSet{
 		announced:        make(map[string]bool),
+		pathLost:         make(map[string]bool),
 		relayDataCentres: make(map[string]string),
 		outDataCentres:   make(map[string]bool),
 		leavingVMs:       make(map[string]bool),
@@ -42,6 +44,16 @@
 	}
 }
 
+// setPathLost records whether a relay has announced that it reaches no target.
+func (l *leavingSet) setPathLost(relay string, lost bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.pathLost, relay)
+	if lost {
+		l.pathLost[relay] = true
+	}
+}
+
 // setContracts records which data centres the folder marks as out.
 func (l *leavingSet) setContracts(c *folder.Contracts) {
 	l.mu.Lock()
@@ -104,9 +116,27 @@
 	for name := range l.announced {
 		out[name] = true
 	}
+	l.addPathLost(out)
 	return out
 }
 
+// addPathLost marks the relays that reach no target as leaving, unless no other relay would
+// remain: targets that are down for all have no better owners. mu must be held.
+func (l *leavingSet) addPathLost(leaving map[string]bool) {
+	remains := false
+	for name, leaves := range leaving {
+		remains = remains || (!leaves && !l.pathLost[name])
+	}
+	if !remains {
+		return
+	}
+	for name := range l.pathLost {
+		if _, listed := leaving[name]; listed {
+			leaving[name] = true
+		}
+	}
+}
+
 // applyLeaving passes to the table of permits which relays are leaving.
 func (r *Relay) applyLeaving() {
 	relays := r.leaving.leavingByRelay()
@@ -126,6 +156,13 @@
 	r.applyLeaving()
 }
 
+// SetPeerPathLost records whether a relay, which may be this one, has announced that it
+// reaches no target. Its permits are then handed over to other relays.
+func (r *Relay) SetPeerPathLost(relay string, lost bool) {
+	r.leaving.setPathLost(relay, lost)
+	r.applyLeaving()
+}
+
 // Leave starts the graceful stop of this relay: its permits are handed over to their
 // next owners.
 func (r *Relay) Leave() { r.SetPeerLeaving(r.opts.Self.Name(), true) }
--- a/relay/leaving_test.go
+++ b/relay/leaving_test.go
@@ -45,3 +45,33 @@
 		}
 	}
 }
+
+// Relays that reach no target hand their permits to those that do. If none does, the targets
+// are down for all: permits must stay where they are, or nobody holds them when targets return.
+func TestPermitsStayIfNoRelayReachesTargets(t *testing.T) {
+	l := newLeavingSet()
+	links := map[wire.Role]string{wire.RoleRelay: "127.0.0.1:1"}
+	l.setVMList(platformapi.VMList{VMs: []platformapi.VM{
+		{Name: "vm1", DataCentre: "bne", Links: links},
+		{Name: "vm2", DataCentre: "bne", Links: links},
+		{Name: "vm3", DataCentre: "cns", Links: links},
+	}})
+	l.setAnnounced("vm3/relay", true)
+	l.setPathLost("vm1/relay", true)
+	l.setPathLost("vm8/relay", true) // not listed
+	for relay, want := range map[string]bool{"vm1/relay": true, "vm2/relay": false, "vm3/relay": true, "vm8/relay": false} {
+		if got := l.leavingByRelay()[relay]; got != want {
+			t.Errorf("%s is leaving: %v, want %v", relay, got, want)
+		}
+	}
+	l.setPathLost("vm2/relay", true)
+	for relay, want := range map[string]bool{"vm1/relay": false, "vm2/relay": false, "vm3/relay": true} {
+		if got := l.leavingByRelay()[relay]; got != want {
+			t.Errorf("with no path at any relay, %s is leaving: %v, want %v", relay, got, want)
+		}
+	}
+	l.setPathLost("vm1/relay", false)
+	if l.leavingByRelay()["vm1/relay"] || !l.leavingByRelay()["vm2/relay"] {
+		t.Error("a relay whose path is back is still left out, or the other one is not")
+	}
+}
--- a/relay/path.go
+++ b/relay/path.go
@@ -15,6 +15,10 @@
 // pathProbeTimeout bounds a probe of the path. Targets respond to it within milliseconds.
 const pathProbeTimeout = 300 * time.Millisecond
 
+// announceDelay is how long a changed path must last until the relay's permits are handed over
+// to others, or taken back. Targets that crash together are back within it.
+const announceDelay = 600 * time.Millisecond
+
 // path is whether this relay reaches any target. A relay that has lost its path finds all
 // targets failing. It must neither tell other relays that they are cold or lost, nor keep
 // gateways from using the permits of others.
@@ -30,6 +34,18 @@
 	// logged is the mode as last logged, since loggedSince.
 	logged      reach.Mode
 	loggedSince time.Time
+	// announced is true while the relay tells others that it reaches no target.
+	announced bool
+	// onAnnounce is called with each announcement; may be nil.
+	onAnnounce func(lost bool)
+}
+
+// OnPath sets the function that is called when this relay announces that it reaches no
+// target, or that it reaches targets again.
+func (r *Relay) OnPath(f func(lost bool)) {
+	r.path.mu.Lock()
+	defer r.path.mu.Unlock()
+	r.path.onAnnounce = f
 }
 
 // observe records how a request to a target ended.
@@ -64,6 +80,27 @@
 		p.probe(n)
 	}
 	p.apply(now)
+	p.announce(now)
+}
+
+// announce tells the other relays if the path has been lost, or back, for announceDelay.
+func (p *path) announce(now time.Time) {
+	p.mu.Lock()
+	mode, since := p.state.Mode()
+	lost := mode == reach.Cut
+	due := lost != p.announced && now.Sub(since) >= announceDelay
+	if due {
+		p.announced = lost
+	}
+	onAnnounce := p.onAnnounce
+	p.mu.Unlock()
+	if !due {
+		return
+	}
+	p.relay.SetPeerPathLost(p.relay.opts.Self.Name(), lost)
+	if onAnnounce != nil {
+		onAnnounce(lost)
+	}
 }
 
 // probe probes up to n random targets.
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -274,6 +274,7 @@
 	MemberSuspect
 	MemberLeaving
 	MemberGone
+	MemberCutOff // alive, but it reaches no target; not sent on the wire
 )
 
 // MemberUpdate is one entry of the membership gossip.
@@ -289,6 +290,9 @@
 	// Accusers lists the hashes of the names of the members that accuse this one
 	// of sending no heartbeats. It is set with MemberSuspect.
 	Accusers []uint32 `cbor:"6,keyasint,omitempty"`
+	// PathChanges is how often this incarnation of the member has lost and regained its
+	// path to targets: odd while it reaches none.
+	PathChanges uint32 `cbor:"7,keyasint,omitempty"`
 }
 
 // FolderOffer announces the folder revision that the sender has in force, which
