Notice peers that fall silent, whatever the check interval of links

Cause: a link takes a check that comes more than 250 ms after the one before for a pause of its own process, and starts its timeout anew. Entry processes check every 250 ms, so that each check did. The same holds for sharded requests that large peers gather. Change: the usual interval does not count as a pause, and entry processes check every 100 ms.

The ramp after a verdict is as long as the verdict was in force.

--- a/entry/timings.go
+++ b/entry/timings.go
@@ -78,9 +78,9 @@
 	// seconds.
 	peerUpdateInterval = time.Second
 	aliveWithin        = 20 * time.Second
-	// linkCheckInterval is the time between two liveness checks of links. It is longer
-	// than the default: a request that is lost with one of these links is soon repeated.
-	linkCheckInterval = 250 * time.Millisecond
+	// linkCheckInterval is the time between two liveness checks of links. A request at a
+	// peer that has fallen silent waits for it, besides the timeout of the link.
+	linkCheckInterval = 100 * time.Millisecond
 	// assumedFleetSize is the number of processes assumed until peers are known.
 	assumedFleetSize = 16
 )
--- a/link/liveness.go
+++ b/link/liveness.go
@@ -26,6 +26,8 @@
 	BusyPing time.Duration
 	// BusyTimeout is the time after which such a link is closed.
 	BusyTimeout time.Duration
+	// CheckInterval is the usual time between two checks.
+	CheckInterval time.Duration
 }
 
 func (o LivenessOptions) withDefaults() LivenessOptions {
@@ -74,10 +76,10 @@
 	l.busy = busy
 }
 
-// Check returns what to do at now. If the previous check was more than half of
-// BusyTimeout ago, this process itself was paused, and the timeout starts anew.
+// Check returns what to do at now. If it comes more than half of BusyTimeout late, this
+// process itself was paused, and the timeout starts anew.
 func (l *Liveness) Check(now time.Time) Decision {
-	paused := now.Sub(l.lastChecked) > l.opts.BusyTimeout/2
+	paused := now.Sub(l.lastChecked) > l.opts.CheckInterval+l.opts.BusyTimeout/2
 	l.lastChecked = now
 	if paused {
 		l.lastReceived = now
--- a/link/pool.go
+++ b/link/pool.go
@@ -96,6 +96,7 @@
 func NewPool(opts Options) *Pool {
 	opts.Credit = cmp.Or(opts.Credit, DefaultCredit)
 	opts.CheckInterval = cmp.Or(opts.CheckInterval, DefaultCheckInterval)
+	opts.Liveness.CheckInterval = opts.CheckInterval
 	p := &Pool{
 		opts:       opts,
 		dialSlots:  make(chan struct{}, maxDials),
--- a/quarantine/state.go
+++ b/quarantine/state.go
@@ -275,8 +275,10 @@
 		}
 		verdict = max(verdict, v)
 	})
-	if verdict == Send && inProgress > 0 && s.relatedQuarantined(r) {
-		verdict = Wait
+	if verdict == Send {
+		if suspected, turnAt := s.relatedSuspected(now, r); suspected && (inProgress > 0 || now.Before(turnAt)) {
+			verdict = Wait
+		}
 	}
 	if verdict != Send {
 		return verdict
@@ -292,7 +294,11 @@
 func (s *State) check(now time.Time, j *subject, r *Request, inProgress int) (v Verdict, trial bool) {
 	switch {
 	case !j.quarantined:
-		if j.suffices(j.evidence(now, true)) || (inProgress > 0 && j.suspected(now)) {
+		least := suspectEnds
+		if r.Sharded && r.isWhole(j.key) {
+			least = suspectEndsSharded
+		}
+		if found := j.evidence(now, true); j.suffices(found) || (inProgress > 0 && found.ends >= least) {
 			return Wait, false
 		}
 		return Send, false
@@ -306,12 +312,34 @@
 	return Refuse, false
 }
 
-// relatedQuarantined reports whether a request with the same content from another caller is
-// quarantined. A request is then sent to one target at a time.
-func (s *State) relatedQuarantined(r *Request) bool {
-	return slices.ContainsFunc(r.Keys.all(), func(k Key) bool {
-		return slices.ContainsFunc(s.byContent[k.content()], func(j *subject) bool { return j.quarantined })
-	})
+// isWhole reports whether a key stands for the whole request rather than for its part at one
+// service.
+func (r *Request) isWhole(k Key) bool {
+	return slices.ContainsFunc(r.Keys.all(), func(own Key) bool { return own.content() == k.content() })
+}
+
+// relatedSuspected reports whether a request with the same content from another caller is
+// quarantined, or suspected of ending targets, while no target has completed this one. It is
+// then sent to one target at a time: callers repeat requests from other addresses, too. The
+// processes take turns with a sharded one, so that few shards lose their last target before
+// the others know; turnAt is the time from which this one may send it.
+func (s *State) relatedSuspected(now time.Time, r *Request) (suspected bool, turnAt time.Time) {
+	for _, k := range r.Keys.all() {
+		sound := now.Sub(s.recent.at(k)) <= soundFor
+		for _, j := range s.byContent[k.content()] {
+			if !j.quarantined && (sound || !j.suspected(now)) {
+				continue
+			}
+			suspected = true
+			if n := len(j.ends); n > 0 && r.Sharded && !sound && j.key.caller() != k.caller() {
+				at := j.ends[n-1].EndedAt.Add(time.Duration(phase(s.opts.Self, k.ofAny()) * float64(turnSpread)))
+				if at.After(turnAt) {
+					turnAt = at
+				}
+			}
+		}
+	}
+	return suspected, turnAt
 }
 
 // Tick forgets what is too old to count.
--- a/quarantine/state_test.go
+++ b/quarantine/state_test.go
@@ -86,6 +86,64 @@
 	}
 }
 
+// Guards against a sharded request ending a second target of a shard before the first targets
+// of the others have ended: it is sent to no more targets until one of them responds.
+func TestShardedRequestIsHeldAfterOneEnd(t *testing.T) {
+	p, r := newProcess("a"), request("c", "/x")
+	r.Sharded = true
+	p.Broke(p.now, r, Run{Target: "t1", StartedAt: p.now.Add(-30 * time.Millisecond), EndedAt: p.now})
+	if p.Check(p.now, r, 19) != Wait {
+		t.Error("sent on while its other targets are running it")
+	}
+	other := request("c", "/x")
+	other.Service = "s2"
+	other.Sharded = true
+	p.wait(time.Millisecond)
+	p.Completed(p.now, other)
+	if p.Check(p.now, r, 18) != Send {
+		t.Error("held back although a target has completed it")
+	}
+	single := request("c", "/y")
+	p.Broke(p.now, single, Run{Target: "t1", StartedAt: p.now.Add(-30 * time.Millisecond), EndedAt: p.now})
+	if p.Check(p.now, single, 1) != Send {
+		t.Error("a request to one service is held back after one end")
+	}
+}
+
+// Guards against a request that has ended the first targets of all shards ending the others as
+// well: its caller repeats it at once, from another address.
+func TestRepeatOfOtherCallerIsSentToOneTargetAtATime(t *testing.T) {
+	p, first, repeat := newProcess("a"), request("c", "/x"), request("d", "/x")
+	first.Sharded, repeat.Sharded = true, true
+	p.crashTogether(first, 20)
+	if p.refused(repeat) || p.Check(p.now, repeat, 1) != Wait {
+		t.Error("the repeat is to be sent to one target at a time")
+	}
+	var turns int
+	for i := range 20 {
+		other := newProcess(fmt.Sprint("p", i))
+		other.crashTogether(first, 20)
+		if other.Check(other.now, repeat, 0) == Send {
+			turns++
+		}
+		other.wait(turnSpread)
+		if other.Check(other.now, repeat, 0) != Send {
+			t.Error("the repeat has no turn")
+		}
+	}
+	if turns > 2 {
+		t.Errorf("%d of 20 processes send the repeat at once, want them to take turns", turns)
+	}
+	if other := request("d", "/y"); p.Check(p.now, other, 1) != Send {
+		t.Error("another request is held back")
+	}
+	p.Completed(p.now.Add(time.Millisecond), repeat)
+	p.wait(2 * time.Millisecond)
+	if p.Check(p.now, repeat, 1) != Send {
+		t.Error("the repeat is held back after a target has completed it")
+	}
+}
+
 func TestCompletionOutweighsEnds(t *testing.T) {
 	t.Run("before", func(t *testing.T) {
 		p, r := newProcess("a"), request("c", "/x")
--- a/quarantine/subject.go
+++ b/quarantine/subject.go
@@ -20,6 +20,12 @@
 	// suspectEnds is the number of targets after which a request is sent to one target
 	// at a time.
 	suspectEnds = 2
+	// suspectEndsSharded is the same for a sharded request that no target has completed: many
+	// targets run it, and the others would end right after the first.
+	suspectEndsSharded = 1
+	// turnSpread is the time over which the processes take turns with a request under whose
+	// repeats targets have just ended elsewhere: a verdict reaches them well within it.
+	turnSpread = 800 * time.Millisecond
 	// soundFor is how long after a completion of a request the ends of targets do not
 	// count against it.
 	soundFor = 10 * time.Second
--- a/reach/state.go
+++ b/reach/state.go
@@ -39,17 +39,20 @@
 	loneFailures = 4
 	// evidenceTime is how long a failed connection counts.
 	evidenceTime = 2 * time.Second
-	// roundProbes is the number of targets that are probed at once.
-	roundProbes = 3
+	// roundProbes is the number of targets that are probed at once. If all probes fail while
+	// the mode is Open, confirmProbes more must fail as well: half of the targets may have
+	// crashed at the same moment.
+	roundProbes   = 3
+	confirmProbes = 6
 	// suspicionInterval is the shortest time between two rounds of probes while the mode
 	// is Open: each probe that succeeds is a new connection.
 	suspicionInterval = time.Second
 	// reopenInterval is the time between two rounds in other modes.
 	reopenInterval = 250 * time.Millisecond
-	// rampTime is the time after a verdict has been lifted within which the share of the
-	// requests that are sent directly rises from none to all: connections are opened
-	// again, and targets may have become cold.
-	rampTime = 2 * time.Second
+	// maxRampTime bounds the time after a verdict has been lifted within which the share of
+	// the requests that are sent directly rises from none to all: connections are opened
+	// again, and targets may have become cold. It is as long as the verdict was in force.
+	maxRampTime = 2 * time.Second
 	// maxTickGap is the time between two ticks from which the process may have stood
 	// still, so that responses wait for it.
 	maxTickGap = 300 * time.Millisecond
@@ -71,12 +74,16 @@
 	probes int
 	// void is true if the round in progress decides nothing.
 	void bool
+	// stage is how many rounds in succession have failed while the mode is Open.
+	stage int
 	// roundAt is when the last round began.
 	roundAt time.Time
 	// tickedAt is when Tick was last called.
 	tickedAt time.Time
-	// openedAt is when the mode became Open again; zero if it has always been.
+	// openedAt is when the mode became Open again; zero if it has always been. rampTime is
+	// how long the share of direct requests rises from then on.
 	openedAt time.Time
+	rampTime time.Duration
 	// credit is the number of requests that may be sent directly while the share rises.
 	credit float64
 	// recoveries is the number of times that the mode became Open again.
@@ -141,10 +148,11 @@
 	s.refused, s.lone = [suspectTargets]failure{}, 0
 	s.silent = [suspectTargets]waiting{}
 	if s.mode != Open {
+		s.rampTime = min(now.Sub(s.since), maxRampTime)
 		s.mode, s.since, s.openedAt, s.credit = Open, now, now, 0
 		s.recoveries++
 	}
-	s.void = true
+	s.void, s.stage = true, 0
 }
 
 // Unreachable records that no connection to a target could be opened.
@@ -165,14 +173,13 @@
 	s.lone++
 }
 
-// Suspected reports whether the path may be at fault, so that nothing may be concluded from
-// what targets do.
-func (s *State) Suspected(now time.Time) bool {
-	return s.mode != Open || s.probes > 0 || s.suspicious(now)
-}
+// Doubtful reports whether the path may be at fault, so that nothing may be concluded from
+// what targets do: probes are in progress, or they have failed. Tick begins the probes that
+// are due.
+func (s *State) Doubtful() bool { return s.mode != Open || s.Undecided() }
 
 // Undecided reports whether probes are in progress that may change the mode.
-func (s *State) Undecided() bool { return s.probes > 0 && !s.void }
+func (s *State) Undecided() bool { return (s.probes > 0 || s.stage > 0) && !s.void }
 
 func (s *State) suspicious(now time.Time) bool {
 	refused := 0
@@ -201,23 +208,31 @@
 	s.tickedAt = now
 	if stoodStill {
 		s.silent, s.refused, s.lone = [suspectTargets]waiting{}, [suspectTargets]failure{}, 0
-		s.void = true
+		s.void, s.stage = true, 0
 		return 0
 	}
 	interval := reopenInterval
 	if s.mode == Open {
-		if !s.suspicious(now) {
+		if s.stage == 0 && !s.suspicious(now) {
 			return 0
 		}
 		interval = suspicionInterval
 	}
-	if s.probes > 0 || (!s.roundAt.IsZero() && now.Sub(s.roundAt) < interval) {
+	switch {
+	case s.probes > 0:
+		return 0
+	case s.stage > 0 && !s.void:
+		return confirmProbes
+	case !s.roundAt.IsZero() && now.Sub(s.roundAt) < interval:
 		return 0
 	}
-	s.roundAt, s.void = now, false
+	s.roundAt, s.void, s.stage = now, false, 0
 	return roundProbes
 }
 
+// Abort ends a round for which there are no targets to probe. It decides nothing.
+func (s *State) Abort() { s.void, s.stage = true, 0 }
+
 // Probing records that a probe of a target begins.
 func (s *State) Probing() { s.probes++ }
 
@@ -231,6 +246,11 @@
 	if s.probes > 0 || s.void {
 		return
 	}
+	if s.mode == Open && s.stage == 0 {
+		s.stage = 1
+		return
+	}
+	s.stage = 0
 	mode := Narrow
 	if s.silentTargets(now) > 0 {
 		mode = Cut
@@ -248,10 +268,10 @@
 		return connected
 	case s.mode == Cut:
 		return false
-	case s.openedAt.IsZero() || now.Sub(s.openedAt) >= rampTime:
+	case s.openedAt.IsZero() || now.Sub(s.openedAt) >= s.rampTime:
 		return true
 	}
-	if s.credit += float64(now.Sub(s.openedAt)) / float64(rampTime); s.credit < 1 {
+	if s.credit += float64(now.Sub(s.openedAt)) / float64(s.rampTime); s.credit < 1 {
 		return false
 	}
 	s.credit--
@@ -260,5 +280,5 @@
 
 // Helps reports whether the process may serve requests of peers that reach no target.
 func (s *State) Helps(now time.Time) bool {
-	return s.mode == Open && !s.suspicious(now) && (s.openedAt.IsZero() || now.Sub(s.openedAt) >= rampTime)
+	return s.mode == Open && !s.suspicious(now) && (s.openedAt.IsZero() || now.Sub(s.openedAt) >= s.rampTime)
 }
--- a/reach/state_test.go
+++ b/reach/state_test.go
@@ -235,7 +235,7 @@
 		}
 	}
 	p.hangs = all
-	p.run(detectTime, rng, send)
+	p.run(2*maxRampTime, rng, send)
 	p.hangs = never
 	for range (reopenInterval + dialTimeout + 2*tick) / tick {
 		if p.mode() != Open {
@@ -250,8 +250,8 @@
 	}
 	var direct [4]int
 	openedAt := p.openedAt
-	for p.now.Before(openedAt.Add(rampTime)) {
-		quarter := int(4 * p.now.Sub(openedAt) / rampTime)
+	for p.now.Before(openedAt.Add(maxRampTime)) {
+		quarter := int(4 * p.now.Sub(openedAt) / maxRampTime)
 		for range 20 {
 			if p.Direct(p.now, true) {
 				direct[quarter]++
--- a/relay/path.go
+++ b/relay/path.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -73,16 +74,36 @@
 
 // tick probes targets if the path may be lost, and applies changes of it.
 func (p *path) tick(now time.Time) {
+	entries := p.relay.allEntries()
 	p.mu.Lock()
-	n := p.state.Tick(now)
+	entries = sample(entries, p.state.Tick(now))
+	if len(entries) > 0 && (p.decided == nil || isClosed(p.decided)) {
+		p.decided = make(chan struct{})
+	}
+	for range entries {
+		p.state.Probing()
+	}
 	p.mu.Unlock()
-	if n > 0 {
-		p.probe(n)
+	for _, e := range entries {
+		p.relay.tomb.Go(func() error {
+			p.probe(e)
+			return nil
+		})
 	}
 	p.apply(now)
 	p.announce(now)
 }
 
+// sample returns up to n random entries.
+func sample(entries []*targetEntry, n int) []*targetEntry {
+	if n == 0 {
+		return nil
+	}
+	entries = slices.Clone(entries)
+	rand.Shuffle(len(entries), func(i, j int) { entries[i], entries[j] = entries[j], entries[i] })
+	return entries[:min(n, len(entries))]
+}
+
 // announce tells the other relays if the path has been lost, or back, for announceDelay.
 func (p *path) announce(now time.Time) {
 	p.mu.Lock()
@@ -103,28 +124,12 @@
 	}
 }
 
-// probe probes up to n random targets.
-func (p *path) probe(n int) {
-	entries := append([]*targetEntry(nil), p.relay.allEntries()...)
-	rand.Shuffle(len(entries), func(i, j int) { entries[i], entries[j] = entries[j], entries[i] })
-	entries = entries[:min(n, len(entries))]
-	p.mu.Lock()
-	if len(entries) > 0 && (p.decided == nil || isClosed(p.decided)) {
-		p.decided = make(chan struct{})
-	}
-	for range entries {
-		p.state.Probing()
-	}
-	p.mu.Unlock()
-	for _, e := range entries {
-		p.relay.tomb.Go(func() error {
-			ctx, cancel := context.WithTimeout(p.relay.tomb.Context(context.Background()), pathProbeTimeout)
-			health, err := e.client.Probe(ctx)
-			cancel()
-			p.probed(err == nil || health.BootID != "")
-			return nil
-		})
-	}
+// probe probes a target.
+func (p *path) probe(e *targetEntry) {
+	ctx, cancel := context.WithTimeout(p.relay.tomb.Context(context.Background()), pathProbeTimeout)
+	health, err := e.client.Probe(ctx)
+	cancel()
+	p.probed(err == nil || health.BootID != "")
 }
 
 func isClosed(c chan struct{}) bool {
@@ -149,7 +154,7 @@
 		close(p.decided)
 	}
 	p.mu.Unlock()
-	p.apply(now)
+	p.tick(now)
 }
 
 // apply logs a change of the mode. When the path is lost, no target gets requests through
@@ -196,8 +201,7 @@
 func (p *path) undecided() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	mode, _ := p.state.Mode()
-	return mode != reach.Open || p.state.Undecided()
+	return p.state.Doubtful()
 }
 
 func (p *path) current() (reach.Mode, time.Time) {
--- a/relay/state.go
+++ b/relay/state.go
@@ -15,8 +15,8 @@
 	// Path is whether targets can be reached, PathSince since when; zero if since the start.
 	Path      string        `json:"path"`
 	PathSince time.Time     `json:"path_since,omitzero"`
-	Mode    string        `json:"permit_mode"`
-	Permits []permit.Info `json:"permits"`
+	Mode      string        `json:"permit_mode"`
+	Permits   []permit.Info `json:"permits"`
 	// Overlaps is the number of permits that were taken from an unreachable relay
 	// which the VM list still names.
 	Overlaps uint64        `json:"permit_overlaps"`
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -129,6 +129,7 @@
 	defer p.mu.Unlock()
 	if heard {
 		p.reach.Heard()
+		c.target.heardAt = time.Now()
 	}
 	return c.current
 }
--- a/upstream/reach.go
+++ b/upstream/reach.go
@@ -1,8 +1,10 @@
 package upstream
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/goldcrestmux/goldcrestmux/quarantine"
@@ -48,7 +50,11 @@
 func (p *Pool) confirmEnd(target string, incarnation int64, ended bool) {
 	now := time.Now()
 	p.mu.Lock()
-	unproven := ended && p.reach.Suspected(now)
+	unproven := false
+	if ended {
+		p.startProbes(now)
+		unproven = p.reach.Doubtful()
+	}
 	if unproven {
 		p.unproven = append(p.unproven, unprovenEnd{target, incarnation, now, p.reach.Recoveries()})
 	}
@@ -84,12 +90,12 @@
 // settleEnds tells the guard of the ends that are proven by now, and drops those that were
 // failures of the path. mu must be held.
 func (p *Pool) settleEnds(now time.Time) {
-	suspected := p.reach.Suspected(now)
+	doubtful := p.reach.Doubtful()
 	kept := p.unproven[:0]
 	for _, u := range p.unproven {
 		switch {
 		case now.Sub(u.at) > unprovenMaxAge || u.recoveries != p.reach.Recoveries():
-		case suspected:
+		case doubtful:
 			kept = append(kept, u)
 		default:
 			p.tellEnd(now, u)
@@ -104,16 +110,26 @@
 func (p *Pool) CheckPath(now time.Time) (mode reach.Mode, since time.Time, suspected bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	suspected = p.startProbes(now)
+	p.settleEnds(now)
+	p.signalPath()
+	mode, since = p.reach.Mode()
+	return mode, since, suspected
+}
+
+// startProbes probes targets if it is time to, and reports whether it does. mu must be held.
+func (p *Pool) startProbes(now time.Time) bool {
 	n := p.reach.Tick(now)
-	for _, t := range p.probeTargets(now, n) {
+	targets := p.probeTargets(now, n)
+	if n > 0 && len(targets) == 0 {
+		p.reach.Abort()
+	}
+	for _, t := range targets {
 		p.reach.Probing()
 		t.openConns++
 		go p.probe(t, t.entry.Address)
 	}
-	p.settleEnds(now)
-	p.signalPath()
-	mode, since = p.reach.Mode()
-	return mode, since, n > 0
+	return len(targets) > 0
 }
 
 // signalPath ends the waiting of those who wait for the loss of the path. mu must be held.
@@ -142,31 +158,42 @@
 	return p.reach.Mode()
 }
 
-// probeTargets returns up to n random targets that may be connected to. Those that were last
-// unreachable are taken only if there are no others. mu must be held.
+// probeTargets returns up to n targets that may be connected to. Those that have responded
+// most recently come first: they are up. Those that were last unreachable come last. mu must
+// be held.
 func (p *Pool) probeTargets(now time.Time, n int) []*Target {
 	if n == 0 {
 		return nil
 	}
-	var well, others []*Target
+	var targets []*Target
 	for _, svc := range p.services {
 		for _, t := range svc.targets {
-			switch {
-			case !t.usable(now, 0) || t.openConns >= t.maxConns || (t.isCold(now) && svc.limitsCold()):
-			case t.stats.Avoided(now):
-				others = append(others, t)
-			default:
-				well = append(well, t)
+			if t.usable(now, 0) && t.openConns < t.maxConns && (!t.isCold(now) || !svc.limitsCold()) {
+				targets = append(targets, t)
 			}
 		}
 	}
-	for _, targets := range [][]*Target{well, others} {
-		rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
-	}
-	targets := append(well, others...)
+	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+	slices.SortStableFunc(targets, func(a, b *Target) int {
+		if a.stats.Avoided(now) != b.stats.Avoided(now) {
+			return cmp.Compare(boolRank(a.stats.Avoided(now)), boolRank(b.stats.Avoided(now)))
+		}
+		return b.heardAt.Truncate(heardResolution).Compare(a.heardAt.Truncate(heardResolution))
+	})
 	return targets[:min(len(targets), n)]
 }
 
+// heardResolution is the resolution with which targets are ordered by their last response, so
+// that probes spread over those that have responded just now.
+const heardResolution = 200 * time.Millisecond
+
+func boolRank(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // probe opens a connection to a target, which is then used for requests.
 func (p *Pool) probe(t *Target, address string) {
 	ctx, cancel := context.WithTimeout(context.Background(), p.opts.DialTimeout)
@@ -179,7 +206,9 @@
 	if err != nil {
 		t.stats.Avoid(now, isTimeout(err))
 	}
+	p.startProbes(now)
 	p.signalPath()
+	p.settleEnds(now)
 	p.mu.Unlock()
 	if err == nil {
 		p.adopt(t, nc)
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -33,6 +33,8 @@
 	// verifying is true while a connection is about to be opened that tells whether the
 	// target has ended.
 	verifying bool
+	// heardAt is when anything was last received from the target.
+	heardAt time.Time
 	// removed is set by Pool.retire. No new requests are sent to the target.
 	removed bool
 	// evacuated is true if the data centre of the target is evacuated.
