Probe targets that are in full use when the path is suspected

What callers saw: with most targets crashed at once, a VM that held its share of connections to each survivor probed only dead targets and took itself for cut off for up to 1.8 s. Change: a probe may exceed the share by one connection, which is closed at once.

--- a/upstream/reach.go
+++ b/upstream/reach.go
@@ -159,8 +159,9 @@
 }
 
 // probeTargets returns up to n targets that may be connected to. Those that have responded
-// most recently come first: they are up. Those that were last unreachable come last. mu must
-// be held.
+// most recently come first: they are up. Those that were last unreachable come last. A target
+// may be probed by one connection beyond this process's share, which is then closed at once:
+// the few that are still up are often in full use. mu must be held.
 func (p *Pool) probeTargets(now time.Time, n int) []*Target {
 	if n == 0 {
 		return nil
@@ -168,7 +169,7 @@
 	var targets []*Target
 	for _, svc := range p.services {
 		for _, t := range svc.targets {
-			if t.usable(now, 0) && t.openConns < t.maxConns && (!t.isCold(now) || !svc.limitsCold()) {
+			if t.usable(now, 0) && t.openConns <= t.maxConns && (!t.isCold(now) || !svc.limitsCold()) {
 				targets = append(targets, t)
 			}
 		}
