Keep sharded requests that crash targets from taking whole services down

Cause: a second target of a shard was tried before the others had ended, each process tried the repeats of other callers at full width, and the news of a verdict waited behind those of the bystanders: 16 KB are spent by 13 reports. Half of the bandwidth of urgent news is kept for requests with several ends.

--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -201,7 +201,11 @@
 	var reports []Report
 	for _, j := range news[:min(len(news), maxReports)] {
 		r := j.report(now)
-		if !s.bandwidth.take(now, fanout*r.size()) {
+		reserve := 0
+		if j.weight() < minEnds {
+			reserve = verdictBytes
+		}
+		if !s.bandwidth.take(now, fanout*r.size(), reserve) {
 			break
 		}
 		j.pushes--
@@ -267,6 +271,9 @@
 const (
 	burstBytes     = 16 << 10
 	bytesPerSecond = 1000
+	// verdictBytes is the part of burstBytes that is kept for requests under which several
+	// targets have ended: many others lose an attempt at the same targets.
+	verdictBytes = burstBytes / 2
 )
 
 // bandwidth is a token bucket of bytes.
@@ -275,10 +282,11 @@
 	at        time.Time
 }
 
-func (b *bandwidth) take(now time.Time, n int) bool {
+// take takes n bytes if more than reserve remain.
+func (b *bandwidth) take(now time.Time, n, reserve int) bool {
 	b.available = min(b.available+bytesPerSecond*max(now.Sub(b.at), 0).Seconds(), burstBytes)
 	b.at = now
-	if b.available < float64(n) {
+	if b.available < float64(n+reserve) {
 		return false
 	}
 	b.available -= float64(n)
--- a/quarantine/state.go
+++ b/quarantine/state.go
@@ -85,7 +85,7 @@
 // Confirm must tell later whether the target has ended.
 func (s *State) Broke(now time.Time, r *Request, run Run) {
 	for _, k := range r.Keys.all() {
-		e := end{Run: run, caller: k.caller()}
+		e := end{Run: run, caller: k.caller(), repeat: r.ID}
 		whole := s.subject(now, k)
 		whole.describe(r.Caller, r.Path)
 		s.addEnd(now, whole, e)
@@ -297,6 +297,9 @@
 		least := suspectEnds
 		if r.Sharded && r.isWhole(j.key) {
 			least = suspectEndsSharded
+			if inProgress == 0 && j.endsUnder(now, r.ID) >= minEnds {
+				return Refuse, false
+			}
 		}
 		if found := j.evidence(now, true); j.suffices(found) || (inProgress > 0 && found.ends >= least) {
 			return Wait, false
--- a/quarantine/state_test.go
+++ b/quarantine/state_test.go
@@ -86,6 +86,27 @@
 	}
 }
 
+// Guards against a sharded request that has ended the targets of all shards going on to their
+// other targets: its repeat is tried at one, once the others know.
+func TestShardedRequestEndsWithItsTargets(t *testing.T) {
+	p, r := newProcess("a"), request("c", "/x")
+	r.Sharded = true
+	p.crashTogether(r, minEnds-1)
+	if p.Check(p.now, r, 0) != Send {
+		t.Error("given up after few ends")
+	}
+	p = newProcess("a")
+	p.crashTogether(r, 20)
+	if p.Check(p.now, r, 0) != Refuse {
+		t.Error("sent on after the targets of many shards have ended and none has completed it")
+	}
+	repeat := *r
+	repeat.ID = "r2"
+	if p.refused(&repeat) || p.Check(p.now, &repeat, 0) != Send || p.Check(p.now, &repeat, 1) != Wait {
+		t.Error("a repeat is to be sent to one target at a time")
+	}
+}
+
 // Guards against a sharded request ending a second target of a shard before the first targets
 // of the others have ended: it is sent to no more targets until one of them responds.
 func TestShardedRequestIsHeldAfterOneEnd(t *testing.T) {
@@ -484,3 +505,25 @@
 		t.Errorf("only %d requests were told of in three messages: the others are never told", n)
 	}
 }
+
+// Guards against the news of a verdict waiting behind what was told of the many other requests
+// that the same targets were running when they ended.
+func TestVerdictIsToldDespiteManyBystanders(t *testing.T) {
+	const fanout = 6
+	p := newProcess("a")
+	for i := range 200 {
+		p.crashTogether(request(fmt.Sprint("c", i), fmt.Sprint("/bystander/", i)), 1)
+		p.Urgent(p.now, fanout)
+	}
+	culprit := request("c", "/x")
+	p.crashTogether(culprit, 20)
+	p.wait(time.Millisecond)
+	p.crash(culprit)
+	var told bool
+	for _, r := range p.Urgent(p.now, fanout) {
+		told = told || (r.Quarantined && r.Key == culprit.Keys.Exact)
+	}
+	if !told {
+		t.Error("the verdict is not told at once")
+	}
+}
--- a/quarantine/subject.go
+++ b/quarantine/subject.go
@@ -52,6 +52,8 @@
 type end struct {
 	Run
 	caller callerID
+	// repeat is the ID of the repeat of the request; empty if another process sent it.
+	repeat string
 	// confirmed is true once it is known that the target's process has ended. Until
 	// then its connection may have failed.
 	confirmed bool
@@ -189,6 +191,16 @@
 	return e.ends >= minEnds && e.depth >= minDepth && (s.key.caller() != anyCaller || e.callers >= minCallers)
 }
 
+// endsUnder returns the number of ends under one repeat of the request.
+func (s *subject) endsUnder(now time.Time, repeat string) (n int) {
+	for i := range s.ends {
+		if e := &s.ends[i]; e.repeat == repeat && s.counts(now, e) {
+			n++
+		}
+	}
+	return n
+}
+
 // suspected reports whether the request may be sent to one target at a time only.
 func (s *subject) suspected(now time.Time) bool {
 	return s.evidence(now, true).ends >= suspectEnds
