Hand over sharded requests that no connection could be opened for

What callers saw: at a VM that starts while it is cut off, sharded requests that wait for connections ended 503, though the VM knew that none can be opened.

--- a/entry/detour.go
+++ b/entry/detour.go
@@ -77,7 +77,8 @@
 	if len(req.Call.Body) > maxQueryBody {
 		return forward.Response{}, false
 	}
-	if detour.PathLost {
+	mode, _ := g.p.pool.Path()
+	if detour.PathLost || mode != reach.Open {
 		return g.handToHelper(ctx, req, delegate.MaxHelpers, now.Add(maxLinkWait), detour)
 	}
 	if req.Route.Sharded() {
--- a/entry/detour_test.go
+++ b/entry/detour_test.go
@@ -207,13 +207,15 @@
 	}
 }
 
-// A service that is down for all is not asked for at peers again and again.
+// A service that is down for all, while other targets are reached, is not asked for at peers
+// again and again.
 func TestServiceThatNoPeerReachesIsNotAskedForAgain(t *testing.T) {
 	calls := 0
 	g := newCutGatherer(t, peerFunc(func(context.Context, wire.Query) (wire.QueryResponse, error) {
 		calls++
 		return wire.QueryResponse{Refused: refusedCutOff}, nil
 	}), 6)
+	g.p.pool = upstream.New(upstream.Options{})
 	now := time.Now()
 	for range 20 {
 		if _, taken := g.Rescue(context.Background(), &forward.Request{
