--- a/forward/path_test.go
+++ b/forward/path_test.go
@@ -101,23 +101,28 @@
 		detour *Detour
 	}{
 		"safe, sent to one target": {
-			catalog.Route{Split: []catalog.WeightedService{{Service: "s0", Weight: 1}}, Idempotent: true, MaxAttempts: 3}, false,
+			catalog.Route{Split: []catalog.WeightedService{{Service: "s0", Weight: 1}}, Idempotent: true, MaxAttempts: 3},
+			false,
 			http.StatusBadGateway, &Detour{PathLost: true, Repeat: true, MaxTargets: 2},
 		},
 		"safe, sent to all that may run it": {
-			catalog.Route{Split: []catalog.WeightedService{{Service: "s0", Weight: 1}}, Idempotent: true, MaxAttempts: 1}, false,
+			catalog.Route{Split: []catalog.WeightedService{{Service: "s0", Weight: 1}}, Idempotent: true, MaxAttempts: 1},
+			false,
 			http.StatusBadGateway, nil,
 		},
 		"sharded": {
-			catalog.Route{Shards: []string{"s0", "s1"}, MinShardFraction: 1, MaxAttempts: 2}, false,
+			catalog.Route{Shards: []string{"s0", "s1"}, MinShardFraction: 1, MaxAttempts: 2},
+			false,
 			http.StatusBadGateway, &Detour{PathLost: true, Repeat: true, MaxTargets: 1},
 		},
 		"safe, not sent": {
-			catalog.Route{Split: []catalog.WeightedService{{Service: "s0", Weight: 1}}, Idempotent: true, MaxAttempts: 2}, true,
+			catalog.Route{Split: []catalog.WeightedService{{Service: "s0", Weight: 1}}, Idempotent: true, MaxAttempts: 2},
+			true,
 			http.StatusServiceUnavailable, &Detour{PathLost: true, MaxTargets: 2},
 		},
 		"must not run twice": {
-			catalog.Route{Split: []catalog.WeightedService{{Service: "s0", Weight: 1}}, MaxAttempts: 2}, false,
+			catalog.Route{Split: []catalog.WeightedService{{Service: "s0", Weight: 1}}, MaxAttempts: 2},
+			false,
 			http.StatusGatewayTimeout, nil,
 		},
 	} {
