Tell of the return of the path with the first connection

What callers saw: nothing measured; found by reading. Requests that were sent directly in the 100 ms after a connection was opened again would have been withdrawn at once. Cause: those who wait for the loss of the path were told of its return by the next probe or check only. Change: each connection that is opened tells. A relay without targets ends its round of probes.

--- a/relay/path.go
+++ b/relay/path.go
@@ -76,7 +76,10 @@
 func (p *path) tick(now time.Time) {
 	entries := p.relay.allEntries()
 	p.mu.Lock()
-	entries = sample(entries, p.state.Tick(now))
+	n := p.state.Tick(now)
+	if entries = sample(entries, n); n > 0 && len(entries) == 0 {
+		p.state.Abort()
+	}
 	if len(entries) > 0 && (p.decided == nil || isClosed(p.decided)) {
 		p.decided = make(chan struct{})
 	}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -20,7 +20,7 @@
 	}
 	c := newConn(p, t, nc)
 	p.mu.Lock()
-	p.reach.Connected(time.Now())
+	p.pathWorks(time.Now())
 	next, unsent := p.dialed(c, a)
 	open := !c.closed
 	p.mu.Unlock()
--- a/upstream/reach.go
+++ b/upstream/reach.go
@@ -144,6 +144,12 @@
 	p.lost = mode == reach.Cut
 }
 
+// pathWorks records that a connection to a target was opened. mu must be held.
+func (p *Pool) pathWorks(now time.Time) {
+	p.reach.Connected(now)
+	p.signalPath()
+}
+
 // PathLost returns a channel that is closed once no target can be reached.
 func (p *Pool) PathLost() <-chan struct{} {
 	p.mu.Lock()
--- a/upstream/verify.go
+++ b/upstream/verify.go
@@ -79,7 +79,7 @@
 		return
 	}
 	t.openConns++
-	p.reach.Connected(time.Now())
+	p.pathWorks(time.Now())
 	c := newConn(p, t, nc)
 	next := p.assignNext(c)
 	open := !c.closed
