--- a/upstream/reach_test.go
+++ b/upstream/reach_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"sync/atomic"
 	"syscall"
@@ -12,6 +13,7 @@
 
 	"github.com/goldcrestmux/goldcrestmux/balance"
 	"github.com/goldcrestmux/goldcrestmux/catalog"
+	"github.com/goldcrestmux/goldcrestmux/quarantine"
 	"github.com/goldcrestmux/goldcrestmux/reach"
 	"github.com/goldcrestmux/goldcrestmux/share"
 )
@@ -95,3 +97,56 @@
 	default:
 	}
 }
+
+// Guards against ends of targets going unnoticed if all end at once, which looks like a lost
+// path, and against targets being taken for ended because the path was lost.
+func TestEndsDuringLossOfPathAreToldOnceTheStoreSaysSo(t *testing.T) {
+	for name, replaced := range map[string]bool{"targets start again": true, "the path comes back": false} {
+		t.Run(name, func(t *testing.T) {
+			pool, reopen := newCutPool(t)
+			pool.opts.Guard = quarantine.NewGuard(quarantine.Options{Self: "a", StartedAt: time.Now()}, slog.New(slog.DiscardHandler))
+			now := time.Now()
+			request := &quarantine.Request{Keys: quarantine.KeysOf("c", "GET", "h", "/x", nil), ID: "id", Caller: "c", Path: "/x", Service: "s1"}
+			run := quarantine.Run{Target: "ts1", StartedAt: now.Add(-30 * time.Millisecond), EndedAt: now}
+			pool.mu.Lock()
+			pool.keepBroken(brokenRun{request: request, run: run})
+			pool.mu.Unlock()
+			pool.opts.Guard.Broke(now, request, run)
+			pool.confirmEnd("ts1", 0, true)
+			pool.CheckPath(time.Now())
+			if ends := confirmedEnds(pool); ends != 0 {
+				t.Fatalf("%d ends are told while no target can be reached", ends)
+			}
+			if replaced {
+				state := catalog.NewState(catalog.StateOptions{})
+				state.Apply(time.Now(), []catalog.Item{
+					{Kind: catalog.KindConfig, Revision: 1, Config: &catalog.Config{Version: 1, Services: []*catalog.Service{{Name: "s1", MaxConnections: 25}}}},
+					{Kind: catalog.KindTarget, Name: "ts1", Revision: 3, Target: &catalog.Target{ID: "ts1", Service: "s1", Address: "127.0.0.1:1", Slots: 2, Incarnation: 7}},
+				})
+				pool.Update(state.View())
+			}
+			reopen()
+			for deadline := time.Now().Add(2 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+				if mode, _, _ := pool.CheckPath(time.Now()); mode == reach.Open {
+					break
+				}
+			}
+			pool.CheckPath(time.Now())
+			want := 0
+			if replaced {
+				want = 1
+			}
+			if ends := confirmedEnds(pool); ends != want {
+				t.Errorf("%d ends are told, want %d", ends, want)
+			}
+		})
+	}
+}
+
+// confirmedEnds returns the number of ends that the guard of a pool tells others.
+func confirmedEnds(pool *Pool) (n int) {
+	for _, s := range pool.opts.Guard.States(time.Now()) {
+		n += len(s.Ends)
+	}
+	return n
+}
