Send no news at once of ends that tell nothing new

What callers saw: the verdict on a request that had ended 20 targets reached the other processes 0.4 to 1 s late; they tried it at more targets, and services lost the last targets of shards. Cause: each of the 20 ends was sent to six peers, twice, which used up the bandwidth of urgent news before the verdict. Change: ends are sent at once until they suffice, and when more ended one after the other. TestVerdictIsToldAfterManyEnds failed before.

--- a/quarantine/state.go
+++ b/quarantine/state.go
@@ -135,7 +135,9 @@
 // judge quarantines a request, the ends of which have changed, if enough speaks against it.
 func (s *State) judge(now time.Time, j *subject) {
 	j.changedAt = now
-	j.pushes = max(j.pushes, pushesOfEnd)
+	if found := j.evidence(now, false); found.ends <= minEnds || found.depth > j.toldDepth {
+		j.pushes, j.toldDepth = max(j.pushes, pushesOfEnd), found.depth
+	}
 	switch {
 	case j.quarantined && j.trial != "" && j.trialFailed():
 		j.failedTrials++
--- a/quarantine/state_test.go
+++ b/quarantine/state_test.go
@@ -527,3 +527,23 @@
 		t.Error("the verdict is not told at once")
 	}
 }
+
+// Guards against the news of a verdict waiting behind the same news of each of the many ends
+// that came before it.
+func TestVerdictIsToldAfterManyEnds(t *testing.T) {
+	const fanout = 6
+	p, r := newProcess("a"), request("c", "/x")
+	started := p.now
+	for i := range 40 {
+		p.now = started.Add(time.Duration(30+i) * time.Millisecond)
+		target := fmt.Sprint("first-", i)
+		p.Broke(p.now, r, Run{Target: target, StartedAt: started, EndedAt: p.now})
+		p.Confirm(p.now, target, 0, true)
+		p.Urgent(p.now, fanout)
+	}
+	p.wait(time.Millisecond)
+	p.crash(r)
+	if reports := p.Urgent(p.now, fanout); len(reports) == 0 || !reports[0].Quarantined {
+		t.Errorf("told at once: %+v, want the verdict", reports)
+	}
+}
--- a/quarantine/subject.go
+++ b/quarantine/subject.go
@@ -105,6 +105,9 @@
 	refused int
 	// changedAt is when something was last learned, or the request last came.
 	changedAt time.Time
+	// toldDepth is the depth of the evidence of which news were last sent at once. Further
+	// ends of the same depth would tell the others nothing.
+	toldDepth int
 	// pushes is how often the news of this request are still to be sent at once.
 	pushes int
 }
