Apply changes of a relay's path in their order

What callers saw: nothing measured; found by reading. If the path was lost and back while two goroutines noticed, targets could be told in the wrong order and stay without grants. Change: one goroutine at a time reads the mode and tells the targets. A test no longer replaces the guard of a running pool (found by the race detector). Measured: the race detector is silent on relay, reach, entry, delegate, forward and upstream.

--- a/relay/path.go
+++ b/relay/path.go
@@ -24,12 +24,14 @@
 // targets failing. It must neither tell other relays that they are cold or lost, nor keep
 // gateways from using the permits of others.
 //
-// mu is a leaf lock.
+// applying is taken with no lock held, and orders the changes that targets are told of. mu is a
+// leaf lock.
 type path struct {
 	relay *Relay
 
-	mu    sync.Mutex
-	state reach.State
+	applying sync.Mutex
+	mu       sync.Mutex
+	state    reach.State
 	// decided is closed when no probe is in progress; nil if none has been.
 	decided chan struct{}
 	// logged is the mode as last logged, since loggedSince.
@@ -93,7 +95,7 @@
 			return nil
 		})
 	}
-	p.apply(now)
+	p.apply()
 	p.announce(now)
 }
 
@@ -162,7 +164,9 @@
 
 // apply logs a change of the mode. When the path is lost, no target gets requests through
 // this relay; when it is back, each target is probed first, as it may have become cold.
-func (p *path) apply(now time.Time) {
+func (p *path) apply() {
+	p.applying.Lock()
+	defer p.applying.Unlock()
 	p.mu.Lock()
 	mode, since := p.state.Mode()
 	before, beforeSince := p.logged, p.loggedSince
--- a/upstream/reach_test.go
+++ b/upstream/reach_test.go
@@ -23,7 +23,8 @@
 func newCutPool(t *testing.T) (pool *Pool, reopen func()) {
 	t.Helper()
 	var refuses atomic.Bool
-	pool = New(Options{Codec: byteCodec{}, DialTimeout: time.Second, Dial: func(context.Context, string, string) (net.Conn, error) {
+	guard := quarantine.NewGuard(quarantine.Options{Self: "a", StartedAt: time.Now()}, slog.New(slog.DiscardHandler))
+	pool = New(Options{Guard: guard, Codec: byteCodec{}, DialTimeout: time.Second, Dial: func(context.Context, string, string) (net.Conn, error) {
 		if refuses.Load() {
 			return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
 		}
@@ -104,7 +105,6 @@
 	for name, replaced := range map[string]bool{"targets start again": true, "the path comes back": false} {
 		t.Run(name, func(t *testing.T) {
 			pool, reopen := newCutPool(t)
-			pool.opts.Guard = quarantine.NewGuard(quarantine.Options{Self: "a", StartedAt: time.Now()}, slog.New(slog.DiscardHandler))
 			now := time.Now()
 			request := &quarantine.Request{Keys: quarantine.KeysOf("c", "GET", "h", "/x", nil), ID: "id", Caller: "c", Path: "/x", Service: "s1"}
 			run := quarantine.Run{Target: "ts1", StartedAt: now.Add(-30 * time.Millisecond), EndedAt: now}
