--- a/reach/state.go
+++ b/reach/state.go
@@ -34,8 +34,8 @@
 	minSilence = 150 * time.Millisecond
 	// suspectTargets is the number of targets that must be silent or unreachable.
 	suspectTargets = 2
-	// loneFailures is the number of failed connections to the same target that count as
-	// much: a process may send all its requests to one.
+	// loneFailures is the number of failed connections that count as much if all of them
+	// are to the same target: a process may send all its requests to one.
 	loneFailures = 4
 	// evidenceTime is how long a failed connection counts.
 	evidenceTime = 2 * time.Second
@@ -68,7 +68,7 @@
 	silent [suspectTargets]waiting
 	// refused holds the failed connections to different targets since one succeeded.
 	refused [suspectTargets]failure
-	// lone is the number of failed connections to the first of them.
+	// lone is the number of failed connections to any targets since one succeeded.
 	lone int
 	// probes is the number of probes in progress.
 	probes int
--- a/relay/path.go
+++ b/relay/path.go
@@ -218,7 +218,7 @@
 }
 
 // setPath stops the use of the target when no target can be reached. When they can be again,
-// it probes the target, which is used once it has responded or another relay has told of it.
+// it probes the target, which is used again once the result of the probe is known.
 func (e *targetEntry) setPath(mode reach.Mode) {
 	e.mu.Lock()
 	wasCut := e.pathLost
