Authenticate callers by keys of organisations

Cause: configurations can hold organisations with keys. The entry path knew neither: keys were passed on to targets, and requests with unknown keys ran.

A request on a route that is not public needs a key of the configuration in force, else 401 at once, or 503 if the view is stale. Targets get the name of the organisation and never the key, also through peers. A peer with a later version rejects a request whose key is gone. Without organisations nothing changes.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -18,6 +18,9 @@
 	Routes   []*Route
 	Services []*Service
 	Limits   Limits
+	// Organisations are the customers whose keys callers must send. Without any, requests
+	// need no key.
+	Organisations []*Organisation `cbor:",omitempty"`
 }
 
 // Route defines how requests for one host and path prefix are served.
@@ -50,6 +53,8 @@
 	// MinShardFraction is the minimum fraction of shards, 0 to 1, that must have
 	// responded for the request to succeed.
 	MinShardFraction float64 `cbor:"MinShare"`
+	// Public is true if requests need no key although organisations are configured.
+	Public bool `cbor:",omitempty"`
 }
 
 // Sharded reports whether each request is sent to all shards of an index.
@@ -121,7 +126,7 @@
 			return errors.NotValidf("empty service %d", i)
 		}
 	}
-	return nil
+	return c.validateOrganisations()
 }
 
 func (r *Route) validate() error {
--- a/catalog/state.go
+++ b/catalog/state.go
@@ -104,6 +104,7 @@
 	opts      StateOptions
 	config    *Config
 	routes    routes
+	orgs      *Organisations
 	services  map[string]*Service
 	targets   map[string]*Entry
 	evacuated map[string]uint64 // revision by data centre
@@ -245,6 +246,7 @@
 	}
 	s.config = it.Config
 	s.routes = newRoutes(it.Config)
+	s.orgs = newOrganisations(it.Config)
 	s.services = make(map[string]*Service, len(it.Config.Services))
 	for _, svc := range it.Config.Services {
 		s.services[svc.Name] = svc
@@ -403,7 +405,7 @@
 // View returns the current view.
 func (s *State) View() *View {
 	v := &View{
-		Era: s.era, routes: s.routes, services: s.services,
+		Era: s.era, routes: s.routes, organisations: s.orgs, services: s.services,
 		targets: make(map[string][]*Entry, len(s.services)), evacuated: make(map[string]bool, len(s.evacuated)),
 	}
 	if s.config != nil {
--- a/catalog/view.go
+++ b/catalog/view.go
@@ -14,10 +14,11 @@
 	// Era is the era of the store that the state was read in.
 	Era uint64
 
-	routes    routes
-	services  map[string]*Service
-	targets   map[string][]*Entry // by service
-	evacuated map[string]bool     // by data centre
+	routes        routes
+	organisations *Organisations
+	services      map[string]*Service
+	targets       map[string][]*Entry // by service
+	evacuated     map[string]bool     // by data centre
 }
 
 // Entry is a target as it was last published, with the state of its entry in
@@ -84,6 +85,10 @@
 	return served
 }
 
+// Organisations returns the organisations of the configuration, or nil if it has none:
+// requests then need no key.
+func (v *View) Organisations() *Organisations { return v.organisations }
+
 // Service returns the named service, or nil if the configuration does not
 // contain it.
 func (v *View) Service(name string) *Service { return v.services[name] }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -140,7 +140,7 @@
 	p.gatherer = newGatherer(p)
 	p.handler = ingress.New(ingress.Options{
 		HeaderCodec: adapter.HeaderCodec, Engine: p.engine, Delegate: p.gatherer.Gather, Rescue: p.gatherer.Rescue, Behind: p.gatherer.behind, View: p.view.Load, ConfirmedAt: func() time.Time { return p.follower.ConfirmedAt() },
-		StaleAfter: staleAfter, DefaultTimeout: defaultTimeout, Logger: log, Observe: p.metrics.observe,
+		StaleAfter: staleAfter, MaxKeyAge: s.MaxKeyAge, DefaultTimeout: defaultTimeout, Logger: log, Observe: p.metrics.observe,
 	})
 	p.callerServer = ingress.NewServer(p.handler)
 	incarnation := uint64(time.Now().UnixNano())
--- a/entry/gather.go
+++ b/entry/gather.go
@@ -193,10 +193,35 @@
 		Header: req.Call.Header, Body: req.Call.Body, HasBody: req.Call.HasBody,
 		LeftMicros:    uint64(max(req.Call.Deadline.Sub(now), 0).Microseconds()),
 		ElapsedMicros: uint64(max(now.Sub(req.ReceivedAt), 0).Microseconds()), NewConnection: req.NewConnection,
-		Caller: req.Call.Caller, Keys: req.Call.Keys,
+		Caller: req.Call.Caller, Keys: req.Call.Keys, Organisation: req.Call.Organisation, Key: keyOf(req),
 	}
 }
 
+// keyOf returns the hash of the key that a request was authenticated with, or nil.
+func keyOf(req *forward.Request) []byte {
+	if req.Organisation == nil {
+		return nil
+	}
+	return req.Key[:]
+}
+
+// reasonKeyWithdrawn is the reason of a response to a request of a peer whose key a later
+// configuration no longer has.
+const reasonKeyWithdrawn = "the key has been withdrawn"
+
+// organisationOf returns the organisation of a peer's request. It returns false if the key
+// of the request does not hold in the view, which may be later than that of the peer.
+func organisationOf(v *catalog.View, q *wire.Query) (*catalog.Organisation, bool) {
+	if q.Organisation == "" {
+		return nil, true
+	}
+	o := v.Organisations().Named(q.Organisation)
+	if len(q.Key) != len(catalog.KeyHash{}) || o == nil {
+		return o, o != nil
+	}
+	return o, v.Organisations().Holder(catalog.KeyHash(q.Key)) == o
+}
+
 func responseOf(r *wire.QueryResponse) forward.Response {
 	return forward.Response{
 		Status: r.Status, Sharded: r.Status == http.StatusOK && !r.Single, Signatures: r.Signatures, Missing: r.Missing,
@@ -245,7 +270,7 @@
 	req := &forward.Request{
 		Call: &upstream.Call{
 			ID: q.RequestID, Method: q.Method, URI: q.URI, Host: q.Host, Header: q.Header, Body: q.Body, HasBody: q.HasBody,
-			Deadline: deadline, Caller: q.Caller, Keys: q.Keys,
+			Deadline: deadline, Caller: q.Caller, Keys: q.Keys, Organisation: q.Organisation,
 		},
 		Route: v.RouteOfURI(q.Host, q.URI), Version: v.Version, ConfirmedAt: g.p.follower.ConfirmedAt(), ReceivedAt: receivedAt,
 		NewConnection: q.NewConnection, HopMargin: hopMargin, For: peer, Counted: q.Counted,
@@ -254,6 +279,11 @@
 	if req.Route == nil || (!q.CutOff && !req.Route.Sharded()) {
 		return wire.QueryResponse{Refused: "no such route, or not a sharded one"}
 	}
+	organisation, holds := organisationOf(v, q)
+	if !holds {
+		return wire.QueryResponse{Status: http.StatusUnauthorized, Reason: reasonKeyWithdrawn, Single: !req.Route.Sharded(), Version: v.Version}
+	}
+	req.Organisation = organisation
 	if !g.reaches(req, q.CutOff) {
 		return wire.QueryResponse{Refused: refusedCutOff}
 	}
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -45,6 +45,9 @@
 	RetryBudget forward.RetryBudget
 	// Cold bounds the rate of requests from all processes to a cold target.
 	Cold upstream.ColdBound
+	// MaxKeyAge is the age of the last confirmation of the configuration by the store above
+	// which requests that need a key are refused; zero if they are then served.
+	MaxKeyAge time.Duration
 	// MetricsListen is the address on which metrics are served, as host and port;
 	// empty if they are not.
 	MetricsListen string
--- a/forward/engine.go
+++ b/forward/engine.go
@@ -18,6 +18,10 @@
 type Request struct {
 	Call  *upstream.Call
 	Route *catalog.Route
+	// Organisation is that of the caller; nil if none is known. Key is the hash of the key
+	// that it was authenticated with.
+	Organisation *catalog.Organisation
+	Key          catalog.KeyHash
 	// Version is the version of the configuration that Route is from.
 	Version uint64
 	// ConfirmedAt is when the store last confirmed the view that Route is from.
@@ -41,6 +45,15 @@
 	MaxTargets int
 }
 
+// Priority ranks the request: that of the organisation if it has one, else that of the
+// route; 0 is the most urgent.
+func (r *Request) Priority() int {
+	if r.Organisation != nil && r.Organisation.HasPriority {
+		return r.Organisation.Priority
+	}
+	return r.Route.Priority
+}
+
 // Services returns the services that the request needs.
 func (r *Request) Services() []string {
 	if r.Route.Sharded() {
--- /dev/null
+++ b/ingress/access.go
@@ -0,0 +1,59 @@
+package ingress
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/goldcrestmux/goldcrestmux/catalog"
+	"github.com/goldcrestmux/goldcrestmux/forward"
+)
+
+// Reasons of responses to requests whose caller is not authenticated.
+const (
+	ReasonNoKey         = "the request has no key"
+	ReasonUnknownKey    = "the key is not known"
+	ReasonKeyMaybeNew   = "the key is not known, and the configuration may be old"
+	ReasonUnverifiable  = "the configuration is too old to tell whether the key still holds"
+	unverifiedRetryTime = 500 * time.Millisecond
+)
+
+// authenticate returns the organisation that holds the caller's key, or why the request is
+// refused. Without configured organisations both are nil. It removes the key from the header,
+// so that it is not passed on.
+func (h *Handler) authenticate(header http.Header, view *catalog.View, route *catalog.Route, meta *Meta, now time.Time) (*catalog.Organisation, *forward.Response) {
+	organisations := view.Organisations()
+	if organisations == nil {
+		return nil, nil
+	}
+	h.opts.HeaderCodec.RemoveKey(header)
+	var holder *catalog.Organisation
+	if meta.HasKey {
+		holder = organisations.Holder(meta.Key)
+	}
+	if route.Public {
+		return holder, nil
+	}
+	age := now.Sub(h.opts.ConfirmedAt())
+	switch {
+	case !meta.HasKey:
+		return nil, &forward.Response{Status: http.StatusUnauthorized, Reason: ReasonNoKey}
+	case holder == nil && h.mayBeOld(age):
+		return nil, &forward.Response{Status: http.StatusServiceUnavailable, RetryAfter: unknownRetryAfter, Reason: ReasonKeyMaybeNew}
+	case holder == nil:
+		h.logUnknownKey(meta, route)
+		return nil, &forward.Response{Status: http.StatusUnauthorized, Reason: ReasonUnknownKey}
+	case h.opts.MaxKeyAge > 0 && age > h.opts.MaxKeyAge:
+		return nil, &forward.Response{Status: http.StatusServiceUnavailable, RetryAfter: unverifiedRetryTime, Reason: ReasonUnverifiable}
+	}
+	return holder, nil
+}
+
+// mayBeOld reports whether a view of the given age may lack what has been published.
+func (h *Handler) mayBeOld(age time.Duration) bool {
+	return age > h.opts.StaleAfter || (h.opts.Behind != nil && h.opts.Behind())
+}
+
+// logUnknownKey logs that a key is not known, by a prefix of its hash.
+func (h *Handler) logUnknownKey(meta *Meta, route *catalog.Route) {
+	h.opts.Logger.Info("key refused", "id", meta.ID, "route", route.Name, "key_hash", meta.Key.String())
+}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -27,12 +27,18 @@
 	ID string
 	// Timeout is how long the caller waits; zero if the request does not say.
 	Timeout time.Duration
+	// Key is the hash of the key that the caller sent; HasKey is false if it sent none.
+	Key    catalog.KeyHash
+	HasKey bool
 }
 
 // HeaderCodec decodes the headers of requests and encodes those of responses.
 type HeaderCodec interface {
 	Decode(h http.Header) (Meta, error)
 	Encode(h http.Header, resp *forward.Response)
+	// RemoveKey removes the caller's key, and the organisation that the caller claims to be
+	// of, from the header of a request.
+	RemoveKey(h http.Header)
 }
 
 // Options configures a Handler.
@@ -55,6 +61,9 @@
 	// StaleAfter is the age of the view above which a missing route may already
 	// have been published.
 	StaleAfter time.Duration
+	// MaxKeyAge is the age of the view above which it can't tell whether a key still holds,
+	// so that requests that need one are refused; zero if they are then served.
+	MaxKeyAge time.Duration
 	// DefaultTimeout is used for requests that state no timeout.
 	DefaultTimeout time.Duration
 	Logger         *slog.Logger
@@ -102,7 +111,7 @@
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request, receivedAt time.Time, newConnection bool) (*catalog.Route, forward.Response) {
 	view := h.opts.View()
 	meta, decodeErr := h.opts.HeaderCodec.Decode(r.Header)
-	route, call, refusal := h.prepareCall(w, r, view, meta, decodeErr, receivedAt)
+	route, organisation, call, refusal := h.prepareCall(w, r, view, meta, decodeErr, receivedAt)
 	if refusal != nil {
 		h.logRefusal(r, view, meta.ID, refusal, receivedAt)
 		return route, *refusal
@@ -110,6 +119,7 @@
 	req := &forward.Request{
 		Call: call, Route: route, Version: view.Version, ConfirmedAt: h.opts.ConfirmedAt(),
 		ReceivedAt: receivedAt, NewConnection: newConnection,
+		Organisation: organisation, Key: meta.Key,
 	}
 	if resp, refused := h.opts.Engine.Refuse(req); refused {
 		return route, resp
@@ -131,20 +141,24 @@
 // prepareCall finds the route of a request and reads its body. If the request is
 // refused, it returns the response instead of the call, and the route if there
 // is one.
-func (h *Handler) prepareCall(w http.ResponseWriter, r *http.Request, view *catalog.View, meta Meta, decodeErr error, receivedAt time.Time) (*catalog.Route, *upstream.Call, *forward.Response) {
+func (h *Handler) prepareCall(w http.ResponseWriter, r *http.Request, view *catalog.View, meta Meta, decodeErr error, receivedAt time.Time) (*catalog.Route, *catalog.Organisation, *upstream.Call, *forward.Response) {
 	if !view.Configured() {
-		return nil, nil, &forward.Response{Status: http.StatusServiceUnavailable, RetryAfter: unknownRetryAfter, Reason: "no configuration is known"}
+		return nil, nil, nil, &forward.Response{Status: http.StatusServiceUnavailable, RetryAfter: unknownRetryAfter, Reason: "no configuration is known"}
 	}
 	uri := requestURI(r)
 	route := view.RouteOfURI(r.Host, uri)
 	if route == nil {
-		return nil, nil, h.refuseUnknownRoute(receivedAt)
+		return nil, nil, nil, h.refuseUnknownRoute(receivedAt)
 	}
 	if n := view.Limits.HeaderBytes; n > 0 && headerBytes(r) > n {
-		return route, nil, &forward.Response{Status: http.StatusRequestHeaderFieldsTooLarge, Reason: "the headers are larger than allowed"}
+		return route, nil, nil, &forward.Response{Status: http.StatusRequestHeaderFieldsTooLarge, Reason: "the headers are larger than allowed"}
+	}
+	organisation, refusal := h.authenticate(r.Header, view, route, &meta, receivedAt)
+	if refusal != nil {
+		return route, nil, nil, refusal
 	}
 	if decodeErr != nil {
-		return route, nil, &forward.Response{Status: http.StatusBadRequest, Reason: decodeErr.Error()}
+		return route, nil, nil, &forward.Response{Status: http.StatusBadRequest, Reason: decodeErr.Error()}
 	}
 	timeout := meta.Timeout
 	if timeout <= 0 {
@@ -152,14 +166,18 @@
 	}
 	body, err := readBodyBy(receivedAt.Add(timeout), w, r, view.Limits.BodyBytes)
 	if err != nil {
-		return route, nil, bodyErrorResponse(err)
+		return route, nil, nil, bodyErrorResponse(err)
 	}
 	caller := callerOf(r)
-	return route, &upstream.Call{
+	call := &upstream.Call{
 		ID: meta.ID, Method: r.Method, URI: uri, Host: r.Host, Header: removeHopByHop(r.Header),
 		Body: body, HasBody: r.ContentLength != 0, Deadline: receivedAt.Add(timeout),
 		Caller: caller, Keys: quarantine.KeysOf(caller, r.Method, r.Host, uri, body),
-	}, nil
+	}
+	if organisation != nil {
+		call.Organisation = organisation.Name
+	}
+	return route, organisation, call, nil
 }
 
 // callerOf returns the host that a request came from, which identifies the caller: the
@@ -187,7 +205,7 @@
 // refuseUnknownRoute returns the response to a request without a route. The
 // caller may retry while the view is stale, as the route may have been published.
 func (h *Handler) refuseUnknownRoute(receivedAt time.Time) *forward.Response {
-	if receivedAt.Sub(h.opts.ConfirmedAt()) > h.opts.StaleAfter || (h.opts.Behind != nil && h.opts.Behind()) {
+	if h.mayBeOld(receivedAt.Sub(h.opts.ConfirmedAt())) {
 		return &forward.Response{Status: http.StatusServiceUnavailable, RetryAfter: unknownRetryAfter, Reason: "no route is known, and the configuration may be old"}
 	}
 	return &forward.Response{Status: http.StatusNotFound, Reason: "no route"}
--- a/upstream/call.go
+++ b/upstream/call.go
@@ -26,6 +26,9 @@
 	Body   []byte
 	// HasBody is true if the caller sent a body, even an empty one.
 	HasBody bool
+	// Organisation is the name of the caller's organisation, which targets are told; empty if
+	// none is known.
+	Organisation string
 	// Caller identifies who sent the request.
 	Caller string
 	// Keys identify the request across its repeats, which have IDs of their own.
--- a/wire/query.go
+++ b/wire/query.go
@@ -37,6 +37,10 @@
 	// targets that the request, or each of its shards, may still be sent to.
 	Repeat     bool   `cbor:"17,keyasint,omitempty"`
 	MaxTargets uint32 `cbor:"18,keyasint,omitempty"`
+	// Organisation is the name of the caller's organisation, and Key the SHA-256 of the key
+	// that it was authenticated with; empty if none is known.
+	Organisation string `cbor:"19,keyasint,omitempty"`
+	Key          []byte `cbor:"20,keyasint,omitempty"`
 }
 
 // QueryResponse is the response to a Query.
