--- a/entry/detour.go
+++ b/entry/detour.go
@@ -9,6 +9,7 @@
 	"github.com/goldcrestmux/goldcrestmux/catalog"
 	"github.com/goldcrestmux/goldcrestmux/delegate"
 	"github.com/goldcrestmux/goldcrestmux/forward"
+	"github.com/goldcrestmux/goldcrestmux/ingress"
 	"github.com/goldcrestmux/goldcrestmux/reach"
 	"github.com/goldcrestmux/goldcrestmux/wire"
 )
@@ -141,7 +142,7 @@
 		resp, result := g.hand(ctx, peer, req, q, now)
 		g.helped(now, peer, result, profile)
 		if result != delegate.Refused {
-			if q.Repeat && forward.PromisesNotRun(resp.Status) {
+			if q.Repeat && (forward.PromisesNotRun(resp.Status) || resp.Reason == ingress.ReasonKeyWithdrawn) {
 				resp.Status, resp.RetryAfter = http.StatusBadGateway, 0 // targets of this process may have run it
 			}
 			g.p.log.Info("request handed to a peer", "id", req.Call.ID, "route", req.Route.Name, "peer", peer, "status", resp.Status, "reason", resp.Reason, "refusals", len(refused), "took", time.Since(req.ReceivedAt))
--- a/entry/gather.go
+++ b/entry/gather.go
@@ -11,6 +11,7 @@
 	"github.com/goldcrestmux/goldcrestmux/catalog"
 	"github.com/goldcrestmux/goldcrestmux/delegate"
 	"github.com/goldcrestmux/goldcrestmux/forward"
+	"github.com/goldcrestmux/goldcrestmux/ingress"
 	"github.com/goldcrestmux/goldcrestmux/mesh"
 	"github.com/goldcrestmux/goldcrestmux/peers"
 	"github.com/goldcrestmux/goldcrestmux/reach"
@@ -205,21 +206,25 @@
 	return req.Key[:]
 }
 
-// reasonKeyWithdrawn is the reason of a response to a request of a peer whose key a later
-// configuration no longer has.
-const reasonKeyWithdrawn = "the key has been withdrawn"
-
-// organisationOf returns the organisation of a peer's request. It returns false if the key
-// of the request does not hold in the view, which may be later than that of the peer.
-func organisationOf(v *catalog.View, q *wire.Query) (*catalog.Organisation, bool) {
-	if q.Organisation == "" {
-		return nil, true
-	}
-	o := v.Organisations().Named(q.Organisation)
-	if len(q.Key) != len(catalog.KeyHash{}) || o == nil {
-		return o, o != nil
-	}
-	return o, v.Organisations().Holder(catalog.KeyHash(q.Key)) == o
+// organisationOf returns the organisation of a peer's request and the hash of its key, by the
+// view of this process, which may be later than that of the peer. It returns false if the
+// route needs a key and the request has none that holds. It removes the key from the header
+// of a request that the peer has not authenticated: the peer is of a build that does not, or
+// its configuration has no organisations yet.
+func (g *gatherer) organisationOf(v *catalog.View, route *catalog.Route, q *wire.Query) (o *catalog.Organisation, key catalog.KeyHash, holds bool) {
+	organisations := v.Organisations()
+	if organisations == nil {
+		return nil, key, true
+	}
+	if len(q.Key) == len(key) {
+		key = catalog.KeyHash(q.Key)
+	} else if codec := g.p.adapter.HeaderCodec; codec != nil {
+		meta, _ := codec.Decode(q.Header) // the key does not depend on the other headers
+		key = meta.Key
+		codec.RemoveKey(q.Header)
+	}
+	o = organisations.Holder(key)
+	return o, key, o != nil || route.Public
 }
 
 func responseOf(r *wire.QueryResponse) forward.Response {
@@ -270,7 +275,7 @@
 	req := &forward.Request{
 		Call: &upstream.Call{
 			ID: q.RequestID, Method: q.Method, URI: q.URI, Host: q.Host, Header: q.Header, Body: q.Body, HasBody: q.HasBody,
-			Deadline: deadline, Caller: q.Caller, Keys: q.Keys, Organisation: q.Organisation,
+			Deadline: deadline, Caller: q.Caller, Keys: q.Keys,
 		},
 		Route: v.RouteOfURI(q.Host, q.URI), Version: v.Version, ConfirmedAt: g.p.follower.ConfirmedAt(), ReceivedAt: receivedAt,
 		NewConnection: q.NewConnection, HopMargin: hopMargin, For: peer, Counted: q.Counted,
@@ -279,11 +284,13 @@
 	if req.Route == nil || (!q.CutOff && !req.Route.Sharded()) {
 		return wire.QueryResponse{Refused: "no such route, or not a sharded one"}
 	}
-	organisation, holds := organisationOf(v, q)
+	organisation, key, holds := g.organisationOf(v, req.Route, q)
 	if !holds {
-		return wire.QueryResponse{Status: http.StatusUnauthorized, Reason: reasonKeyWithdrawn, Single: !req.Route.Sharded(), Version: v.Version}
+		return wire.QueryResponse{Status: http.StatusUnauthorized, Reason: ingress.ReasonKeyWithdrawn, Single: !req.Route.Sharded(), Version: v.Version}
+	}
+	if organisation != nil {
+		req.Organisation, req.Key, req.Call.Organisation = organisation, key, organisation.Name
 	}
-	req.Organisation = organisation
 	if !g.reaches(req, q.CutOff) {
 		return wire.QueryResponse{Refused: refusedCutOff}
 	}
--- a/ingress/access.go
+++ b/ingress/access.go
@@ -13,10 +13,16 @@
 	ReasonNoKey         = "the request has no key"
 	ReasonUnknownKey    = "the key is not known"
 	ReasonKeyMaybeNew   = "the key is not known, and the configuration may be old"
-	ReasonUnverifiable  = "the configuration is too old to tell whether the key still holds"
-	unverifiedRetryTime = 500 * time.Millisecond
+	ReasonUnverifiable = "the configuration is too old to tell whether the key still holds"
+	// ReasonKeyWithdrawn is that of peers whose configuration is later than that of the process
+	// which the caller is connected to.
+	ReasonKeyWithdrawn = "the key has been withdrawn"
 )
 
+// unverifiedRetryAfter is sent to callers while no key can be verified: outages of the store
+// last seconds.
+const unverifiedRetryAfter = 500 * time.Millisecond
+
 // authenticate returns the organisation that holds the caller's key, or why the request is
 // refused. Without configured organisations both are nil. It removes the key from the header,
 // so that it is not passed on.
@@ -37,13 +43,13 @@
 	switch {
 	case !meta.HasKey:
 		return nil, &forward.Response{Status: http.StatusUnauthorized, Reason: ReasonNoKey}
+	case h.opts.MaxKeyAge > 0 && age > h.opts.MaxKeyAge:
+		return nil, &forward.Response{Status: http.StatusServiceUnavailable, RetryAfter: unverifiedRetryAfter, Reason: ReasonUnverifiable}
 	case holder == nil && h.mayBeOld(age):
 		return nil, &forward.Response{Status: http.StatusServiceUnavailable, RetryAfter: unknownRetryAfter, Reason: ReasonKeyMaybeNew}
 	case holder == nil:
 		h.logUnknownKey(meta, route)
 		return nil, &forward.Response{Status: http.StatusUnauthorized, Reason: ReasonUnknownKey}
-	case h.opts.MaxKeyAge > 0 && age > h.opts.MaxKeyAge:
-		return nil, &forward.Response{Status: http.StatusServiceUnavailable, RetryAfter: unverifiedRetryTime, Reason: ReasonUnverifiable}
 	}
 	return holder, nil
 }
