--- a/catalog/organisations.go
+++ b/catalog/organisations.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"math"
+	"strings"
 
 	"github.com/juju/errors"
 )
@@ -95,6 +96,9 @@
 		if o.Name == "" {
 			return errors.NotValidf("organisation %d without a name", i)
 		}
+		if !validHeaderValue(o.Name) {
+			return errors.NotValidf("organisation %q: the name, which is sent in a header,", o.Name)
+		}
 		if names[o.Name] {
 			return errors.NotValidf("organisation %q that occurs twice", o.Name)
 		}
@@ -115,4 +119,14 @@
 	return nil
 }
 
+// validHeaderValue reports whether a header can carry a text unchanged.
+func validHeaderValue(text string) bool {
+	for i := range len(text) {
+		if text[i] < ' ' || text[i] == 0x7f {
+			return false
+		}
+	}
+	return strings.Trim(text, " ") == text
+}
+
 func validQuantity(x float64) bool { return x >= 0 && !math.IsInf(x, 0) && !math.IsNaN(x) }
--- a/ingress/access.go
+++ b/ingress/access.go
@@ -10,9 +10,9 @@
 
 // Reasons of responses to requests whose caller is not authenticated.
 const (
-	ReasonNoKey         = "the request has no key"
-	ReasonUnknownKey    = "the key is not known"
-	ReasonKeyMaybeNew   = "the key is not known, and the configuration may be old"
+	ReasonNoKey        = "the request has no key"
+	ReasonUnknownKey   = "the key is not known"
+	ReasonKeyMaybeNew  = "the key is not known, and the configuration may be old"
 	ReasonUnverifiable = "the configuration is too old to tell whether the key still holds"
 	// ReasonKeyWithdrawn is that of peers whose configuration is later than that of the process
 	// which the caller is connected to.
