Show organisations, refused keys and revoked keys to operators

Cause: operators could see neither who sends requests nor why keys are refused, and each refused key was a log line, so that a caller without a key could fill the log.

Change: the state page has the number of organisations and the 100 with the most requests; counts are kept for those of the current configuration only. The metric keys_refused counts by cause. A new version logs up to 20 keys that it revokes. Lines about refused keys are bounded to 10 per second and tell how many are left out.

--- a/catalog/organisations.go
+++ b/catalog/organisations.go
@@ -1,9 +1,12 @@
 package catalog
 
 import (
+	"bytes"
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"math"
+	"slices"
 	"strings"
 
 	"github.com/juju/errors"
@@ -77,6 +80,37 @@
 	return t.byName[name]
 }
 
+// HeldKey is a key with the name of the organisation that holds it.
+type HeldKey struct {
+	Organisation string
+	Key          KeyHash
+}
+
+// Without returns the keys that are missing from later organisations, by organisation.
+func (t *Organisations) Without(later *Organisations) []HeldKey {
+	if t == nil {
+		return nil
+	}
+	var missing []HeldKey
+	for key, o := range t.byKey {
+		if later.Holder(key) == nil {
+			missing = append(missing, HeldKey{o.Name, key})
+		}
+	}
+	slices.SortFunc(missing, func(a, b HeldKey) int {
+		return cmp.Or(strings.Compare(a.Organisation, b.Organisation), bytes.Compare(a.Key[:], b.Key[:]))
+	})
+	return missing
+}
+
+// KeyCount returns the number of keys of all organisations.
+func (t *Organisations) KeyCount() int {
+	if t == nil {
+		return 0
+	}
+	return len(t.byKey)
+}
+
 // Len returns the number of organisations.
 func (t *Organisations) Len() int {
 	if t == nil {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -75,6 +75,7 @@
 	callerServer    *ingress.Server
 	readinessServer *http.Server
 	metrics         *metrics
+	organisations   *organisationCounts
 	// loadMeter, lastPath and lastPathSince are used by runMaintenance only. The latter
 	// are the path to targets as last logged.
 	loadMeter     share.LoadMeter
@@ -128,7 +129,7 @@
 const gcPercent = 100
 
 func newProcess(adapter Adapter, s Settings, log *slog.Logger) *process {
-	p := &process{adapter: adapter, settings: s, log: log, startedAt: time.Now(), metrics: newMetrics(), latestSettings: s}
+	p := &process{adapter: adapter, settings: s, log: log, startedAt: time.Now(), metrics: newMetrics(), organisations: newOrganisationCounts(), latestSettings: s}
 	p.guard = quarantine.NewGuard(quarantine.Options{Self: s.Name, StartedAt: p.startedAt}, log)
 	p.pool = upstream.New(upstream.Options{
 		Guard: p.guard,
@@ -140,7 +141,7 @@
 	p.gatherer = newGatherer(p)
 	p.handler = ingress.New(ingress.Options{
 		HeaderCodec: adapter.HeaderCodec, Engine: p.engine, Delegate: p.gatherer.Gather, Rescue: p.gatherer.Rescue, Behind: p.gatherer.behind, View: p.view.Load, ConfirmedAt: func() time.Time { return p.follower.ConfirmedAt() },
-		StaleAfter: staleAfter, MaxKeyAge: s.MaxKeyAge, DefaultTimeout: defaultTimeout, Logger: log, Observe: p.metrics.observe,
+		StaleAfter: staleAfter, MaxKeyAge: s.MaxKeyAge, DefaultTimeout: defaultTimeout, Logger: log, Observe: p.metrics.observe, ObserveOrganisation: p.organisations.observe,
 	})
 	p.callerServer = ingress.NewServer(p.handler)
 	incarnation := uint64(time.Now().UnixNano())
@@ -194,6 +195,7 @@
 	before := p.view.Load()
 	p.view.Store(v)
 	p.pool.Update(v)
+	p.organisationsChanged(before, v)
 	if !before.Configured() && v.Configured() {
 		p.log.Info("ready", "version", v.Version, "routes", v.RouteCount(), "services", v.ServiceCount(), "after", time.Since(p.startedAt))
 	}
@@ -384,6 +386,7 @@
 		"bytes": p.traffic(), "gathering": p.gatherer.state(), "store_calls": p.follower.Calls() - p.source.PeerRequests(), "peer_asks": p.source.PeerRequests(), "links": p.mesh.LinkCount(),
 	}
 	if v.Configured() {
+		out["organisations"] = p.organisations.state(v.Organisations())
 		out["version"] = v.Version
 		out["store_era"] = v.Era
 		out["picture_age_ms"] = time.Since(p.follower.ConfirmedAt()).Milliseconds()
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/goldcrestmux/goldcrestmux/catalog"
 	"github.com/goldcrestmux/goldcrestmux/delegate"
 	"github.com/goldcrestmux/goldcrestmux/forward"
+	"github.com/goldcrestmux/goldcrestmux/ingress"
 	"github.com/goldcrestmux/goldcrestmux/operator"
 	"github.com/juju/errors"
 	"goji.io"
@@ -24,6 +25,7 @@
 	connections *expvar.Map // by event
 	delegated   *expvar.Map // sharded requests that were handed to peers that gather, by result
 	detours     *expvar.Map // requests that were handed to peers as no target was reached, by result
+	keysRefused *expvar.Map // requests that were refused for their key, by cause
 	partial     *expvar.Int
 	late        *expvar.Int
 }
@@ -34,7 +36,7 @@
 func newMetrics() *metrics {
 	m := &metrics{
 		responses: new(expvar.Map).Init(), reasons: new(expvar.Map).Init(), latency: new(expvar.Map).Init(),
-		connections: new(expvar.Map).Init(), delegated: new(expvar.Map).Init(), detours: new(expvar.Map).Init(), partial: new(expvar.Int), late: new(expvar.Int),
+		connections: new(expvar.Map).Init(), delegated: new(expvar.Map).Init(), detours: new(expvar.Map).Init(), keysRefused: new(expvar.Map).Init(), partial: new(expvar.Int), late: new(expvar.Int),
 	}
 	return m
 }
@@ -54,6 +56,7 @@
 	expvar.Publish("connections", m.connections)
 	expvar.Publish("delegated", m.delegated)
 	expvar.Publish("detours", m.detours)
+	expvar.Publish("keys_refused", m.keysRefused)
 	expvar.Publish("partial_answers", m.partial)
 	expvar.Publish("late_answers", m.late)
 	expvar.Publish("log_lines_dropped", expvar.Func(func() any { return p.adapter.DroppedLogLines() }))
@@ -78,6 +81,9 @@
 	m.responses.Add(strconv.Itoa(resp.Status), 1)
 	if resp.Reason != "" {
 		m.reasons.Add(resp.Reason, 1)
+		if cause, ok := ingress.RefusedKey(resp.Reason); ok {
+			m.keysRefused.Add(cause, 1)
+		}
 	}
 	if resp.Missing > 0 {
 		m.partial.Add(1)
--- a/ingress/access.go
+++ b/ingress/access.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/goldcrestmux/goldcrestmux/catalog"
@@ -48,7 +49,6 @@
 	case holder == nil && h.mayBeOld(age):
 		return nil, &forward.Response{Status: http.StatusServiceUnavailable, RetryAfter: unknownRetryAfter, Reason: ReasonKeyMaybeNew}
 	case holder == nil:
-		h.logUnknownKey(meta, route)
 		return nil, &forward.Response{Status: http.StatusUnauthorized, Reason: ReasonUnknownKey}
 	}
 	return holder, nil
@@ -59,7 +59,43 @@
 	return age > h.opts.StaleAfter || (h.opts.Behind != nil && h.opts.Behind())
 }
 
-// logUnknownKey logs that a key is not known, by a prefix of its hash.
-func (h *Handler) logUnknownKey(meta *Meta, route *catalog.Route) {
-	h.opts.Logger.Info("key refused", "id", meta.ID, "route", route.Name, "key_hash", meta.Key.String())
+// keyRefusals are the causes of refusals by the caller's key, by the reason of the response.
+var keyRefusals = map[string]string{
+	ReasonNoKey: "missing", ReasonUnknownKey: "unknown", ReasonKeyMaybeNew: "stale_view",
+	ReasonUnverifiable: "unverifiable", ReasonKeyWithdrawn: "withdrawn",
+}
+
+// RefusedKey returns the cause of a refusal by the caller's key, of a fixed set, for the
+// reason of a response. It returns false for other reasons.
+func RefusedKey(reason string) (cause string, ok bool) {
+	cause, ok = keyRefusals[reason]
+	return cause, ok
+}
+
+// maxKeyLines is the number of lines about refused keys in a second. Who has no key may send
+// any number of requests.
+const maxKeyLines = 10
+
+// keyLog bounds the lines about refused keys. It is safe for concurrent use.
+type keyLog struct {
+	mu             sync.Mutex
+	since          time.Time // start of the current second
+	lines, omitted int
+}
+
+// allow reports whether a line may be written, and the number of those that were not since
+// the last one.
+func (l *keyLog) allow(now time.Time) (ok bool, omitted int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Sub(l.since) >= time.Second {
+		l.since, l.lines = now, 0
+	}
+	if l.lines == maxKeyLines {
+		l.omitted++
+		return false, 0
+	}
+	l.lines++
+	omitted, l.omitted = l.omitted, 0
+	return true, omitted
 }
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -72,6 +72,9 @@
 	Logger         *slog.Logger
 	// Observe is called with each response; it must not block.
 	Observe func(route *catalog.Route, resp *forward.Response, took time.Duration)
+	// ObserveOrganisation is called with each response to a request of a known organisation;
+	// it must not block. It may be nil.
+	ObserveOrganisation func(organisation *catalog.Organisation, resp *forward.Response)
 }
 
 // Handler is an http.Handler for the requests of callers. It uses no
@@ -80,6 +83,7 @@
 	opts               Options
 	active             atomic.Int64
 	keepAlivesDisabled atomic.Bool
+	keyLog             keyLog
 }
 
 // New returns a Handler.
@@ -111,14 +115,17 @@
 	}
 }
 
-func (h *Handler) serve(w http.ResponseWriter, r *http.Request, receivedAt time.Time, newConnection bool) (*catalog.Route, forward.Response) {
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request, receivedAt time.Time, newConnection bool) (_ *catalog.Route, resp forward.Response) {
 	view := h.opts.View()
 	meta, decodeErr := h.opts.HeaderCodec.Decode(r.Header)
 	route, organisation, call, refusal := h.prepareCall(w, r, view, meta, decodeErr, receivedAt)
 	if refusal != nil {
-		h.logRefusal(r, view, meta.ID, refusal, receivedAt)
+		h.logRefusal(r, view, &meta, refusal, receivedAt)
 		return route, *refusal
 	}
+	if organisation != nil && h.opts.ObserveOrganisation != nil {
+		defer func() { h.opts.ObserveOrganisation(organisation, &resp) }()
+	}
 	req := &forward.Request{
 		Call: call, Route: route, Version: view.Version, ConfirmedAt: h.opts.ConfirmedAt(),
 		ReceivedAt: receivedAt, NewConnection: newConnection,
@@ -132,7 +139,7 @@
 			return route, resp
 		}
 	}
-	resp := h.opts.Engine.Do(r.Context(), req)
+	resp = h.opts.Engine.Do(r.Context(), req)
 	if resp.Detour != nil && h.opts.Rescue != nil {
 		if rescued, ok := h.opts.Rescue(r.Context(), req, resp.Detour); ok {
 			return route, rescued
@@ -195,15 +202,27 @@
 }
 
 // logRefusal logs a request that was refused before it was sent to any target.
-func (h *Handler) logRefusal(r *http.Request, view *catalog.View, id string, resp *forward.Response, receivedAt time.Time) {
+func (h *Handler) logRefusal(r *http.Request, view *catalog.View, meta *Meta, resp *forward.Response, receivedAt time.Time) {
+	message := "request refused"
 	attrs := []any{
-		"id", id, "host", r.Host, "path", r.URL.Path, "status", resp.Status, "reason", resp.Reason,
+		"id", meta.ID, "host", r.Host, "path", r.URL.Path, "status", resp.Status, "reason", resp.Reason,
 		"took", time.Since(receivedAt),
 	}
 	if view.Configured() {
 		attrs = append(attrs, "version", view.Version, "picture_age", receivedAt.Sub(h.opts.ConfirmedAt()))
 	}
-	h.opts.Logger.Info("request refused", attrs...)
+	if _, byKey := RefusedKey(resp.Reason); byKey {
+		left, omitted := h.keyLog.allow(receivedAt)
+		if !left {
+			return
+		}
+		message = "key refused"
+		attrs = append(attrs, "omitted", omitted)
+		if meta.HasKey {
+			attrs = append(attrs, "key_hash", meta.Key.String())
+		}
+	}
+	h.opts.Logger.Info(message, attrs...)
 }
 
 // refuseUnknownRoute returns the response to a request without a route. The
