Check the platform's configuration with gcmuxctl

Cause: operators could learn that a configuration is faulty only from the log of the processes that did not apply it.

--- a/cmd/gcmuxctl/main.go
+++ b/cmd/gcmuxctl/main.go
@@ -1,4 +1,4 @@
-// Command gcmuxctl validates, prints and compares folders, and queries and controls
+// Command gcmuxctl validates, prints and compares folders, checks configurations, and queries and controls
 // running processes.
 package main
 
--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -16,7 +16,7 @@
 // Exit codes of gcmuxctl.
 const (
 	ExitOK = 0
-	// ExitFailed means that a folder has faults or that a request to a process failed.
+	// ExitFailed means that a folder or a configuration has faults or that a request to a process failed.
 	ExitFailed = 1
 	// ExitUsage means that the command line is invalid.
 	ExitUsage = 2
@@ -76,12 +76,13 @@
 	root := &ffcli.Command{
 		Name:       "gcmuxctl",
 		ShortUsage: "gcmuxctl [--json] COMMAND ARGUMENT...",
-		LongHelp:   "The exit code is 0 on success, 1 for a faulty folder or an unreachable process, and 2 for an invalid command line.",
+		LongHelp:   "The exit code is 0 on success, 1 for a faulty folder or configuration or an unreachable process, and 2 for an invalid command line.",
 		FlagSet:    c.flagSet("gcmuxctl"),
 		Subcommands: []*ffcli.Command{
 			c.sub("validate", "DIR", "check a folder and print every fault", c.validate),
 			c.sub("merge", "DIR", "print the merged values of a folder and the file that sets each", c.merge),
 			c.sub("diff", "DIR DIR", "print the values in which two folders differ", c.diff),
+			c.sub("check-config", "FILE", "check a file with the platform's configuration, as it is published", c.checkConfig),
 			c.sub("dump", "ADDR", "print the state of the process with the operator address ADDR", c.dump),
 			c.sub("members", "ADDR", "print the members that a process knows and mark those behind the highest revision", c.members),
 			c.sub("level", "ADDR LEVEL", "set the log level of a process: debug, info, warn or error", c.level),
