--- /dev/null
+++ b/ingress/access_test.go
@@ -0,0 +1,188 @@
+package ingress
+
+import (
+	"bytes"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/goldcrestmux/goldcrestmux/catalog"
+	"github.com/goldcrestmux/goldcrestmux/forward"
+)
+
+// keyCodec decodes keys from the header Key.
+type keyCodec struct{ drainCodec }
+
+func (keyCodec) Decode(h http.Header) (Meta, error) {
+	m := Meta{ID: "id"}
+	if key := h.Get("Key"); key != "" {
+		m.Key, m.HasKey = catalog.HashKey(key), true
+	}
+	return m, nil
+}
+
+func (keyCodec) RemoveKey(h http.Header) { delete(h, "Key"); delete(h, "Organisation") }
+
+func (keyCodec) SetOrganisation(h http.Header, name string) { h.Set("Organisation", name) }
+
+func keyView(t *testing.T, organisations ...*catalog.Organisation) *catalog.View {
+	t.Helper()
+	state := catalog.NewState(catalog.StateOptions{})
+	split := []catalog.WeightedService{{Service: "s", Weight: 1}}
+	state.Apply(time.Now(), []catalog.Item{{Kind: catalog.KindConfig, Revision: 1, Config: &catalog.Config{
+		Version: 1, Organisations: organisations, Services: []*catalog.Service{{Name: "s"}},
+		Routes: []*catalog.Route{
+			{Name: "private", Host: "h", Prefix: "/", Split: split},
+			{Name: "public", Host: "h", Prefix: "/public/", Split: split, Public: true},
+		},
+	}}})
+	if v := state.View(); v.Configured() {
+		return v
+	}
+	t.Fatal("the configuration is not applied")
+	return nil
+}
+
+// keyHandler returns a handler whose view was confirmed some time ago.
+// It returns its log too.
+func keyHandler(view *catalog.View, age time.Duration, change func(*Options)) (*Handler, *bytes.Buffer) {
+	var log bytes.Buffer
+	opts := Options{
+		HeaderCodec: keyCodec{}, View: func() *catalog.View { return view }, StaleAfter: 4 * time.Second,
+		ConfirmedAt:    func() time.Time { return time.Now().Add(-age) },
+		DefaultTimeout: time.Second, Logger: slog.New(slog.NewJSONHandler(&log, nil)),
+	}
+	if change != nil {
+		change(&opts)
+	}
+	h := New(opts)
+	return h, &log
+}
+
+// prepare returns what the handler makes of a request: the status of a refusal, or 0 with the
+// organisation and the header that is passed on.
+func prepare(h *Handler, path string, header http.Header) (resp *forward.Response, organisation *catalog.Organisation, passed http.Header) {
+	r := httptest.NewRequest(http.MethodGet, "http://h"+path, nil)
+	r.Header = header
+	meta, err := h.opts.HeaderCodec.Decode(r.Header)
+	_, organisation, call, resp := h.prepareCall(httptest.NewRecorder(), r, h.opts.View(), meta, err, time.Now())
+	if resp != nil {
+		h.logRefusal(r, h.opts.View(), &meta, resp, time.Now())
+		return resp, nil, nil
+	}
+	return nil, organisation, call.Header
+}
+
+var testOrganisation = &catalog.Organisation{Name: "a", Keys: []catalog.KeyHash{catalog.HashKey("right")}}
+
+// Guards against requests without a key that holds being run, against a key that may be new
+// being called unknown, and against an old view that lets revoked keys pass.
+func TestStatusOfRefusedKeys(t *testing.T) {
+	const old = 6 * time.Second
+	for name, c := range map[string]struct {
+		path, key string
+		age       time.Duration
+		change    func(*Options)
+		want      int
+	}{
+		"no key":                   {"/x", "", 0, nil, 401},
+		"unknown key":              {"/x", "wrong", 0, nil, 401},
+		"known key":                {"/x", "right", 0, nil, 0},
+		"prefix of a key":          {"/x", "righ", 0, nil, 401},
+		"no key, old view":         {"/x", "", old, nil, 401},
+		"unknown key, old view":    {"/x", "wrong", old, nil, 503},
+		"unknown key, behind":      {"/x", "wrong", 0, func(o *Options) { o.Behind = func() bool { return true } }, 503},
+		"known key, old view":      {"/x", "right", old, nil, 0},
+		"known key, too old":       {"/x", "right", old, func(o *Options) { o.MaxKeyAge = 5 * time.Second }, 503},
+		"unknown key, too old":     {"/x", "wrong", 3 * time.Second, func(o *Options) { o.MaxKeyAge = 2 * time.Second }, 503},
+		"known key, not too old":   {"/x", "right", 3 * time.Second, func(o *Options) { o.MaxKeyAge = 5 * time.Second }, 0},
+		"public, no key":           {"/public/x", "", 0, nil, 0},
+		"public, unknown key":      {"/public/x", "wrong", 0, nil, 0},
+		"public, no key, too old":  {"/public/x", "", old, func(o *Options) { o.MaxKeyAge = 5 * time.Second }, 0},
+		"public, known key, stale": {"/public/x", "right", old, nil, 0},
+	} {
+		h, log := keyHandler(keyView(t, testOrganisation), c.age, c.change)
+		header := http.Header{"Organisation": {"b", "c"}, "Other": {"1"}}
+		if c.key != "" {
+			header.Set("Key", c.key)
+		}
+		resp, organisation, passed := prepare(h, c.path, header)
+		if got := statusOf(resp); got != c.want {
+			t.Errorf("%s: status %d, want %d", name, got, c.want)
+			continue
+		}
+		if c.want == 503 && resp.RetryAfter <= 0 {
+			t.Errorf("%s: no Retry-After", name)
+		}
+		if c.want == 401 && resp.RetryAfter != 0 {
+			t.Errorf("%s: Retry-After %v for a key that will not hold later", name, resp.RetryAfter)
+		}
+		if _, ok := RefusedKey(reasonOf(resp)); ok != (c.want != 0) {
+			t.Errorf("%s: reason %q counts as a refused key: %v", name, reasonOf(resp), ok)
+		}
+		if text := log.String(); (c.key != "" && strings.Contains(text, c.key)) || (c.want == 401 && c.key != "" && !strings.Contains(text, catalog.HashKey(c.key).String())) {
+			t.Errorf("%s: log %q, want the prefix of the hash and no key", name, text)
+		}
+		if c.want != 0 {
+			continue
+		}
+		want := ""
+		if c.key == "right" {
+			want = "a"
+		}
+		if (organisation != nil) != (want != "") || passed.Get("Organisation") != want || len(passed["Key"]) > 0 || passed.Get("Other") != "1" {
+			t.Errorf("%s: header %v passed on, want organisation %q and no key", name, passed, want)
+		}
+	}
+}
+
+func statusOf(resp *forward.Response) int {
+	if resp == nil {
+		return 0
+	}
+	return resp.Status
+}
+
+func reasonOf(resp *forward.Response) string {
+	if resp == nil {
+		return ""
+	}
+	return resp.Reason
+}
+
+// A caller that names the organisation header in Connection must not have it removed, and
+// without organisations nothing changes.
+func TestOrganisationHeaderIsSetByTheProcess(t *testing.T) {
+	h, _ := keyHandler(keyView(t, testOrganisation), 0, nil)
+	_, _, passed := prepare(h, "/x", http.Header{"Key": {"right"}, "Organisation": {"b"}, "Connection": {"Organisation, Key"}})
+	if passed.Get("Organisation") != "a" || len(passed) != 1 {
+		t.Errorf("header %v passed on, want the organisation only", passed)
+	}
+	h, _ = keyHandler(keyView(t), 0, nil)
+	_, organisation, passed := prepare(h, "/x", http.Header{"Key": {"right"}, "Organisation": {"b"}})
+	if organisation != nil || passed.Get("Organisation") != "b" || passed.Get("Key") != "right" {
+		t.Errorf("header %v without organisations, want it unchanged", passed)
+	}
+}
+
+// Guards against callers without a key that fill the log.
+func TestLinesAboutRefusedKeysAreBounded(t *testing.T) {
+	h, log := keyHandler(keyView(t, testOrganisation), 0, nil)
+	for range 1000 {
+		prepare(h, "/x", http.Header{"Key": {"wrong"}})
+	}
+	if n := strings.Count(log.String(), "\n"); n > 3*maxKeyLines {
+		t.Errorf("%d lines about 1000 refused keys, want about %d a second", n, maxKeyLines)
+	}
+	var l keyLog
+	now := time.Unix(1_700_000_000, 0)
+	for range maxKeyLines + 5 {
+		l.allow(now)
+	}
+	if ok, omitted := l.allow(now.Add(time.Second)); !ok || omitted != 5 {
+		t.Errorf("line allowed %v with %d left out, want 5", ok, omitted)
+	}
+}
