--- a/entry/gather.go
+++ b/entry/gather.go
@@ -208,21 +208,22 @@
 
 // organisationOf returns the organisation of a peer's request and the hash of its key, by the
 // view of this process, which may be later than that of the peer. It returns false if the
-// route needs a key and the request has none that holds. It removes the key from the header
-// of a request that the peer has not authenticated: the peer is of a build that does not, or
-// its configuration has no organisations yet.
+// route needs a key and the request has none that holds. It takes the key from the header if
+// the peer has not authenticated the request: the peer is of a build that does not, or its
+// configuration has no organisations yet. It removes key and organisation from the header.
 func (g *gatherer) organisationOf(v *catalog.View, route *catalog.Route, q *wire.Query) (o *catalog.Organisation, key catalog.KeyHash, holds bool) {
 	organisations := v.Organisations()
 	if organisations == nil {
 		return nil, key, true
 	}
+	codec := g.p.adapter.HeaderCodec
 	if len(q.Key) == len(key) {
 		key = catalog.KeyHash(q.Key)
-	} else if codec := g.p.adapter.HeaderCodec; codec != nil {
+	} else {
 		meta, _ := codec.Decode(q.Header) // the key does not depend on the other headers
 		key = meta.Key
-		codec.RemoveKey(q.Header)
 	}
+	codec.RemoveKey(q.Header)
 	o = organisations.Holder(key)
 	return o, key, o != nil || route.Public
 }
