Measure the work that a key adds to a request

Cause: the time of the request path has a price, and no test saw whether the call has the organisation apart from the header.

Change: a benchmark with 10,000 organisations; the test of refused keys checks the call.

Without the organisation in the call, TestStatusOfRefusedKeys fails.

--- a/ingress/access_test.go
+++ b/ingress/access_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
@@ -11,6 +12,7 @@
 
 	"github.com/goldcrestmux/goldcrestmux/catalog"
 	"github.com/goldcrestmux/goldcrestmux/forward"
+	"github.com/goldcrestmux/goldcrestmux/upstream"
 )
 
 // keyCodec decodes keys from the header Key.
@@ -28,7 +30,7 @@
 
 func (keyCodec) SetOrganisation(h http.Header, name string) { h.Set("Organisation", name) }
 
-func keyView(t *testing.T, organisations ...*catalog.Organisation) *catalog.View {
+func keyView(t testing.TB, organisations ...*catalog.Organisation) *catalog.View {
 	t.Helper()
 	state := catalog.NewState(catalog.StateOptions{})
 	split := []catalog.WeightedService{{Service: "s", Weight: 1}}
@@ -62,18 +64,17 @@
 	return h, &log
 }
 
-// prepare returns what the handler makes of a request: the status of a refusal, or 0 with the
-// organisation and the header that is passed on.
-func prepare(h *Handler, path string, header http.Header) (resp *forward.Response, organisation *catalog.Organisation, passed http.Header) {
+// prepare returns what the handler makes of a request: a refusal, or the organisation and the
+// call that is passed on.
+func prepare(h *Handler, path string, header http.Header) (resp *forward.Response, organisation *catalog.Organisation, call *upstream.Call) {
 	r := httptest.NewRequest(http.MethodGet, "http://h"+path, nil)
 	r.Header = header
 	meta, err := h.opts.HeaderCodec.Decode(r.Header)
-	_, organisation, call, resp := h.prepareCall(httptest.NewRecorder(), r, h.opts.View(), meta, err, time.Now())
+	_, organisation, call, resp = h.prepareCall(httptest.NewRecorder(), r, h.opts.View(), meta, err, time.Now())
 	if resp != nil {
 		h.logRefusal(r, h.opts.View(), &meta, resp, time.Now())
-		return resp, nil, nil
 	}
-	return nil, organisation, call.Header
+	return resp, organisation, call
 }
 
 var testOrganisation = &catalog.Organisation{Name: "a", Keys: []catalog.KeyHash{catalog.HashKey("right")}}
@@ -109,7 +110,7 @@
 		if c.key != "" {
 			header.Set("Key", c.key)
 		}
-		resp, organisation, passed := prepare(h, c.path, header)
+		resp, organisation, call := prepare(h, c.path, header)
 		if got := statusOf(resp); got != c.want {
 			t.Errorf("%s: status %d, want %d", name, got, c.want)
 			continue
@@ -133,8 +134,9 @@
 		if c.key == "right" {
 			want = "a"
 		}
-		if (organisation != nil) != (want != "") || passed.Get("Organisation") != want || len(passed["Key"]) > 0 || passed.Get("Other") != "1" {
-			t.Errorf("%s: header %v passed on, want organisation %q and no key", name, passed, want)
+		passed := call.Header
+		if (organisation != nil) != (want != "") || call.Organisation != want || passed.Get("Organisation") != want || len(passed["Key"]) > 0 || passed.Get("Other") != "1" {
+			t.Errorf("%s: header %v of organisation %q passed on, want organisation %q and no key", name, passed, call.Organisation, want)
 		}
 	}
 }
@@ -157,14 +159,14 @@
 // without organisations nothing changes.
 func TestOrganisationHeaderIsSetByTheProcess(t *testing.T) {
 	h, _ := keyHandler(keyView(t, testOrganisation), 0, nil)
-	_, _, passed := prepare(h, "/x", http.Header{"Key": {"right"}, "Organisation": {"b"}, "Connection": {"Organisation, Key"}})
-	if passed.Get("Organisation") != "a" || len(passed) != 1 {
-		t.Errorf("header %v passed on, want the organisation only", passed)
+	_, _, call := prepare(h, "/x", http.Header{"Key": {"right"}, "Organisation": {"b"}, "Connection": {"Organisation, Key"}})
+	if call.Header.Get("Organisation") != "a" || len(call.Header) != 1 {
+		t.Errorf("header %v passed on, want the organisation only", call.Header)
 	}
 	h, _ = keyHandler(keyView(t), 0, nil)
-	_, organisation, passed := prepare(h, "/x", http.Header{"Key": {"right"}, "Organisation": {"b"}})
-	if organisation != nil || passed.Get("Organisation") != "b" || passed.Get("Key") != "right" {
-		t.Errorf("header %v without organisations, want it unchanged", passed)
+	_, organisation, call := prepare(h, "/x", http.Header{"Key": {"right"}, "Organisation": {"b"}})
+	if organisation != nil || call.Organisation != "" || call.Header.Get("Organisation") != "b" || call.Header.Get("Key") != "right" {
+		t.Errorf("header %v without organisations, want it unchanged", call.Header)
 	}
 }
 
@@ -186,3 +188,26 @@
 		t.Errorf("line allowed %v with %d left out, want 5", ok, omitted)
 	}
 }
+
+// BenchmarkAuthenticate is the work that a key adds to a request, with 10,000 organisations:
+// hashing it, finding its holder and changing the headers.
+func BenchmarkAuthenticate(b *testing.B) {
+	var organisations []*catalog.Organisation
+	for i := range 10_000 {
+		organisations = append(organisations, &catalog.Organisation{Name: fmt.Sprint("o", i), Keys: []catalog.KeyHash{catalog.HashKey(fmt.Sprint("key-", i))}})
+	}
+	view := keyView(b, organisations...)
+	h, _ := keyHandler(view, 0, nil)
+	route := view.RouteOfURI("h", "/x")
+	header := http.Header{}
+	now := time.Now()
+	for b.Loop() {
+		header["Key"] = []string{"key-4711"}
+		meta, _ := h.opts.HeaderCodec.Decode(header)
+		o, refusal := h.authenticate(header, view, route, &meta, now)
+		if refusal != nil {
+			b.Fatal(refusal.Reason)
+		}
+		h.opts.HeaderCodec.SetOrganisation(header, o.Name)
+	}
+}
