--- a/catalog/organisations.go
+++ b/catalog/organisations.go
@@ -1,9 +1,13 @@
 package catalog
 
 import (
+	"bytes"
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"math"
+	"slices"
+	"strings"
 
 	"github.com/juju/errors"
 )
@@ -76,6 +80,37 @@
 	return t.byName[name]
 }
 
+// HeldKey is a key with the name of the organisation that holds it.
+type HeldKey struct {
+	Organisation string
+	Key          KeyHash
+}
+
+// Without returns the keys that are missing from later organisations, by organisation.
+func (t *Organisations) Without(later *Organisations) []HeldKey {
+	if t == nil {
+		return nil
+	}
+	var missing []HeldKey
+	for key, o := range t.byKey {
+		if later.Holder(key) == nil {
+			missing = append(missing, HeldKey{o.Name, key})
+		}
+	}
+	slices.SortFunc(missing, func(a, b HeldKey) int {
+		return cmp.Or(strings.Compare(a.Organisation, b.Organisation), bytes.Compare(a.Key[:], b.Key[:]))
+	})
+	return missing
+}
+
+// KeyCount returns the number of keys of all organisations.
+func (t *Organisations) KeyCount() int {
+	if t == nil {
+		return 0
+	}
+	return len(t.byKey)
+}
+
 // Len returns the number of organisations.
 func (t *Organisations) Len() int {
 	if t == nil {
@@ -95,6 +130,9 @@
 		if o.Name == "" {
 			return errors.NotValidf("organisation %d without a name", i)
 		}
+		if !validHeaderValue(o.Name) {
+			return errors.NotValidf("organisation %q: the name, which is sent in a header,", o.Name)
+		}
 		if names[o.Name] {
 			return errors.NotValidf("organisation %q that occurs twice", o.Name)
 		}
@@ -115,4 +153,14 @@
 	return nil
 }
 
+// validHeaderValue reports whether a header can carry a text unchanged.
+func validHeaderValue(text string) bool {
+	for i := range len(text) {
+		if text[i] < ' ' || text[i] == 0x7f {
+			return false
+		}
+	}
+	return strings.Trim(text, " ") == text
+}
+
 func validQuantity(x float64) bool { return x >= 0 && !math.IsInf(x, 0) && !math.IsNaN(x) }
--- a/ingress/access.go
+++ b/ingress/access.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/goldcrestmux/goldcrestmux/catalog"
@@ -10,13 +11,19 @@
 
 // Reasons of responses to requests whose caller is not authenticated.
 const (
-	ReasonNoKey         = "the request has no key"
-	ReasonUnknownKey    = "the key is not known"
-	ReasonKeyMaybeNew   = "the key is not known, and the configuration may be old"
-	ReasonUnverifiable  = "the configuration is too old to tell whether the key still holds"
-	unverifiedRetryTime = 500 * time.Millisecond
+	ReasonNoKey        = "the request has no key"
+	ReasonUnknownKey   = "the key is not known"
+	ReasonKeyMaybeNew  = "the key is not known, and the configuration may be old"
+	ReasonUnverifiable = "the configuration is too old to tell whether the key still holds"
+	// ReasonKeyWithdrawn is that of peers whose configuration is later than that of the process
+	// which the caller is connected to.
+	ReasonKeyWithdrawn = "the key has been withdrawn"
 )
 
+// unverifiedRetryAfter is sent to callers while no key can be verified: outages of the store
+// last seconds.
+const unverifiedRetryAfter = 500 * time.Millisecond
+
 // authenticate returns the organisation that holds the caller's key, or why the request is
 // refused. Without configured organisations both are nil. It removes the key from the header,
 // so that it is not passed on.
@@ -37,13 +44,12 @@
 	switch {
 	case !meta.HasKey:
 		return nil, &forward.Response{Status: http.StatusUnauthorized, Reason: ReasonNoKey}
+	case h.opts.MaxKeyAge > 0 && age > h.opts.MaxKeyAge:
+		return nil, &forward.Response{Status: http.StatusServiceUnavailable, RetryAfter: unverifiedRetryAfter, Reason: ReasonUnverifiable}
 	case holder == nil && h.mayBeOld(age):
 		return nil, &forward.Response{Status: http.StatusServiceUnavailable, RetryAfter: unknownRetryAfter, Reason: ReasonKeyMaybeNew}
 	case holder == nil:
-		h.logUnknownKey(meta, route)
 		return nil, &forward.Response{Status: http.StatusUnauthorized, Reason: ReasonUnknownKey}
-	case h.opts.MaxKeyAge > 0 && age > h.opts.MaxKeyAge:
-		return nil, &forward.Response{Status: http.StatusServiceUnavailable, RetryAfter: unverifiedRetryTime, Reason: ReasonUnverifiable}
 	}
 	return holder, nil
 }
@@ -53,7 +59,43 @@
 	return age > h.opts.StaleAfter || (h.opts.Behind != nil && h.opts.Behind())
 }
 
-// logUnknownKey logs that a key is not known, by a prefix of its hash.
-func (h *Handler) logUnknownKey(meta *Meta, route *catalog.Route) {
-	h.opts.Logger.Info("key refused", "id", meta.ID, "route", route.Name, "key_hash", meta.Key.String())
+// keyRefusals are the causes of refusals by the caller's key, by the reason of the response.
+var keyRefusals = map[string]string{
+	ReasonNoKey: "missing", ReasonUnknownKey: "unknown", ReasonKeyMaybeNew: "stale_view",
+	ReasonUnverifiable: "unverifiable", ReasonKeyWithdrawn: "withdrawn",
+}
+
+// RefusedKey returns the cause of a refusal by the caller's key, of a fixed set, for the
+// reason of a response. It returns false for other reasons.
+func RefusedKey(reason string) (cause string, ok bool) {
+	cause, ok = keyRefusals[reason]
+	return cause, ok
+}
+
+// maxKeyLines is the number of lines about refused keys in a second. Who has no key may send
+// any number of requests.
+const maxKeyLines = 10
+
+// keyLog bounds the lines about refused keys. It is safe for concurrent use.
+type keyLog struct {
+	mu             sync.Mutex
+	since          time.Time // start of the current second
+	lines, omitted int
+}
+
+// allow reports whether a line may be written, and the number of those that were not since
+// the last one.
+func (l *keyLog) allow(now time.Time) (ok bool, omitted int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Sub(l.since) >= time.Second {
+		l.since, l.lines = now, 0
+	}
+	if l.lines == maxKeyLines {
+		l.omitted++
+		return false, 0
+	}
+	l.lines++
+	omitted, l.omitted = l.omitted, 0
+	return true, omitted
 }
