Take no configuration from peers whose build drops a part of it

Cause: processes pass on configurations that they have decoded. An earlier build drops fields that it does not know, such as the organisations. During an upgrade a process that read from such a peer had a version without organisations in force, required no keys, passed keys on to targets, and ignored the complete item of the same version in the store.

Change: catalog.ConfigSchema numbers the fields that this build enforces. The feed carries it with each configuration; a missing one means the schema before organisations. A response with a configuration of a lower schema is not used; targets and evacuations of such a peer are. A configuration of the same version and a higher schema replaces the one in force. Gossip tells the schema of each process, so that peers of a lower one do not count as readers of the store. The items in tests of the feed stand for those of this build and have its schema.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -11,8 +11,17 @@
 	"github.com/juju/errors"
 )
 
+// ConfigSchema identifies the fields of Config that this build knows and enforces. It is
+// raised whenever a field is added that changes which requests may run: an earlier build
+// drops such a field without notice, so that what it passes on is incomplete. Zero is the
+// schema without organisations and public routes.
+const ConfigSchema = 1
+
 // Config is one version of the configuration that operators publish.
 type Config struct {
+	// Schema is the ConfigSchema of the build that has read the configuration from the
+	// store, or that of this build if it is lower.
+	Schema uint32 `cbor:"-"`
 	// Version orders configurations: a higher version replaces a lower one.
 	Version  uint64
 	Routes   []*Route
@@ -23,6 +32,12 @@
 	Organisations []*Organisation `cbor:",omitempty"`
 }
 
+// supersedes reports whether the configuration replaces another one: it has a later version,
+// or it is the same version with fields that the other one lacks.
+func (c *Config) supersedes(other *Config) bool {
+	return c.Version > other.Version || (c.Version == other.Version && c.Schema > other.Schema)
+}
+
 // Route defines how requests for one host and path prefix are served.
 type Route struct {
 	Name string
--- a/catalog/state.go
+++ b/catalog/state.go
@@ -237,7 +237,7 @@
 		return []Change{c}
 	}
 	c.Version = it.Config.Version
-	if s.config != nil && it.Config.Version <= s.config.Version {
+	if s.config != nil && !it.Config.supersedes(s.config) {
 		if it.Config.Version == s.config.Version {
 			return nil
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -253,7 +253,7 @@
 	state := peers.New(now, peers.Options{
 		Self: peers.Member{
 			Name: s.Name, Address: s.PeerListen, Started: now.UnixNano(),
-			DataCentre: s.DataCentre, Capacity: s.Capacity,
+			DataCentre: s.DataCentre, Capacity: s.Capacity, ConfigSchema: catalog.ConfigSchema,
 		},
 		Seeds: s.Seeds, Interval: gossipInterval, Fanout: gossipFanout, MaxMembers: gossipMaxMembers,
 		ForgetAfter: gossipForgetAfter, AssumedFleetSize: assumedFleetSize, SettleTime: gossipSettleTime,
@@ -289,7 +289,9 @@
 	readers := make([]follow.Process, 0, len(alive))
 	for _, m := range alive {
 		addresses[m.Name] = m.Address
-		readers = append(readers, storeReader(m.Name, m.DataCentre))
+		reader := storeReader(m.Name, m.DataCentre)
+		reader.FormerSchema = m.ConfigSchema < catalog.ConfigSchema
+		readers = append(readers, reader)
 	}
 	p.mesh.SetPeers(addresses, p.gatherer.update(alive, p.lastPath != reach.Open))
 	p.source.SetPeers(readers)
--- a/follow/era_test.go
+++ b/follow/era_test.go
@@ -78,7 +78,7 @@
 func TestFeedOfLaterEra(t *testing.T) {
 	f := NewFeed()
 	config := func(version, revision uint64) catalog.Item {
-		return catalog.Item{Kind: catalog.KindConfig, Revision: revision, Config: &catalog.Config{Version: version}}
+		return catalog.Item{Kind: catalog.KindConfig, Revision: revision, Config: &catalog.Config{Version: version, Schema: catalog.ConfigSchema}}
 	}
 	f.Listed(time.Now(), Batch{Era: 1, Revision: 20, Items: []catalog.Item{config(9, 20)}})
 	f.Listed(time.Now(), Batch{Era: 2, Revision: 10, Items: []catalog.Item{config(8, 5)}})
--- a/follow/feed.go
+++ b/follow/feed.go
@@ -158,6 +158,24 @@
 	Config   *catalog.Config `cbor:"5,keyasint,omitempty"`
 	Target   *catalog.Target `cbor:"6,keyasint,omitempty"`
 	Err      string          `cbor:"7,keyasint,omitempty"`
+	// Schema is that of a configuration. Builds without it have the schema zero.
+	Schema uint32 `cbor:"8,keyasint,omitempty"`
+}
+
+// ErrFormerSchema is returned if a peer's build knows less of the configuration than this
+// one, so that the peer may have dropped a part of it.
+const ErrFormerSchema = errors.ConstError("the peer's build does not know all of the configuration")
+
+// schemaOf returns the schema of a configuration item. One without content, which is deleted
+// or invalid, is as this build sees it.
+func schemaOf(it *catalog.Item) uint32 {
+	switch {
+	case it.Kind != catalog.KindConfig:
+		return 0
+	case it.Config == nil:
+		return catalog.ConfigSchema
+	}
+	return it.Config.Schema
 }
 
 // encodeItems returns the response with the encoded items.
@@ -169,7 +187,7 @@
 	for i, it := range items {
 		out[i] = feedItem{
 			Kind: it.Kind, Name: it.Name, Revision: it.Revision, Deleted: it.Deleted,
-			Config: it.Config, Target: it.Target,
+			Config: it.Config, Target: it.Target, Schema: schemaOf(&it),
 		}
 		if it.Err != nil {
 			out[i].Err = it.Err.Error()
@@ -180,7 +198,9 @@
 	return response, errors.Annotate(err, "encode items for a peer")
 }
 
-// decodeBatch returns the content of a peer's response, or ErrCompacted.
+// decodeBatch returns the content of a peer's response, or ErrCompacted. It returns
+// ErrFormerSchema if the response holds a configuration of a former schema. Targets and
+// evacuations of such a peer are complete.
 func decodeBatch(response *wire.FeedResponse) (Batch, error) {
 	b := Batch{Era: response.Era, Revision: response.Revision}
 	if response.Compacted {
@@ -194,10 +214,16 @@
 		return b, errors.Annotate(err, "decode items of a peer")
 	}
 	for _, it := range items {
+		if it.Kind == catalog.KindConfig && it.Schema < catalog.ConfigSchema {
+			return Batch{}, ErrFormerSchema
+		}
 		item := catalog.Item{
 			Kind: it.Kind, Name: it.Name, Revision: it.Revision, Deleted: it.Deleted,
 			Config: it.Config, Target: it.Target,
 		}
+		if item.Config != nil {
+			item.Config.Schema = catalog.ConfigSchema // fields of a later schema were dropped when decoding
+		}
 		if it.Err != "" {
 			item.Err = errors.New(it.Err)
 		}
--- a/follow/feed_test.go
+++ b/follow/feed_test.go
@@ -10,9 +10,14 @@
 	"github.com/goldcrestmux/goldcrestmux/wire"
 )
 
-// encode returns the response with the given items.
+// encode returns the response of a peer of this build with the given items.
 func encode(t testing.TB, items ...feedItem) *wire.FeedResponse {
 	t.Helper()
+	for i := range items {
+		if items[i].Kind == catalog.KindConfig {
+			items[i].Schema = catalog.ConfigSchema
+		}
+	}
 	data, err := cbor.Marshal(items)
 	if err != nil {
 		t.Fatal(err)
--- a/follow/multisource.go
+++ b/follow/multisource.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/goldcrestmux/goldcrestmux/catalog"
 	"github.com/goldcrestmux/goldcrestmux/wire"
 	"github.com/juju/errors"
 )
@@ -98,6 +99,7 @@
 	if peer == "" {
 		b, err = s.store.List(ctx, stale)
 		b.Stale = stale
+		setSchema(b.Items)
 	} else {
 		b, err = s.request(ctx, peer, wire.FeedRequest{List: true}, 0, fallback)
 	}
@@ -145,6 +147,7 @@
 	var err error
 	if peer == "" {
 		b, err = s.store.Watch(ctx, after, wait)
+		setSchema(b.Items)
 	} else {
 		b, err = s.request(ctx, peer, wire.FeedRequest{Era: s.Era(), After: after}, wait, fallback)
 	}
@@ -160,6 +163,15 @@
 	return b, nil
 }
 
+// setSchema marks configurations that this build has read from the store.
+func setSchema(items []catalog.Item) {
+	for i := range items {
+		if c := items[i].Config; c != nil {
+			c.Schema = catalog.ConfigSchema
+		}
+	}
+}
+
 // request sends a request to a peer, which may wait for changes for at most wait,
 // and decodes the response.
 func (s *MultiSource) request(ctx context.Context, peer string, request wire.FeedRequest, wait time.Duration, fallback bool) (Batch, error) {
--- a/follow/selector.go
+++ b/follow/selector.go
@@ -36,6 +36,9 @@
 	// Rank orders the processes of a data centre: those with the lowest ranks
 	// read the store.
 	Rank uint64
+	// FormerSchema is true if the build of the process may not know all of the
+	// configuration.
+	FormerSchema bool
 }
 
 // Selector decides whether the next read goes to the store or to a peer. It is not
@@ -44,7 +47,8 @@
 	self       Process
 	maxDelay   time.Duration
 	rng        *rand.Rand
-	peers      []Process
+	peers      []Process // those that know all of the configuration
+	former     []Process // the others
 	storeUntil time.Time // end of the fallback to the store
 	peerUntil  time.Time // end of the fallback to peers
 }
@@ -55,8 +59,18 @@
 	return &Selector{self: self, maxDelay: maxDelay, rng: rng}
 }
 
-// SetPeers sets the other processes that are alive.
-func (s *Selector) SetPeers(peers []Process) { s.peers = peers }
+// SetPeers sets the other processes that are alive. Those whose build may not know all of
+// the configuration are read only while the store has failed and there is no other.
+func (s *Selector) SetPeers(peers []Process) {
+	s.peers, s.former = nil, nil
+	for _, p := range peers {
+		if p.FormerSchema {
+			s.former = append(s.former, p)
+		} else {
+			s.peers = append(s.peers, p)
+		}
+	}
+}
 
 // readsStore reports whether this process is one of those that normally read the
 // store themselves.
@@ -75,12 +89,13 @@
 
 // Next returns the name of the peer to read from, or "" for the store.
 func (s *Selector) Next(now time.Time) string {
-	if len(s.peers) == 0 {
-		return ""
-	}
 	if s.readsStore() {
-		if now.Before(s.peerUntil) {
-			return s.peers[s.rng.IntN(len(s.peers))].Name
+		fallback := s.peers
+		if len(fallback) == 0 {
+			fallback = s.former
+		}
+		if now.Before(s.peerUntil) && len(fallback) > 0 {
+			return fallback[s.rng.IntN(len(fallback))].Name
 		}
 		return ""
 	}
--- a/peers/state.go
+++ b/peers/state.go
@@ -35,6 +35,9 @@
 	Load *Load `cbor:"7,keyasint,omitempty" json:",omitempty"`
 	// CutOff is true if the process reaches no targets.
 	CutOff bool `cbor:"8,keyasint,omitempty" json:",omitempty"`
+	// ConfigSchema is the catalog.ConfigSchema of the process; zero if it has not told, or
+	// if only processes of builds without this field have passed it on.
+	ConfigSchema uint32 `cbor:"9,keyasint,omitempty" json:",omitempty"`
 }
 
 // Load is the rate of requests that a process serves, in hundredths of a request per second.
@@ -265,6 +268,9 @@
 	}
 	newer := m.Started > known.Started || (m.Started == known.Started && m.Heartbeat > known.Heartbeat)
 	if newer {
+		if m.Started == known.Started {
+			m.ConfigSchema = max(m.ConfigSchema, known.ConfigSchema) // earlier builds drop it when they pass a member on
+		}
 		known.Member, known.heartbeatAt = m, now
 	}
 	return false
--- a/peers/state_test.go
+++ b/peers/state_test.go
@@ -32,7 +32,7 @@
 	n.states[address] = New(now, Options{
 		Self: Member{
 			Name: fmt.Sprint("front-", i), Address: address, Started: now.UnixNano(), DataCentre: fmt.Sprint("dc", i%3),
-			Capacity: 800, Load: &Load{Sharded: 6700, Single: 2200},
+			Capacity: 800, Load: &Load{Sharded: 6700, Single: 2200}, ConfigSchema: 1,
 		},
 		Seeds: seeds, Interval: time.Second, Fanout: 2, MaxMembers: 24, ForgetAfter: 60 * time.Second,
 		AssumedFleetSize: 16, SettleTime: 5 * time.Second, Rand: rand.New(rand.NewPCG(uint64(i), 9)),
