Authenticate requests that peers of an earlier build hand on

Cause: a process of an earlier build hands requests to a gatherer with the headers of the caller, with its key and the organisation that it claims. A gatherer of this build sent both to targets. The other way round, an earlier gatherer passes on only the headers, which did not name the organisation.

Change: if organisations are configured and a query names none, the gatherer authenticates the headers, removes the key, and sets the organisation. A rejected request gets its 401 or 503 as a response, as the sender would run a refused one by itself.

--- a/entry/gather.go
+++ b/entry/gather.go
@@ -267,6 +267,9 @@
 	if v == nil {
 		return wire.QueryResponse{Refused: "stopping, or another version of the configuration is in force"}
 	}
+	if rejection := g.authenticateQuery(v, q, now); rejection != nil {
+		return *rejection
+	}
 	req := &forward.Request{
 		Call: &upstream.Call{
 			ID: q.RequestID, Method: q.Method, URI: q.URI, Host: q.Host, Header: q.Header, Body: q.Body, HasBody: q.HasBody,
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -39,6 +39,9 @@
 	// RemoveKey removes the caller's key, and the organisation that the caller claims to be
 	// of, from the header of a request.
 	RemoveKey(h http.Header)
+	// SetOrganisation sets the organisation in a header without one. Targets get it from the
+	// call; the header is for peers of builds that pass on the headers that they receive.
+	SetOrganisation(h http.Header, name string)
 }
 
 // Options configures a Handler.
@@ -176,6 +179,7 @@
 	}
 	if organisation != nil {
 		call.Organisation = organisation.Name
+		h.opts.HeaderCodec.SetOrganisation(call.Header, organisation.Name)
 	}
 	return route, organisation, call, nil
 }
