Name why a target is left out of a choice

Cause: an explanation for operators must apply the same rules as the choice of a target. These were a loop body of Pool.chooseTarget without any reasons.

Change: Pool.candidate returns a target as a candidate, or why it is none, and Target.unusable why a target may get no requests. The choice is the same.

--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"net"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -400,32 +399,18 @@
 	candidates, targets := candidateArray[:0], targetArray[:0]
 	coldSkipped := false
 	for _, t := range svc.targets {
-		tried := 0
-		for _, id := range opts.Tried {
-			if id == t.ID {
-				tried++
-			}
-		}
-		if !t.usable(now, p.opts.DrainGrace) || (opts.Only != nil && !slices.Contains(opts.Only, t.ID)) {
-			continue
-		}
-		cold := t.isCold(now)
-		coldLimited := cold && svc.limitsCold()
-		if coldLimited && !p.allowsCold(now, t) {
+		candidate, excluded, at := p.candidate(now, svc, t, &opts)
+		switch excluded {
+		case "":
+			candidates = append(candidates, candidate)
+			targets = append(targets, t)
+		case excludedCold:
 			coldSkipped = true
-			continue
-		}
-		if at := t.pushback.Available(now, opts.Extra); at.After(now) {
+		case excludedLimited:
 			if availableAt.IsZero() || at.Before(availableAt) {
 				availableAt = at
 			}
-			continue
 		}
-		candidates = append(candidates, balance.Candidate{
-			Stats: &t.stats, Slots: t.entry.Slots, Remote: t.remote, NeedsConnection: len(t.idle) == 0,
-			Cold: cold, ColdLimited: coldLimited, LastResort: t.lastResort(), PriorAttempts: tried,
-		})
-		targets = append(targets, t)
 	}
 	if len(candidates) == 0 && coldSkipped {
 		return nil, time.Time{}
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -94,13 +94,24 @@
 // usable reports whether the target may receive requests, leaving aside that it may be
 // limited or paused. A draining or leaving target may for drainGrace.
 func (t *Target) usable(now time.Time, drainGrace time.Duration) bool {
-	if t.removed || t.evacuated || (t.entry.Deregistered() && !now.Before(t.entry.GraceEnd)) {
-		return false
-	}
-	if t.entry.Draining && now.Sub(t.entry.DrainingSince) >= drainGrace {
-		return false
+	return t.unusable(now, drainGrace) == ""
+}
+
+// unusable returns why the target may not receive requests, as usable says; empty if it may.
+func (t *Target) unusable(now time.Time, drainGrace time.Duration) string {
+	switch {
+	case t.removed:
+		return "removed"
+	case t.evacuated:
+		return "its data centre is evacuated"
+	case t.entry.Deregistered() && !now.Before(t.entry.GraceEnd):
+		return "no longer registered"
+	case t.entry.Draining && now.Sub(t.entry.DrainingSince) >= drainGrace:
+		return "draining"
+	case t.leaving() && now.Sub(t.pushback.LeavingSince()) >= drainGrace:
+		return "leaving"
 	}
-	return !t.leaving() || now.Sub(t.pushback.LeavingSince()) < drainGrace
+	return ""
 }
 
 // unsendable returns why an attempt for which the target was chosen earlier may no longer be
