Explain to operators where a request would go now

Cause: logs and the state page tell what has happened, but not where a request would go now, and what rules a target out.

Change: gcmuxctl explain asks /debug/explain of gcmux-entry, next to the metrics. Package explain composes the steps (configuration, route, organisation, priority, path), the peers, and the targets of each service in the order of choice, from views of the components. It reads copies: no turn, credit, counter or average changes.

Measured: tests compare the state of the pool, the choosers, the statistics of routes, the metrics and the state page before and after explanations, and the explained order with what the pool chooses.

--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -85,6 +85,7 @@
 			c.sub("dump", "ADDR", "print the state of the process with the operator address ADDR", c.dump),
 			c.sub("members", "ADDR", "print the members that a process knows and mark those behind the highest revision", c.members),
 			c.sub("level", "ADDR LEVEL", "set the log level of a process: debug, info, warn or error", c.level),
+			c.explainCommand(),
 		},
 	}
 	root.Exec = func(_ context.Context, args []string) error {
--- a/delegate/chooser.go
+++ b/delegate/chooser.go
@@ -125,9 +125,14 @@
 // reachable. It returns "" if the process gathers the request itself: there is none, or
 // all are stalled or avoided.
 func (c *Chooser) Choose(now time.Time, profile balance.Profile, reachable func(name string) bool) string {
-	return c.choose(now, profile, func(p Peer, cost time.Duration) bool {
+	return c.choose(now, profile, acceptable(profile, reachable), c.self.DataCentre)
+}
+
+// acceptable returns whether a peer with a given cost may gather requests.
+func acceptable(profile balance.Profile, reachable func(name string) bool) func(p Peer, cost time.Duration) bool {
+	return func(p Peer, cost time.Duration) bool {
 		return reachable(p.Name) && cost <= maxExpectedFactor*profile.Expected+maxExtraCost
-	}, c.self.DataCentre)
+	}
 }
 
 // The process gathers a request itself if the cost of each peer is above
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -109,6 +109,7 @@
 	}
 	mux := goji.NewMux()
 	mux.Handle(pat.Get(operator.PathMetrics), expvar.Handler())
+	mux.HandleFunc(pat.Get(operator.PathExplain), p.serveExplanation)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: defaultTimeout}
 	p.tomb.Go(func() error { return serveError(server.Serve(l), "metrics") })
 	p.tomb.Go(func() error {
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -21,6 +21,7 @@
 	PathMembers = "/debug/members" // GET a JSON list of Member
 	PathLevel   = "/debug/level"   // PUT the log level as text
 	PathMetrics = "/debug/vars"    // GET the metrics of expvar
+	PathExplain = "/debug/explain" // GET where a request would go, of entry processes only
 )
 
 // maxLevelBytes is the maximum size of the body of a request to PathLevel.
