Learn the capacity of targets from their attempts

Change: balance learns for each target its time relative to its siblings, the concurrency from which its time grows more than theirs, and its pauses; upstream groups the targets of a service, starts anew with each run of a target and while it is cold, and tells what was learned on the state page, in a metric and in bounded log lines.

--- a/balance/stats.go
+++ b/balance/stats.go
@@ -40,6 +40,8 @@
 	avoidUntil time.Time
 	// unreachable is the number of consecutive failures to connect.
 	unreachable int
+	// learned is in use once the target has joined a group.
+	learned learned
 }
 
 // attempt is one attempt in progress.
@@ -47,12 +49,28 @@
 	sent time.Time
 	// overdue is when the attempt has taken longer than attempts of its profile
 	// usually do.
-	overdue time.Time
+	overdue  time.Time
+	expected time.Duration
+	// sentLevel is the number of attempts in progress once this one was sent, and level the highest
+	// number while it was in progress.
+	sentLevel, level int
 }
 
 // Sent records the start of an attempt that is overdue after the given time.
 func (s *Stats) Sent(now time.Time, overdueAfter time.Duration) {
-	s.inProgress = append(s.inProgress, attempt{now, now.Add(overdueAfter)})
+	s.Started(now, Profile{OverdueAfter: overdueAfter})
+}
+
+// Started records the start of an attempt.
+func (s *Stats) Started(now time.Time, profile Profile) {
+	a := attempt{sent: now, overdue: now.Add(profile.OverdueAfter), expected: profile.Expected, sentLevel: len(s.inProgress) + 1, level: len(s.inProgress) + 1}
+	if s.learned.group != nil {
+		s.learned.sent(now, profile)
+		for i := range s.inProgress {
+			s.inProgress[i].level = max(s.inProgress[i].level, a.level)
+		}
+	}
+	s.inProgress = append(s.inProgress, a)
 }
 
 // Outstanding returns the number of attempts in progress.
@@ -61,13 +79,19 @@
 // Responded records the response to an attempt that was sent at the given time,
 // with the expected time of its profile.
 func (s *Stats) Responded(now, sent time.Time, expected time.Duration) {
-	s.remove(sent)
+	a, found := s.remove(sent)
 	s.decay(now)
 	ratio := 1.0
 	if expected > 0 {
 		ratio = min(float64(now.Sub(sent))/float64(expected), maxSlowness)
 	}
-	s.slowness += slownessGain * (ratio - 1 - s.slowness)
+	wasSlower := s.learned.slower
+	if !found || s.learned.group == nil || !s.learned.responded(now, a, expected) {
+		s.slowness += slownessGain * (ratio - 1 - s.slowness)
+	}
+	if wasSlower && !s.learned.slower {
+		s.slowness = min(s.slowness, s.learned.time-1) // decays too slowly for one that has recovered
+	}
 	s.failureFraction -= failureGain * s.failureFraction
 	s.unreachable = 0
 }
@@ -111,10 +135,22 @@
 // Canceled records that an attempt ended for a reason unrelated to the target.
 func (s *Stats) Canceled(sent time.Time) { s.remove(sent) }
 
-func (s *Stats) remove(sent time.Time) {
-	if i := slices.IndexFunc(s.inProgress, func(a attempt) bool { return a.sent.Equal(sent) }); i >= 0 {
-		s.inProgress = slices.Delete(s.inProgress, i, i+1)
+// Abandoned records that an attempt that reached the target ended without a response, as
+// nobody waited for it.
+func (s *Stats) Abandoned(now, sent time.Time) {
+	if a, found := s.remove(sent); found && s.learned.group != nil {
+		s.learned.abandoned(now, a)
+	}
+}
+
+func (s *Stats) remove(sent time.Time) (a attempt, found bool) {
+	i := slices.IndexFunc(s.inProgress, func(a attempt) bool { return a.sent.Equal(sent) })
+	if i < 0 {
+		return attempt{}, false
 	}
+	a = s.inProgress[i]
+	s.inProgress = slices.Delete(s.inProgress, i, i+1)
+	return a, true
 }
 
 // decay reduces the averages by the time since they were last updated.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -380,7 +380,7 @@
 	out := map[string]any{
 		"process": p.settings.Name, "uptime_s": int(time.Since(p.startedAt).Seconds()),
 		"stopping": p.stopping.Load(), "ready": v.Configured() && !p.stopping.Load(),
-		"upstream": p.pool.Stats(), "path": p.pathState(), "pushback": p.pool.Pushback(time.Now()), "quarantine": p.guard.States(time.Now()), "retry_budget": p.engine.BudgetState(time.Now()), "active_requests": p.handler.Active(), "caller_connections": p.callerServer.OpenConnections(),
+		"upstream": p.pool.Stats(), "path": p.pathState(), "pushback": p.pool.Pushback(time.Now()), "capacity": p.pool.Capacities(time.Now()), "quarantine": p.guard.States(time.Now()), "retry_budget": p.engine.BudgetState(time.Now()), "active_requests": p.handler.Active(), "caller_connections": p.callerServer.OpenConnections(),
 		"bytes": p.traffic(), "gathering": p.gatherer.state(), "store_calls": p.follower.Calls() - p.source.PeerRequests(), "peer_asks": p.source.PeerRequests(), "links": p.mesh.LinkCount(),
 	}
 	if v.Configured() {
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -57,6 +57,7 @@
 	expvar.Publish("partial_answers", m.partial)
 	expvar.Publish("late_answers", m.late)
 	expvar.Publish("log_lines_dropped", expvar.Func(func() any { return p.adapter.DroppedLogLines() }))
+	expvar.Publish("learned_capacity", expvar.Func(func() any { return p.pool.CapacityStats(time.Now()) }))
 	expvar.Publish("state", expvar.Func(p.state))
 }
 
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -195,7 +195,7 @@
 		case errors.Is(err, errNoResponse) && now.After(a.Deadline):
 			c.target.stats.Unreachable(now, a.StartedAt, true)
 		case a.abandoned:
-			c.target.stats.Canceled(a.StartedAt)
+			c.target.stats.Abandoned(now, a.StartedAt)
 		default:
 			c.target.stats.Failed(now, a.StartedAt)
 		}
--- a/upstream/maintenance.go
+++ b/upstream/maintenance.go
@@ -50,8 +50,12 @@
 			expired = append(expired, c)
 		}
 	}
+	events := p.capacityEvents(now)
 	p.mu.Unlock()
 	deliver(done)
+	for _, e := range events {
+		p.emit(e)
+	}
 	for _, c := range expired {
 		if a := p.currentAttempt(c, false); a != nil {
 			p.failConn(c, a, errNoResponse)
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -87,6 +87,8 @@
 	// buffered is the number of bytes that count against MaxBufferedBytes.
 	buffered atomic.Int64
 	traffic  traffic
+	// capacityLog bounds the log lines of learned capacities.
+	capacityLog capacityLog
 }
 
 // service holds the targets and limits of one service.
@@ -101,6 +103,8 @@
 	configured bool
 	// sharded is true if the service is a shard of a route.
 	sharded bool
+	// group holds what the targets have in common for the choice among them.
+	group *balance.Group
 }
 
 // limitsCold reports whether cold targets of the service get requests at a limited
@@ -215,7 +219,7 @@
 		seen[e.ID] = true
 		svc := services[e.Service]
 		if svc == nil {
-			svc = &service{maxConns: minConnections, sharded: shards[e.Service]}
+			svc = &service{maxConns: minConnections, sharded: shards[e.Service], group: p.group(e.Service)}
 			if s := v.Service(e.Service); s != nil {
 				svc.maxConns = s.MaxConnections
 				svc.warmupRate = s.WarmupRate
@@ -224,6 +228,7 @@
 			services[e.Service] = svc
 		}
 		svc.targets = append(svc.targets, t)
+		t.stats.Join(svc.group, e.Slots)
 		p.setLimits(t, svc)
 	})
 	p.services = services
@@ -248,6 +253,7 @@
 // progress continue. mu must be held.
 func (p *Pool) retire(t *Target) {
 	t.removed = true
+	t.stats.Leave()
 	for _, c := range t.idle {
 		p.closeConn(c)
 	}
@@ -311,6 +317,7 @@
 // result is sent to results, which must have buffer space for it.
 func (p *Pool) Start(call *Call, shard int, opts AttemptOptions, results chan<- *Result) (*Attempt, time.Time) {
 	now := time.Now()
+	opts.Profile.Extra = opts.Extra
 	p.mu.Lock()
 	t, availableAt := p.chooseTarget(now, opts)
 	if t == nil {
@@ -321,7 +328,7 @@
 		Call: call, Shard: shard, Target: t, StartedAt: now, Deadline: opts.Deadline, Extra: opts.Extra,
 		results: results, expected: opts.Profile.Expected, overdueAfter: opts.Profile.OverdueAfter,
 	}
-	t.stats.Sent(now, opts.Profile.OverdueAfter)
+	t.stats.Started(now, opts.Profile)
 	t.pushback.Sent(now, opts.Extra)
 	if t.isCold(now) {
 		t.coldRate.Add(now)
@@ -410,6 +417,9 @@
 			continue
 		}
 		cold := t.isCold(now)
+		if cold {
+			t.stats.Forget()
+		}
 		coldLimited := cold && svc.limitsCold()
 		if coldLimited && !p.allowsCold(now, t) {
 			coldSkipped = true
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -18,6 +18,8 @@
 	entry   *catalog.Entry
 	remote  bool
 	stats   balance.Stats
+	// capacity is what was logged of the learned capacity.
+	capacity capacityChange
 	// idle holds the idle connections, the most recently used one last.
 	idle []*conn
 	// openConns is the number of connections, including those being opened.
