--- a/balance/learn_test.go
+++ b/balance/learn_test.go
@@ -121,8 +121,11 @@
 }
 
 func BenchmarkChoose(b *testing.B) {
-	for _, name := range []string{"former", "learned"} {
+	for _, name := range []string{"former", "learned", "one slower"} {
 		c := group()
+		if name == "one slower" {
+			c[0].Stats.learned.slower = true
+		}
 		if name == "former" {
 			for i := range c {
 				c[i].Stats = &Stats{}
--- a/upstream/capacity.go
+++ b/upstream/capacity.go
@@ -19,6 +19,8 @@
 	reducedBelow   = 0.5
 	recoveredAbove = 0.8
 	capacityHold   = 2 * time.Second
+	// capacityInterval is the interval at which changes are looked for.
+	capacityInterval = 500 * time.Millisecond
 	// At most capacityLines such lines are logged in capacityLineInterval.
 	capacityLines        = 10
 	capacityLineInterval = 10 * time.Second
@@ -32,6 +34,7 @@
 
 // capacityLog bounds the log lines of all targets.
 type capacityLog struct {
+	checkedAt     time.Time
 	intervalStart time.Time
 	lines         int
 	suppressed    int
@@ -118,6 +121,10 @@
 // capacityEvents returns the changes of learned capacities that are to be logged. mu must be
 // held.
 func (p *Pool) capacityEvents(now time.Time) []Event {
+	if now.Sub(p.capacityLog.checkedAt) < capacityInterval {
+		return nil
+	}
+	p.capacityLog.checkedAt = now
 	var events []Event
 	for _, t := range p.targets {
 		l := t.stats.Learned(now)
