Keep the siblings' mean right when targets leave, and drop stale slowness

Cause: the record of a target that was removed or replaced was subtracted from the group's sums after these had been reset, so that the siblings' mean was wrong from then on; slots that an entry raised did not raise the learned concurrency; a slow target without attempts, such as a remote one, counted as slow for ever; one without an open connection was not tried at short latencies. Change: members join and leave the group once; the learned concurrency scales with the slots; the relative time is dropped after 30 s without a response; a new connection does not prevent a try.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -97,6 +97,7 @@
 // one lets the attempt wait, any idle target does better for those that follow;
 // otherwise one that is slow is chosen if it is time to find out whether it has recovered.
 func chooseIdle(now time.Time, profile Profile, candidates []Candidate, best int, bestCost time.Duration, queues bool) int {
+	limit := bestCost + max(profile.Expected/idleTolerance, connectCost)
 	factor := candidates[best].Stats.factor()
 	chosen, chosenCost := best, time.Duration(math.MaxInt64)
 	for i := range candidates {
@@ -109,7 +110,7 @@
 			continue
 		}
 		// Its speed aside, a target that is remote, failing or limited stays a worse choice.
-		if cost := c.costAt(now, profile, factor); cost <= bestCost+profile.Expected/idleTolerance && cost < chosenCost {
+		if cost := c.costAt(now, profile, factor); cost <= limit && cost < chosenCost {
 			chosen, chosenCost = i, cost
 		}
 	}
--- a/balance/learn.go
+++ b/balance/learn.go
@@ -30,6 +30,9 @@
 	recheckInterval = 200 * time.Millisecond
 	recheckChoices  = 3
 
+	// staleTime is the time without a response after which the relative time is dropped.
+	staleTime = 30 * time.Second
+
 	// levelGain is the weight of the newest attempt in the times at low and high concurrency. It is
 	// low, as noise of several hundred milliseconds must not look like a limit.
 	levelGain       = 0.05
@@ -47,7 +50,9 @@
 	// equal targets are chosen as by their slots.
 	minLimitChange = 0.25
 	limitStep      = 0.05
-	extraDivisor   = 2 // the learned concurrency exceeds the slots by this part of them at most
+	// extraDivisor is the divisor of the slots that yields by how much the learned concurrency may
+	// exceed them; it may by one in any case.
+	extraDivisor = 2
 
 	// silentFactor is the time without a response, as a multiple of the expected time of an attempt that
 	// should have ended, from which the target is taken to be in a pause. Noise makes targets
@@ -85,9 +90,6 @@
 	choices            uint64 // number of choices among the members
 }
 
-// Reset removes all members. What is known of pauses is kept.
-func (g *Group) Reset() { *g = Group{pauses: g.pauses, choices: g.choices} }
-
 // pauses holds what is known of the pauses of one target or of a group.
 type pauses struct {
 	length time.Duration
@@ -164,51 +166,45 @@
 	l.mean += max(levelGain, 1/float64(l.samples)) * (ratio - l.mean)
 }
 
-// Join makes the target a member of a group, with the slots that its entry names. What was
-// learned of the target before is kept.
+// Join makes the target a member of a group, if it is not yet, with the slots that its entry names.
+// What was learned of the target is kept; its concurrency changes with the slots.
 func (s *Stats) Join(g *Group, slots int) {
 	l := &s.learned
+	former := l.slots
 	l.slots = float64(max(slots, 1))
-	if l.limit == 0 {
+	if former == 0 {
 		l.limit = l.slots
+	} else {
+		l.limit = max(l.limit*l.slots/former, 1)
 	}
-	l.limit = min(l.limit, l.maxLimit())
-	l.group, l.timeCounted = g, false
-	if l.samples >= minLearned {
-		l.countTime(l.time)
-	}
-	if l.growth > 0 {
-		g.growthSum += l.growth
-		g.growthN++
-	}
+	l.group = g
 }
 
-// Leave ends the membership of the target in its group.
+// Leave ends the membership of the target in its group. Nothing more is learned of the target.
 func (s *Stats) Leave() {
-	s.learned.uncount()
+	s.Forget()
 	s.learned.group = nil
 }
 
-// Forget drops what was learned of the target, as it is cold or has restarted.
+// Forget drops what was learned of the target, as it is cold or has ended.
 func (s *Stats) Forget() {
 	l := &s.learned
-	if l.samples == 0 && l.low.samples == 0 && l.high.samples == 0 {
+	if l.group == nil {
 		return
 	}
-	l.uncount()
-	*l = learned{group: l.group, slots: l.slots, limit: l.slots, lastSent: l.lastSent, lastEnd: l.lastEnd, sentAtTurn: l.sentAtTurn}
+	l.forgetTime()
+	l.setGrowth(0)
+	l.low, l.high, l.limit = level{}, level{}, l.slots
+	l.pauses, l.stallRun = pauses{}, 0
 }
 
-func (l *learned) uncount() {
-	if l.group == nil {
-		return
-	}
+// forgetTime drops what was learned of the target's time.
+func (l *learned) forgetTime() {
 	if l.timeCounted {
 		l.group.timeSum -= l.time
 		l.group.timeN--
-		l.timeCounted = false
 	}
-	l.setGrowth(0)
+	l.time, l.samples, l.timeCounted, l.slower, l.fast = 0, 0, false, false, false
 }
 
 func (l *learned) maxLimit() float64 { return l.slots + max(l.slots/extraDivisor, 1) }
--- a/balance/learn_test.go
+++ b/balance/learn_test.go
@@ -91,24 +91,28 @@
 	}
 }
 
-// Guards against statistics of an earlier run of a target that outlive it, and against those of
-// pauses that are lost when entries are rewritten.
-func TestForgetAndReset(t *testing.T) {
+// Guards against what was learned that is lost when entries are rewritten, outlives a run of a
+// target, or stays part of the siblings' mean.
+func TestJoinForgetAndLeave(t *testing.T) {
 	c := group()
 	g := c[0].Stats.learned.group
-	for range 10 {
-		serve(c[0].Stats, epoch, 3*profile.Expected)
+	for i := range 10 {
+		serve(c[0].Stats, epoch.Add(time.Duration(i)*time.Second), 3*profile.Expected)
 	}
-	was := c[0].Stats.Learned(epoch)
-	g.Reset()
+	now := epoch.Add(10 * time.Second)
+	was := c[0].Stats.Learned(now)
 	for i := range c {
 		c[i].Stats.Join(g, 2)
 	}
-	if l := c[0].Stats.Learned(epoch); l != was {
+	if l := c[0].Stats.Learned(now); l != was || l.RelativeTime < 2 {
 		t.Errorf("learned %+v after a rewrite, was %+v", l, was)
 	}
+	c[0].Stats.Join(g, 4)
+	if l := c[0].Stats.Learned(now); l.Concurrency != 4 || l.Slots != 4 {
+		t.Errorf("learned %+v after a rewrite with 4 slots, want a concurrency of 4", l)
+	}
 	c[0].Stats.Forget()
-	if l := c[0].Stats.Learned(epoch); l.Samples != 0 || l.RelativeTime != 1 || l.Pause != g.pauses.length {
+	if l := c[0].Stats.Learned(now); l.Samples != 0 || l.RelativeTime != 1 || l.Pause != g.pauses.length {
 		t.Errorf("learned %+v after a restart, want only what the siblings tell", l)
 	}
 	if g.timeN != 1 {
@@ -120,6 +124,24 @@
 	}
 }
 
+// Guards against a target in another data centre that counts as slow long after anything was
+// sent to it.
+func TestSlownessWithoutAttemptsIsDropped(t *testing.T) {
+	c := group()
+	for i := range 10 {
+		at := epoch.Add(time.Duration(i) * time.Second)
+		serve(c[0].Stats, at, 3*profile.Expected)
+		serve(c[1].Stats, at, profile.Expected)
+	}
+	for _, after := range []time.Duration{20 * time.Second, 50 * time.Second} {
+		want := after < staleTime
+		c[0].Cost(epoch.Add(after), profile)
+		if c[0].Stats.learned.slower != want {
+			t.Errorf("slower %v after %v, want %v", !want, after, want)
+		}
+	}
+}
+
 func BenchmarkChoose(b *testing.B) {
 	for _, name := range []string{"former", "learned", "one slower"} {
 		c := group()
--- a/balance/stats.go
+++ b/balance/stats.go
@@ -164,6 +164,9 @@
 		s.slowness *= keep
 		s.failureFraction *= keep
 		s.decayedAt = now
+		if l := &s.learned; l.slower && now.Sub(l.lastEnd) > staleTime {
+			l.forgetTime()
+		}
 	}
 }
 
--- a/upstream/capacity.go
+++ b/upstream/capacity.go
@@ -40,10 +40,9 @@
 	suppressed    int
 }
 
-// group returns what the targets of a service have in common, without members. mu must be held.
+// group returns what the targets of a service have in common. mu must be held.
 func (p *Pool) group(service string) *balance.Group {
 	if svc := p.services[service]; svc != nil {
-		svc.group.Reset()
 		return svc.group
 	}
 	return &balance.Group{}
--- a/upstream/capacity_test.go
+++ b/upstream/capacity_test.go
@@ -76,6 +76,10 @@
 	if c := capacityOf(p, "t1"); c.Samples != 0 {
 		t.Errorf("%+v after a restart, want nothing", c)
 	}
+	learn(p, "t1", 40*time.Millisecond)
+	if r := capacityOf(p, "t1").RelativeTime; r < 1.8 || r > 2.2 {
+		t.Errorf("relative time %.2f of a new run that takes twice as long", r)
+	}
 }
 
 // Guards against a target that is judged by the time that it takes while it is cold.
