Hold organisations to their quotas over all processes

Cause: quotas of organisations were decoded and not applied.

Change: package quota counts what each process admits, reports it to a coordinator and a deputy over the socket of the peers, and admits by their word when the bucket of an organisation is nearly empty. Requests over the quota get 429 with Retry-After. Requests that are refused later without having run are given back. Requests of organisations without a quota take no lock.

--- a/catalog/organisations.go
+++ b/catalog/organisations.go
@@ -76,6 +76,16 @@
 	return t.byName[name]
 }
 
+// Each calls f for each organisation.
+func (t *Organisations) Each(f func(*Organisation)) {
+	if t == nil {
+		return
+	}
+	for _, o := range t.byName {
+		f(o)
+	}
+}
+
 // Len returns the number of organisations.
 func (t *Organisations) Len() int {
 	if t == nil {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -72,6 +72,7 @@
 	source          *follow.MultiSource
 	feed            *follow.Feed
 	handler         *ingress.Handler
+	quotas          *quotas
 	callerServer    *ingress.Server
 	readinessServer *http.Server
 	metrics         *metrics
@@ -138,7 +139,9 @@
 	})
 	p.engine = forward.New(forward.Options{Pool: p.pool, Budget: s.RetryBudget, Logger: log, Hedge: shardHedging, SingleHedge: singleHedging})
 	p.gatherer = newGatherer(p)
+	p.quotas = newQuotas(&s, p.startedAt, log)
 	p.handler = ingress.New(ingress.Options{
+		Quota:       p.quotas,
 		HeaderCodec: adapter.HeaderCodec, Engine: p.engine, Delegate: p.gatherer.Gather, Rescue: p.gatherer.Rescue, Behind: p.gatherer.behind, View: p.view.Load, ConfirmedAt: func() time.Time { return p.follower.ConfirmedAt() },
 		StaleAfter: staleAfter, MaxKeyAge: s.MaxKeyAge, DefaultTimeout: defaultTimeout, Logger: log, Observe: p.metrics.observe,
 	})
@@ -194,6 +197,7 @@
 	before := p.view.Load()
 	p.view.Store(v)
 	p.pool.Update(v)
+	p.quotas.publish(v)
 	if !before.Configured() && v.Configured() {
 		p.log.Info("ready", "version", v.Version, "routes", v.RouteCount(), "services", v.ServiceCount(), "after", time.Since(p.startedAt))
 	}
@@ -225,6 +229,7 @@
 	p.follower.Start()
 	p.tomb.Go(p.runMaintenance)
 	p.tomb.Go(p.pollSettings)
+	p.tomb.Go(func() error { return p.quotas.run(p.tomb.Dying(), p.updateQuotaFleet) })
 	p.log.Info("started", "data_centre", s.DataCentre, "callers", s.CallerListen, "ready", s.ReadyListen,
 		"peers", s.PeerListen, "seeds", s.Seeds, "store", s.StoreAddress)
 	return nil
@@ -267,6 +272,8 @@
 		return err
 	}
 	p.peers = node
+	p.quotas.node.Store(node)
+	node.SetQuotaReceiver(p.quotas)
 	node.Start()
 	l, err := listen("peer links", s.PeerListen)
 	if err != nil {
@@ -370,6 +377,7 @@
 	out := map[string]any{"targets": p.pool.Traffic(), "links_sent_local": linksLocal, "links_sent_remote": linksRemote}
 	if p.peers != nil {
 		out["gossip_sent_local"], out["gossip_sent_remote"] = p.peers.BytesSent()
+		out["quota_sent"] = p.peers.QuotaBytesSent()
 	}
 	return out
 }
@@ -381,7 +389,7 @@
 		"process": p.settings.Name, "uptime_s": int(time.Since(p.startedAt).Seconds()),
 		"stopping": p.stopping.Load(), "ready": v.Configured() && !p.stopping.Load(),
 		"upstream": p.pool.Stats(), "path": p.pathState(), "pushback": p.pool.Pushback(time.Now()), "quarantine": p.guard.States(time.Now()), "retry_budget": p.engine.BudgetState(time.Now()), "active_requests": p.handler.Active(), "caller_connections": p.callerServer.OpenConnections(),
-		"bytes": p.traffic(), "gathering": p.gatherer.state(), "store_calls": p.follower.Calls() - p.source.PeerRequests(), "peer_asks": p.source.PeerRequests(), "links": p.mesh.LinkCount(),
+		"bytes": p.traffic(), "gathering": p.gatherer.state(), "quotas": p.quotas.state(), "store_calls": p.follower.Calls() - p.source.PeerRequests(), "peer_asks": p.source.PeerRequests(), "links": p.mesh.LinkCount(),
 	}
 	if v.Configured() {
 		out["version"] = v.Version
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/goldcrestmux/goldcrestmux/forward"
+	"github.com/goldcrestmux/goldcrestmux/quota"
 	"github.com/goldcrestmux/goldcrestmux/upstream"
 	"github.com/juju/errors"
 )
@@ -48,6 +49,8 @@
 	// MaxKeyAge is the age of the last confirmation of the configuration by the store above
 	// which requests that need a key are refused; zero if they are then served.
 	MaxKeyAge time.Duration
+	// Quota bounds by how much all processes together may exceed the quota of an organisation.
+	Quota quota.Bounds
 	// MetricsListen is the address on which metrics are served, as host and port;
 	// empty if they are not.
 	MetricsListen string
@@ -73,6 +76,9 @@
 	if s.RetryBudget.Ratio < 0 || s.RetryBudget.Slack < 0 {
 		return errors.NotValidf("negative retry budget")
 	}
+	if err := s.Quota.Validate(); err != nil {
+		return errors.Trace(err)
+	}
 	if s.StopTimeout <= 0 {
 		return errors.NotValidf("stop timeout %v", s.StopTimeout)
 	}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -67,6 +67,8 @@
 	// DefaultTimeout is used for requests that state no timeout.
 	DefaultTimeout time.Duration
 	Logger         *slog.Logger
+	// Quota holds organisations to their quotas; may be nil.
+	Quota Quota
 	// Observe is called with each response; it must not block.
 	Observe func(route *catalog.Route, resp *forward.Response, took time.Duration)
 }
@@ -116,26 +118,36 @@
 		h.logRefusal(r, view, meta.ID, refusal, receivedAt)
 		return route, *refusal
 	}
+	if refusal := h.checkQuota(r.Context(), organisation); refusal != nil {
+		return route, *refusal
+	}
 	req := &forward.Request{
 		Call: call, Route: route, Version: view.Version, ConfirmedAt: h.opts.ConfirmedAt(),
 		ReceivedAt: receivedAt, NewConnection: newConnection,
 		Organisation: organisation, Key: meta.Key,
 	}
+	resp := h.forward(r.Context(), req)
+	h.settleQuota(organisation, &resp)
+	return route, resp
+}
+
+// forward serves a request, here or at a peer.
+func (h *Handler) forward(ctx context.Context, req *forward.Request) forward.Response {
 	if resp, refused := h.opts.Engine.Refuse(req); refused {
-		return route, resp
+		return resp
 	}
 	if h.opts.Delegate != nil {
-		if resp, ok := h.opts.Delegate(r.Context(), req); ok {
-			return route, resp
+		if resp, ok := h.opts.Delegate(ctx, req); ok {
+			return resp
 		}
 	}
-	resp := h.opts.Engine.Do(r.Context(), req)
+	resp := h.opts.Engine.Do(ctx, req)
 	if resp.Detour != nil && h.opts.Rescue != nil {
-		if rescued, ok := h.opts.Rescue(r.Context(), req, resp.Detour); ok {
-			return route, rescued
+		if rescued, ok := h.opts.Rescue(ctx, req, resp.Detour); ok {
+			return rescued
 		}
 	}
-	return route, resp
+	return resp
 }
 
 // prepareCall finds the route of a request and reads its body. If the request is
--- a/peers/node.go
+++ b/peers/node.go
@@ -31,6 +31,8 @@
 	// sentLocal and sentRemote count the bytes of messages sent to members in this data
 	// centre, and to others and to seeds that are not known as members.
 	sentLocal, sentRemote atomic.Int64
+	sentQuota             atomic.Int64
+	quota                 QuotaReceiver // nil if there is none
 
 	// notifyMu orders the calls of onChange, so that an older fleet does not replace
 	// a newer one.
@@ -172,6 +174,9 @@
 			continue
 		}
 		now := time.Now()
+		if n.receiveQuota(now, from, &m) {
+			continue
+		}
 		n.mu.Lock()
 		replies, added := n.state.Receive(now, m)
 		n.mu.Unlock()
--- a/peers/state.go
+++ b/peers/state.go
@@ -69,6 +69,8 @@
 	WantReply bool `cbor:"2,keyasint,omitempty"`
 	// Reports tell of requests under which targets have ended.
 	Reports []quarantine.Report `cbor:"3,keyasint,omitempty"`
+	// Quota is a batch of package quota. A message with a batch holds nothing else.
+	Quota []byte `cbor:"4,keyasint,omitempty"`
 }
 
 // Outgoing is a message to be sent to an address.
