Hold quotas through bursts, changes, restarts and partitions

Cause: a coordinator of one part of a partitioned fleet granted the whole quota; one that had just started granted a sixth of it for seconds; counts of the window before were taken twice; a question with nobody left to ask spun.

Change: coordinators send pings while a quota matters and grant a small part if they reach less than half of the processes. Processes tell the fleet size that they know. The ready page waits up to 2 s for the fleet if organisations have quotas.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -319,7 +319,7 @@
 
 func (p *process) readinessHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		if p.stopping.Load() || !p.view.Load().Configured() {
+		if p.stopping.Load() || !p.view.Load().Configured() || !p.quotas.ready(time.Now()) {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -57,6 +57,8 @@
 	expvar.Publish("partial_answers", m.partial)
 	expvar.Publish("late_answers", m.late)
 	expvar.Publish("log_lines_dropped", expvar.Func(func() any { return p.adapter.DroppedLogLines() }))
+	expvar.Publish("requests_over_quota", expvar.Func(func() any { return p.quotas.counts().OverQuota }))
+	expvar.Publish("quota_requests", expvar.Func(func() any { return p.quotas.counts() }))
 	expvar.Publish("state", expvar.Func(p.state))
 }
 
--- a/entry/quota.go
+++ b/entry/quota.go
@@ -227,6 +227,7 @@
 		live[alive[i].Name] = true
 	}
 	f := quota.Fleet{Size: known.Size(), Members: make([]quota.Member, 0, len(members))}
+	f.Settling = known.AssumedSize > len(known.Members) && known.AssumedSize <= max(assumedFleetSize, 2*len(known.Members))
 	if aloneFleet(s, members) {
 		f.Size = 1
 	}
@@ -294,6 +295,23 @@
 	}
 }
 
+// counts returns the totals since the start.
+func (q *quotas) counts() quota.Counts {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.limiter.Counts()
+}
+
+// ready reports whether requests of organisations with a quota are served, if there are any.
+func (q *quotas) ready(now time.Time) bool {
+	if limits := q.limits.Load(); limits == nil || len(*limits) == 0 {
+		return true
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.limiter.Ready(now)
+}
+
 // state returns the content of the state page.
 func (q *quotas) state() any {
 	q.mu.Lock()
--- a/quota/codec.go
+++ b/quota/codec.go
@@ -16,6 +16,7 @@
 // Limits of what is decoded.
 const (
 	maxNameBytes = 255
+	maxSize      = 1 << 20
 	// MaxBatch bounds the size of a batch that is decoded.
 	MaxBatch = 8 << 10
 	// maxAsk bounds the number of requests of one question.
@@ -35,6 +36,8 @@
 	// Young is true if the process has run for less than a window, so that the use that it
 	// reports may not be all.
 	Young bool
+	// Size is the number of processes that the sender knows of; zero if it may not know all.
+	Size uint64
 }
 
 // kind tells what an entry of a batch is.
@@ -104,7 +107,7 @@
 	name := h.Name[:min(len(h.Name), maxNameBytes)]
 	buf = append(buf, formatVersion, flags, byte(len(name)))
 	buf = append(buf, name...)
-	return binary.BigEndian.AppendUint64(buf, h.Incarnation)
+	return binary.AppendUvarint(binary.BigEndian.AppendUint64(buf, h.Incarnation), h.Size)
 }
 
 func appendEntry(buf []byte, e *entry) []byte {
@@ -182,6 +185,7 @@
 	h := Header{Young: d.byte()&1 != 0}
 	h.Name = string(d.take(int(d.byte())))
 	h.Incarnation = d.uint64()
+	h.Size = min(d.uvarint(), maxSize)
 	var entries []entry
 	for len(d.data) > 0 && !d.failed {
 		e, err := d.entry()
--- a/quota/coordinator.go
+++ b/quota/coordinator.go
@@ -29,7 +29,7 @@
 	// ping counts as lost.
 	pingInterval = 250 * time.Millisecond
 	pingCount    = 8
-	reachWindow  = 1200 * time.Millisecond
+	reachWindow  = 600 * time.Millisecond
 	reachWait    = 60 * time.Millisecond
 	// ledgerRetention is how long the ledger of an unused organisation is kept. It must exceed
 	// the time in which any bucket fills.
@@ -102,12 +102,17 @@
 	reachOK    bool
 	// tellSelf tells this process the mode of an organisation.
 	tellSelf func(mode)
+	// isolated reports whether no peer has been heard of for seconds.
+	isolated func() bool
 }
 
 // hot reports whether the ledger has used so much that it matters whether this process
 // reaches most others.
 func (c *Coordinator) hot(l *ledger) bool {
-	return l.limited || l.fresh || l.level < 0.75*c.bounds.capacity(l.limit)
+	if l.demand*c.bounds.Window.Seconds() > unprovenDemandPart*c.bounds.margin(l.limit) {
+		return true // with several coordinators, each may see a demand below the quota
+	}
+	return l.limited || l.fresh || l.level < c.bounds.capacity(l.limit)-unprovenPart/2*c.bounds.margin(l.limit)
 }
 
 // reach returns the fraction of the other processes that answer pings. It returns false if
@@ -146,12 +151,12 @@
 	c.updateRank(id, l)
 	if l.rank >= inCharge {
 		for _, p := range l.better {
-			if now.Sub(p.heardAt) < reachWindow {
-				return minorityPart, true
+			if now.Sub(p.heardAt) < 2*reachWindow {
+				return minorityPart / 2, true
 			}
 		}
 	}
-	if len(f.peers) == 0 {
+	if len(f.peers) == 0 || c.isolated() {
 		return minorityPart / float64(f.size), true
 	}
 	reached, ok := c.reach(now)
@@ -223,7 +228,9 @@
 		}
 		l.at = now
 	}
-	if known && part < 1 {
+	if known && part < minorityPart {
+		l.level = min(l.level, capacity)
+	} else if known && part < 1 {
 		l.level = min(l.level, max(capacity, c.bounds.fresh(l.limit)))
 	}
 	l.level = max(l.level, -c.bounds.capacity(l.limit))
@@ -250,12 +257,27 @@
 	}
 }
 
+// A coordinator grants unprovenPart of the margin before it knows whether it reaches most
+// processes, and unprovenFreshPart if it does not know the use before it either. The answers
+// to its first pings take milliseconds.
+const (
+	unprovenPart      = 0.15
+	unprovenFreshPart = 0.05
+	// unprovenDemandPart of the margin is what processes may use in a window without a
+	// coordinator that sends pings.
+	unprovenDemandPart = 0.2
+)
+
 // available returns the number of requests that may be granted.
 func (c *Coordinator) available(now time.Time, id ID, l *ledger) float64 {
-	if _, known := c.authority(now, id, l); !known && !l.fresh {
-		return l.level - c.bounds.capacity(l.limit)/2
+	if _, known := c.authority(now, id, l); known {
+		return l.level
 	}
-	return l.level
+	margin := c.bounds.margin(l.limit)
+	if l.fresh {
+		return l.level - c.bounds.fresh(l.limit) + unprovenFreshPart*margin
+	}
+	return l.level - c.bounds.capacity(l.limit) + unprovenPart*margin
 }
 
 // receive handles a report. It returns the answer; false if there is none.
@@ -273,6 +295,10 @@
 	l.usedAt = now
 	u := c.charge(now, l, h, r)
 	a := answer{id: r.id, total: r.total, ask: r.ask}
+	if r.n > 0 && c.withholds(now, l, u, r) {
+		c.pingWanted = true
+		return answer{}, false
+	}
 	if r.n > 0 {
 		a.granted, a.hold = c.grant(now, r, l, u)
 	}
@@ -285,6 +311,16 @@
 	return a, true
 }
 
+// withholds reports whether the answer to a question must wait for the answers to pings. The
+// process asks again.
+func (c *Coordinator) withholds(now time.Time, l *ledger, u *user, r *report) bool {
+	if r.ask <= u.answered || c.fleet.size <= 1 {
+		return false
+	}
+	_, known := c.authority(now, r.id, l)
+	return !known && float64(r.n) > c.available(now, r.id, l)
+}
+
 // charge takes what a process has used from the bucket.
 func (c *Coordinator) charge(now time.Time, l *ledger, h *Header, r *report) *user {
 	u := l.users[h.Incarnation]
@@ -358,7 +394,9 @@
 	case l.level >= reserve+openAbove*c.bounds.capacity(l.limit):
 		limited = false
 	}
-	if limited == l.limited {
+	// Processes that have no requests yet are told before they admit some by themselves.
+	scarce := l.fresh && l.broadcastAt.IsZero() && l.level < c.bounds.fresh(l.limit)/2
+	if limited == l.limited && !scarce {
 		return
 	}
 	l.limited = limited
--- a/quota/fleet.go
+++ b/quota/fleet.go
@@ -23,6 +23,9 @@
 	// Size is the number of processes, with this one and those that may not be known yet;
 	// zero if nothing tells how many there are.
 	Size int
+	// Settling is true if Size allows for members that may appear, although nothing tells of
+	// them.
+	Settling bool
 }
 
 // Health of peers.
@@ -32,6 +35,9 @@
 	missesUntilDown = 2
 	// downFor is the time after which such a peer is asked again.
 	downFor = time.Second
+	// settleTime is the time without a new member after which no more are expected. Gossip
+	// waits for five seconds; a coordinator that misses a few members of many does no harm.
+	settleTime = 2 * time.Second
 )
 
 // peer is another process and what is known of its health.
@@ -68,10 +74,12 @@
 
 // fleet holds the peers of a process.
 type fleet struct {
-	self     string
-	selfHash uint64
-	peers    map[string]*peer
-	size     int
+	self string
+	// known is the size as this process knows it, told the greatest that others told.
+	known, told int
+	selfHash    uint64
+	peers       map[string]*peer
+	size        int
 	// version changes with the set of live peers, which changes at changedAt.
 	version   uint64
 	changedAt time.Time
@@ -111,14 +119,36 @@
 			changed = true
 		}
 	}
-	f.size = known.Size
 	if changed {
 		f.version++
 		f.changedAt = now
 	}
+	f.known = known.Size
+	if known.Settling && now.Sub(f.changedAt) >= settleTime {
+		f.known = len(f.peers) + 1
+	}
+	f.updateSize()
 	return restarted
 }
 
+// updateSize sets the size. While members may be missing, it is what a process told that knows
+// all: after a restart, the assumed size would leave a coordinator of a small fleet with a
+// sixth of the quota for five seconds.
+func (f *fleet) updateSize() {
+	f.size = f.known
+	if members := len(f.peers) + 1; f.known > members && f.told > 0 {
+		f.size = max(members, f.told)
+	}
+}
+
+// tell records the size that a process knows.
+func (f *fleet) tell(size int) {
+	if size > f.told && f.known > 0 {
+		f.told = size
+		f.updateSize()
+	}
+}
+
 // settled reports whether all processes are known.
 func (f *fleet) settled() bool { return f.size <= len(f.peers)+1 }
 
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -142,6 +142,8 @@
 	tickets []ticket
 	sentAt  time.Time
 	sentTo  []candidate
+	// exhausted is true if there is nobody else to ask.
+	exhausted bool
 }
 
 // Event tells that an organisation has begun to exceed its quota, or no longer does.
@@ -158,9 +160,14 @@
 type Counts struct {
 	// Open, Granted and Free are requests that were admitted with an allowance, by a
 	// coordinator, and without either. Unanswered is the number of those that waited in vain.
-	Open, Granted, Free, Unanswered uint64
-	OverQuota, NoShare, Returned    uint64
-	PeersLost                       uint64
+	Open       uint64 `json:"open"`
+	Granted    uint64 `json:"granted"`
+	Free       uint64 `json:"free"`
+	Unanswered uint64 `json:"unanswered"`
+	OverQuota  uint64 `json:"over_quota"`
+	NoShare    uint64 `json:"no_share"`
+	Returned   uint64 `json:"returned"`
+	PeersLost  uint64 `json:"peers_lost"`
 }
 
 // Limiter decides about the requests of organisations at one process.
@@ -194,13 +201,17 @@
 	l.out = newOutbox(func() Header { return l.headerNow() })
 	l.coord = &Coordinator{
 		bounds: opts.Bounds, limits: opts.Limits, fleet: &l.fleet, out: &l.out, rand: opts.Rand, startedAt: opts.StartedAt,
-		ledgers: map[ID]*ledger{}, tellSelf: func(m mode) { l.setMode(l.now, m) },
+		ledgers: map[ID]*ledger{}, tellSelf: func(m mode) { l.setMode(l.now, m) }, isolated: func() bool { return l.isolated },
 	}
 	return l
 }
 
 func (l *Limiter) headerNow() Header {
-	return Header{Name: l.opts.Self, Incarnation: l.opts.Incarnation, Young: l.now.Sub(l.opts.StartedAt) < l.opts.Bounds.Window}
+	size := uint64(0)
+	if l.fleet.known > 0 && l.fleet.known == len(l.fleet.peers)+1 {
+		size = uint64(l.fleet.known)
+	}
+	return Header{Size: size, Name: l.opts.Self, Incarnation: l.opts.Incarnation, Young: l.now.Sub(l.opts.StartedAt) < l.opts.Bounds.Window}
 }
 
 // SetFleet sets what is known of the fleet.
@@ -258,7 +269,7 @@
 	if a == nil {
 		a = &account{id: id, name: name, limit: limit, freeAt: now, usedAt: now}
 		if l.fleet.size > 0 {
-			a.free = l.freeCapacity(limit)
+			a.free = l.firstFree(limit)
 		}
 		l.accounts[id] = a
 	}
@@ -273,6 +284,15 @@
 // coordinator.
 func (l *Limiter) freeCapacity(limit Limit) float64 { return max(1, l.freePart(limit)) }
 
+// firstFree is that of an organisation without requests so far. After a start of the whole
+// fleet, one at each process would be more than the margin.
+func (l *Limiter) firstFree(limit Limit) float64 {
+	if l.fleet.settled() {
+		return l.freeCapacity(limit)
+	}
+	return l.freePart(limit)
+}
+
 func (l *Limiter) freePart(limit Limit) float64 {
 	return freeMarginPart * l.opts.Bounds.margin(limit) / float64(l.size())
 }
@@ -293,6 +313,12 @@
 	}
 }
 
+// Ready reports whether requests of organisations with a quota are served: a process that does
+// not know its fleet has no share for some time.
+func (l *Limiter) Ready(now time.Time) bool {
+	return l.fleet.size > 0 || now.Sub(l.opts.StartedAt) >= shareless
+}
+
 // Admit decides about a request of an organisation.
 func (l *Limiter) Admit(now time.Time, name string, limit Limit) Decision {
 	l.now = now
@@ -304,7 +330,7 @@
 	}
 	l.refillFree(now, a)
 	if l.fleet.size == 0 {
-		if now.Sub(l.opts.StartedAt) < shareless {
+		if !l.Ready(now) {
 			l.counts.NoShare++
 			return Decision{Verdict: NoShare, RetryAfter: 200*time.Millisecond + l.jitter(400*time.Millisecond)}
 		}
@@ -633,7 +659,7 @@
 			return
 		}
 		a = &account{id: m.id, limit: limit, freeAt: now, usedAt: now}
-		a.free = l.freeCapacity(limit)
+		a.free = l.firstFree(limit)
 		l.accounts[m.id] = a
 	}
 	a.limited = m.limited
@@ -653,6 +679,9 @@
 		return h.Name, err
 	}
 	l.Heard(now)
+	if !h.Young {
+		l.fleet.tell(int(h.Size))
+	}
 	if p := l.fleet.peers[h.Name]; p != nil {
 		p.heard(now)
 		if p.incarnation != h.Incarnation {
@@ -670,6 +699,8 @@
 			reply, ok := l.coord.receive(now, &h, &e.report)
 			if ok && e.kind == kindReport {
 				l.out.add(h.Name, &entry{kind: kindAnswer, answer: reply})
+			} else if e.kind == kindReport {
+				l.out.add(h.Name, &entry{kind: kindPong}) // a sign of life
 			}
 			l.wakeCoordinator()
 		case kindAnswer:
@@ -727,10 +758,8 @@
 		switch age := now.Sub(a.ask.tickets[0].at); {
 		case age >= MaxWait:
 			l.giveUp(now, a)
-		case now.Sub(a.ask.sentAt) >= time.Duration(len(a.ask.sentTo))*deputyAfter && len(a.ask.sentTo) <= inCharge:
-			if c := l.reachable(now, a, inCharge+1); len(c) > len(a.ask.sentTo) {
-				l.sendAsk(now, a, c[len(a.ask.sentTo)])
-			}
+		case now.Sub(a.ask.sentAt) >= time.Duration(len(a.ask.sentTo))*deputyAfter && !a.ask.exhausted:
+			l.askNext(now, a)
 		}
 	}
 	if !a.sentAt.IsZero() && now.Sub(a.sentAt) >= resendAfter {
@@ -753,13 +782,36 @@
 	}
 }
 
+// askNext sends the open question to the deputy, and then to the coordinator again if there is
+// a sign of life, else to the next process.
+func (l *Limiter) askNext(now time.Time, a *account) {
+	sent := a.ask.sentTo
+	first := sent[0]
+	a.ask.exhausted = len(sent) >= inCharge
+	if first.peer == nil || first.peer.heardAt.After(a.ask.sentAt) {
+		if len(sent) >= inCharge {
+			l.sendAsk(now, a, first)
+			return
+		}
+	}
+	c := l.reachable(now, a, inCharge+1)
+	if len(c) > len(sent) {
+		l.sendAsk(now, a, c[len(sent)])
+		return
+	}
+	a.ask.exhausted = true
+	if first.peer == nil || first.peer.heardAt.After(a.ask.sentAt) {
+		l.sendAsk(now, a, first)
+	}
+}
+
 func (a *account) nextAsk() time.Time {
 	if a.ask == nil {
 		return time.Time{}
 	}
 	end := a.ask.tickets[0].at.Add(MaxWait)
-	if n := len(a.ask.sentTo); n <= inCharge {
-		if at := a.ask.sentAt.Add(time.Duration(n) * deputyAfter); at.Before(end) {
+	if !a.ask.exhausted {
+		if at := a.ask.sentAt.Add(time.Duration(len(a.ask.sentTo)) * deputyAfter); at.Before(end) {
 			return at
 		}
 	}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -62,7 +62,7 @@
 const (
 	// burstMarginPart of the margin is added to the burst: with a burst of 9 and random
 	// arrivals at the rate of the quota, the bare bucket refuses one request in 19.
-	burstMarginPart = 0.4
+	burstMarginPart = 0.3
 	// ratePart is the rate of the bucket, in multiples of that of the quota.
 	ratePart = 1.03
 	// freshMarginPart of the margin is what a coordinator grants that does not know what was
@@ -71,7 +71,7 @@
 	// freeMarginPart of the margin is what all processes together admit in a window without
 	// the word of a coordinator. Half of them at most are without one while others use the
 	// whole quota.
-	freeMarginPart = 0.4
+	freeMarginPart = 0.25
 	// minorityPart of its part of the quota is what a coordinator grants that reaches less
 	// than half of the processes.
 	minorityPart = 0.1
