--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -61,6 +61,8 @@
 	expvar.Publish("late_answers", m.late)
 	expvar.Publish("log_lines_dropped", expvar.Func(func() any { return p.adapter.DroppedLogLines() }))
 	expvar.Publish("learned_capacity", expvar.Func(func() any { return p.pool.CapacityStats(time.Now()) }))
+	expvar.Publish("requests_over_quota", expvar.Func(func() any { return p.quotas.counts().OverQuota }))
+	expvar.Publish("quota_requests", expvar.Func(func() any { return p.quotas.counts() }))
 	expvar.Publish("state", expvar.Func(p.state))
 }
 
