Admit requests to targets by priority while they are overloaded

Cause: above the capacity of the targets nothing on the entry path decides which requests go first. Requests wait at the targets until they are late, and the most urgent ones fare no better than the others.

Change: package admission gets a mode without a limit until targets are overloaded (high median latency of sub-requests, or many refusals by full targets), and callers without a contract. forward uses it before a request is sent, with one controller for each group of routes that share services and whose requests differ in priority. A refusal is a 503 with Retry-After and reaches the caller also from a peer that gathers; such a peer no longer sends callers to the direct path while its targets are overloaded. In overload less urgent requests are not hedged, and failed requests cancel their attempts.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -1,5 +1,6 @@
-// Package admission decides which of a gateway's requests are admitted, queued
-// or rejected.
+// Package admission decides which of a process's requests are admitted, queued
+// or rejected. Gateways use it in ModeAdaptive, processes that forward requests of
+// callers to targets in ModeGuard.
 //
 // A request must be within its caller's rate limit. It is then queued until both
 // the caller's concurrency limit and the gateway's limit allow it to run. The
@@ -46,6 +47,10 @@
 	// arrival, and does not reject requests that are expected to miss their
 	// deadlines.
 	ModeFIFO Mode = "fifo"
+	// ModeGuard sets no limit until the targets are overloaded: the latency of
+	// sub-requests or the fraction of them that full targets refuse stays high.
+	// Request.Objective and Request.StartBy must be set.
+	ModeGuard Mode = "guard"
 )
 
 // Options configures a Controller. A zero field means its default.
@@ -74,6 +79,9 @@
 	// is added.
 	MinRetryAfter time.Duration
 	MaxRetryAfter time.Duration
+	// AnyCaller admits requests of callers without a contract, by Request.Priority. Such
+	// a caller is forgotten when none of its requests is queued or running.
+	AnyCaller bool
 }
 
 func (o Options) withDefaults() Options {
@@ -99,6 +107,16 @@
 	Search string
 	// Deadline is when the caller must have the response.
 	Deadline time.Time
+	// Priority ranks the request if Options.AnyCaller is set; 0 is the most urgent.
+	Priority int
+	// StartBy is when the request is rejected if it is still queued; zero if only
+	// Deadline counts.
+	StartBy time.Time
+	// Objective is the latency objective of the request, from which ModeGuard derives the
+	// tolerated latency of sub-requests. UsefulUntil is when the objective is missed: while
+	// there is a limit, a request that would end later is rejected. Zero means Deadline.
+	Objective   time.Duration
+	UsefulUntil time.Time
 }
 
 // Outcome says what happens to a request.
@@ -111,6 +129,24 @@
 	Admitted
 )
 
+// Cause says why a request was rejected with code.Overloaded.
+type Cause uint8
+
+// Causes.
+const (
+	// TooLate means that the request would not start or end in time by the estimate.
+	TooLate Cause = iota + 1
+	// QueueFull means that the queue was full, and its other requests went first.
+	QueueFull
+	// Waited means that the request was queued and did not start in time.
+	Waited
+)
+
+var causeNames = [...]string{TooLate: "too_late", QueueFull: "queue_full", Waited: "waited"}
+
+// String returns the name of the cause for logs and metrics.
+func (c Cause) String() string { return causeNames[c] }
+
 // Decision is the controller's decision on one request.
 type Decision struct {
 	ID      uint64
@@ -119,6 +155,8 @@
 	Code code.Code
 	// RetryAfter is the time after which a rejected caller may retry.
 	RetryAfter time.Duration
+	// Cause is set if Code is code.Overloaded.
+	Cause Cause
 }
 
 // Result describes how an admitted request ended.
@@ -132,6 +170,19 @@
 	// limit follows it rather than Latency, so that waiting for unavailable
 	// shards is not taken for overload. Zero means Latency.
 	SubRequestLatency time.Duration
+	// RefusedFraction is the fraction, from 0 to 1, of the sub-requests that a full target
+	// refused at least once, and ServedFraction that of the sub-requests with a response.
+	// Both are used in ModeGuard only.
+	RefusedFraction float64
+	ServedFraction  float64
+}
+
+// usefulUntil returns when a response to the request must be ready.
+func (r *Request) usefulUntil() time.Time {
+	if r.UsefulUntil.IsZero() {
+		return r.Deadline
+	}
+	return r.UsefulUntil
 }
 
 func (r Result) subRequestLatency() time.Duration {
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -29,8 +29,11 @@
 
 // runningRequest is a request in progress.
 type runningRequest struct {
-	caller *caller
-	search string
+	caller    *caller
+	search    string
+	objective time.Duration
+	// refusing is true once Refused has recorded the request.
+	refusing bool
 }
 
 // Stats holds the counters of a Controller since its creation, and its state.
@@ -41,6 +44,8 @@
 	Running     int
 	Queued      int
 	ServiceTime time.Duration // moving average of the requests' latencies
+	// Guard holds the inputs of the limit in ModeGuard; nil in the other modes.
+	Guard *GuardStats `json:",omitempty"`
 }
 
 // SetCallers replaces the callers' contracts. Queued requests of removed callers
@@ -106,17 +111,19 @@
 func (c *Controller) Submit(now time.Time, r Request) (Decision, []Decision) {
 	k, reason, wait := c.check(now, r)
 	if reason != code.OK {
-		return c.reject(r.ID, reason, wait), nil
+		return c.rejectFor(r.ID, reason, wait, TooLate), nil
 	}
 	e := c.newEntry(now, k, r)
 	var others []Decision
 	if c.queue.queued >= c.opts.MaxQueue {
 		candidate := c.queue.evictionCandidate(e.queue)
 		if candidate == nil || c.opts.Mode == ModeFIFO {
-			return c.reject(r.ID, code.Overloaded, c.queueTime()), nil
+			c.forget(k)
+			return c.rejectFor(r.ID, code.Overloaded, c.queueTime(), QueueFull), nil
 		}
 		c.dequeue(candidate)
-		others = append(others, c.reject(candidate.id, code.Overloaded, c.queueTime()))
+		c.forget(candidate.caller)
+		others = append(others, c.rejectFor(candidate.id, code.Overloaded, c.queueTime(), QueueFull))
 	}
 	k.takeToken()
 	c.queue.push(e)
@@ -134,37 +141,78 @@
 // without queueing it and the time after which to retry.
 func (c *Controller) check(now time.Time, r Request) (*caller, code.Code, time.Duration) {
 	k, known := c.callers[r.Caller]
+	if !known && c.opts.AnyCaller && !c.draining {
+		k, known = c.addCaller(r), true
+	}
 	switch {
 	case c.draining:
 		return nil, code.Stopping, c.opts.MinRetryAfter
 	case !known:
 		return nil, code.Forbidden, 0
 	case !now.Before(r.Deadline):
+		c.forget(k)
 		return nil, code.DeadlinePassed, 0
 	}
 	if wait, limited := k.rateLimited(now, c.gateways); limited {
 		return nil, code.RateLimited, wait
 	}
 	if !c.canMeetDeadline(now, k, r) {
+		c.forget(k)
 		return nil, code.Overloaded, c.queueTime()
 	}
 	return k, code.OK, 0
 }
 
+// addCaller adds the caller of a request that has no contract.
+func (c *Controller) addCaller(r Request) *caller {
+	k := &caller{queue: &callerQueue{priority: min(max(r.Priority, 0), numPriorities-1)}}
+	k.Name = r.Caller
+	c.callers[r.Caller] = k
+	return k
+}
+
+// forget removes a caller without a contract if none of its requests is queued or
+// running. Without it, the state would grow with the number of callers.
+func (c *Controller) forget(k *caller) {
+	if c.opts.AnyCaller && k.running == 0 && len(k.queue.entries) == 0 {
+		delete(c.callers, k.Name)
+	}
+}
+
 // canMeetDeadline reports whether the request is expected to finish before its
 // deadline.
 func (c *Controller) canMeetDeadline(now time.Time, k *caller, r Request) bool {
-	if c.opts.Mode == ModeFIFO || c.nearlyIdle() {
+	if c.opts.Mode == ModeFIFO || c.nearlyIdle() || c.limit.unlimited() {
 		return true
 	}
 	var wait time.Duration
-	if len(c.running) >= c.limit.value() {
-		wait = c.limit.wait(c.queue.ahead(k.queue, c.lowPriorityInterval())+1, c.limit.value())
+	if limit := c.limitOf(k.queue.priority); len(c.running) >= limit {
+		before := c.queue.ahead(k.queue, c.lowPriorityInterval()) + 1
+		if c.opts.Mode == ModeGuard {
+			before += len(c.running) - limit // a limit that has just fallen
+		}
+		wait = c.limit.wait(before, limit)
 	}
 	if !k.hasCapacity() {
 		wait = max(wait, c.limit.wait(len(k.queue.entries)+1, k.Concurrency))
 	}
-	return now.Add(wait + c.limit.expected(r.Search)).Before(r.Deadline)
+	if !r.StartBy.IsZero() && wait > 0 && now.Add(wait).After(r.StartBy) {
+		return false
+	}
+	return now.Add(wait + c.expected(r)).Before(r.usefulUntil())
+}
+
+// maxExpectedFraction bounds the expected latency in ModeGuard to a fraction of the
+// objective: a request that starts at once is not rejected because most are late.
+const maxExpectedFraction = 0.6
+
+// expected returns a latency that few requests like r exceed.
+func (c *Controller) expected(r Request) time.Duration {
+	d := c.limit.expected(r.Search)
+	if c.opts.Mode == ModeGuard {
+		d = min(d, time.Duration(maxExpectedFraction*float64(r.Objective)))
+	}
+	return d
 }
 
 // nearlyIdle reports whether so few requests run that another one is accepted
@@ -175,15 +223,19 @@
 }
 
 func (c *Controller) newEntry(now time.Time, k *caller, r Request) *entry {
-	e := &entry{id: r.ID, caller: k, search: r.Search, queue: k.queue}
+	e := &entry{id: r.ID, caller: k, search: r.Search, objective: r.Objective, queue: k.queue}
 	if c.opts.Mode == ModeFIFO {
 		e.queue = c.fifo
 		e.startBy = now
 		return e
 	}
 	e.startBy = r.Deadline
-	if !c.nearlyIdle() {
-		e.startBy = r.Deadline.Add(-c.limit.expected(r.Search))
+	if c.nearlyIdle() || c.limit.unlimited() {
+		return e
+	}
+	e.startBy = r.usefulUntil().Add(-c.expected(r))
+	if !r.StartBy.IsZero() && r.StartBy.Before(e.startBy) {
+		e.startBy = r.StartBy
 	}
 	return e
 }
@@ -200,10 +252,11 @@
 		return nil
 	}
 	saturated := len(c.running) >= c.limit.value()
-	delete(c.running, id)
-	r.caller.running--
-	c.limit.observe(now, r.search, result, saturated)
-	return c.dispatch(now)
+	c.stopRunning(id, r)
+	c.limit.observe(now, r, result, saturated || c.queue.queued > 0)
+	decisions := c.dispatch(now)
+	c.forget(r.caller)
+	return decisions
 }
 
 // Cancel removes a queued or running request whose caller has disconnected. The
@@ -211,14 +264,23 @@
 func (c *Controller) Cancel(now time.Time, id uint64) []Decision {
 	if e, queued := c.queued[id]; queued {
 		c.dequeue(e)
+		c.forget(e.caller)
 	}
 	if r, running := c.running[id]; running {
-		delete(c.running, id)
-		r.caller.running--
+		c.stopRunning(id, r)
+		c.forget(r.caller)
 	}
 	return c.dispatch(now)
 }
 
+func (c *Controller) stopRunning(id uint64, r *runningRequest) {
+	delete(c.running, id)
+	r.caller.running--
+	if r.refusing {
+		c.limit.guard.refusing--
+	}
+}
+
 // Tick rejects the queued requests that can no longer meet their deadlines. It
 // is due at the time that NextTick returns.
 func (c *Controller) Tick(now time.Time) []Decision { return c.dispatch(now) }
@@ -240,13 +302,13 @@
 // and admits those that may run.
 func (c *Controller) dispatch(now time.Time) []Decision {
 	decisions := c.rejectExpired(now)
-	for len(c.running) < c.limit.value() {
-		e := c.queue.next(c.lowPriorityInterval())
+	for {
+		e := c.nextToRun()
 		if e == nil {
 			break
 		}
 		delete(c.queued, e.id)
-		c.running[e.id] = &runningRequest{caller: e.caller, search: e.search}
+		c.running[e.id] = &runningRequest{caller: e.caller, search: e.search, objective: e.objective}
 		e.caller.running++
 		c.stats.Admitted++
 		decisions = append(decisions, Decision{ID: e.id, Outcome: Admitted, Code: code.OK})
@@ -254,6 +316,21 @@
 	return decisions
 }
 
+// nextToRun removes and returns the queued request that may run, or nil if there is none.
+func (c *Controller) nextToRun() *entry {
+	if len(c.running) < c.limit.value() {
+		return c.queue.next(c.lowPriorityInterval())
+	}
+	if c.opts.Mode != ModeGuard {
+		return nil
+	}
+	// Beyond the limit, only the most urgent of the queued requests may run.
+	if top, _ := c.queue.readyClasses(); top >= 0 && len(c.running) < c.limitOf(top) {
+		return c.queue.serve(&c.queue.classes[top])
+	}
+	return nil
+}
+
 func (c *Controller) rejectExpired(now time.Time) []Decision {
 	if c.opts.Mode == ModeFIFO {
 		return nil
@@ -265,7 +342,8 @@
 			return decisions
 		}
 		c.dequeue(e)
-		decisions = append(decisions, c.reject(e.id, code.Overloaded, c.queueTime()))
+		c.forget(e.caller)
+		decisions = append(decisions, c.rejectFor(e.id, code.Overloaded, c.queueTime(), Waited))
 	}
 }
 
@@ -299,6 +377,27 @@
 	return Decision{ID: id, Outcome: Rejected, Code: reason, RetryAfter: wait}
 }
 
+// rejectFor is like reject. The cause is that of a rejection with code.Overloaded.
+func (c *Controller) rejectFor(id uint64, reason code.Code, wait time.Duration, cause Cause) Decision {
+	d := c.reject(id, reason, wait)
+	if reason == code.Overloaded {
+		d.Cause = cause
+	}
+	return d
+}
+
+// Overloaded reports whether ModeGuard limits requests, and the mean fraction of
+// sub-requests that full targets refused in the last window.
+func (c *Controller) Overloaded() (limited bool, refusedFraction float64) {
+	if g := c.limit.guard; g != nil {
+		return g.engaged, g.refused
+	}
+	return false, 0
+}
+
+// SetMaxLimit sets the largest limit on requests in progress.
+func (c *Controller) SetMaxLimit(n int) { c.limit.opts.MaxLimit = max(n, 1) }
+
 // Stats returns the counters and the current state.
 func (c *Controller) Stats() Stats {
 	s := c.stats
@@ -307,5 +406,8 @@
 	s.Running = len(c.running)
 	s.Queued = c.queue.queued
 	s.ServiceTime = time.Duration(c.limit.meanLatency)
+	if g := c.limit.guard; g != nil {
+		s.Guard = g.stats()
+	}
 	return s
 }
--- a/admission/limit.go
+++ b/admission/limit.go
@@ -47,6 +47,8 @@
 	searches map[string]*latencyStats
 	// meanLatency is the moving average over all searches, in nanoseconds.
 	meanLatency float64
+	// guard replaces limit in ModeGuard; nil in the other modes.
+	guard *guard
 }
 
 // latencyStats holds the latency statistics of one search, in nanoseconds.
@@ -58,30 +60,47 @@
 	baseline      float64
 	windowSum     float64
 	windowSamples int
+	// window holds the sub-request latencies of the window in ModeGuard, and objective the
+	// latency objective.
+	window    []float64
+	objective float64
 }
 
 func newLimiter(opts Options) *limiter {
-	return &limiter{opts: opts, limit: float64(opts.InitialLimit), searches: map[string]*latencyStats{}}
+	l := &limiter{opts: opts, limit: float64(opts.InitialLimit), searches: map[string]*latencyStats{}}
+	if opts.Mode == ModeGuard {
+		l.guard = &guard{}
+	}
+	return l
 }
 
+// unlimited reports whether ModeGuard sets no limit at present.
+func (l *limiter) unlimited() bool { return l.guard != nil && !l.guard.engaged }
+
 // value returns the limit, in requests.
-func (l *limiter) value() int { return int(l.limit) }
+func (l *limiter) value() int {
+	if l.unlimited() {
+		return math.MaxInt32
+	}
+	return int(l.limit)
+}
 
 // observe updates the statistics with a finished request, and the limit at the
 // end of a window. saturated is true if the limit was reached when the request
 // finished.
-func (l *limiter) observe(now time.Time, search string, r Result, saturated bool) {
-	s, known := l.searches[search]
+func (l *limiter) observe(now time.Time, request *runningRequest, r Result, saturated bool) {
+	s, known := l.searches[request.search]
 	if !known {
 		s = &latencyStats{}
-		l.searches[search] = s
+		l.searches[request.search] = s
 	}
 	s.add(float64(r.Latency))
-	s.addToWindow(float64(r.subRequestLatency()))
-	if l.meanLatency == 0 {
-		l.meanLatency = float64(r.Latency)
+	if l.guard != nil {
+		l.observeGuarded(now, request, s, r, saturated)
+		return
 	}
-	l.meanLatency += sampleWeight * (float64(r.Latency) - l.meanLatency)
+	s.addToWindow(float64(r.subRequestLatency()))
+	l.addToMean(float64(r.Latency))
 	l.samples++
 	if !r.OK {
 		l.failures++
@@ -90,6 +109,13 @@
 	l.closeWindow(now)
 }
 
+func (l *limiter) addToMean(latency float64) {
+	if l.meanLatency == 0 {
+		l.meanLatency = latency
+	}
+	l.meanLatency += sampleWeight * (latency - l.meanLatency)
+}
+
 func (s *latencyStats) add(latency float64) {
 	if s.mean == 0 {
 		s.mean = latency
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -14,6 +14,8 @@
 	id     uint64
 	caller *caller
 	search string
+	// objective is Request.Objective.
+	objective time.Duration
 	// startBy is the time before which the request must start to meet its
 	// deadline, or in ModeFIFO the time of its arrival. Entries of a callerQueue
 	// are ordered by it.
--- a/delegate/picked.go
+++ b/delegate/picked.go
@@ -66,11 +66,12 @@
 
 // Results.
 const (
-	Responded Result = iota + 1 // the peer responded
-	Refused                     // the peer has not begun with the request
-	Late                        // the peer did not respond before the deadline, but its link lives
-	Lost                        // the link was lost
-	Canceled                    // the caller left
+	Responded  Result = iota + 1 // the peer responded
+	Refused                      // the peer has not begun with the request
+	Late                         // the peer did not respond before the deadline, but its link lives
+	Lost                         // the link was lost
+	Canceled                     // the caller left
+	Overloaded                   // the peer refused the request as its targets are overloaded
 )
 
 // Ended records the result of a request that was handed to a peer at the given time.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -136,7 +136,7 @@
 		DrainGrace: s.DrainGrace / drainGraceDivisor, Cold: s.Cold, StartedAt: p.startedAt, OnEvent: p.connectionEvent,
 		MaxBufferedBytes: s.MemoryLimit / bufferedDivisor,
 	})
-	p.engine = forward.New(forward.Options{Pool: p.pool, Budget: s.RetryBudget, Logger: log, Hedge: shardHedging, SingleHedge: singleHedging})
+	p.engine = forward.New(forward.Options{Pool: p.pool, Budget: s.RetryBudget, Logger: log, Hedge: shardHedging, SingleHedge: singleHedging, MaxSubRequests: maxGathered(s.Capacity)})
 	p.gatherer = newGatherer(p)
 	p.handler = ingress.New(ingress.Options{
 		HeaderCodec: adapter.HeaderCodec, Engine: p.engine, Delegate: p.gatherer.Gather, Rescue: p.gatherer.Rescue, Behind: p.gatherer.behind, View: p.view.Load, ConfirmedAt: func() time.Time { return p.follower.ConfirmedAt() },
@@ -194,6 +194,7 @@
 	before := p.view.Load()
 	p.view.Store(v)
 	p.pool.Update(v)
+	p.engine.SetView(v)
 	if !before.Configured() && v.Configured() {
 		p.log.Info("ready", "version", v.Version, "routes", v.RouteCount(), "services", v.ServiceCount(), "after", time.Since(p.startedAt))
 	}
@@ -380,7 +381,7 @@
 	out := map[string]any{
 		"process": p.settings.Name, "uptime_s": int(time.Since(p.startedAt).Seconds()),
 		"stopping": p.stopping.Load(), "ready": v.Configured() && !p.stopping.Load(),
-		"upstream": p.pool.Stats(), "path": p.pathState(), "pushback": p.pool.Pushback(time.Now()), "quarantine": p.guard.States(time.Now()), "retry_budget": p.engine.BudgetState(time.Now()), "active_requests": p.handler.Active(), "caller_connections": p.callerServer.OpenConnections(),
+		"upstream": p.pool.Stats(), "path": p.pathState(), "pushback": p.pool.Pushback(time.Now()), "quarantine": p.guard.States(time.Now()), "retry_budget": p.engine.BudgetState(time.Now()), "admission": p.engine.AdmissionState(), "active_requests": p.handler.Active(), "caller_connections": p.callerServer.OpenConnections(),
 		"bytes": p.traffic(), "gathering": p.gatherer.state(), "store_calls": p.follower.Calls() - p.source.PeerRequests(), "peer_asks": p.source.PeerRequests(), "links": p.mesh.LinkCount(),
 	}
 	if v.Configured() {
--- a/entry/gather.go
+++ b/entry/gather.go
@@ -140,6 +140,9 @@
 		return forward.Response{}, false
 	}
 	response, result := g.hand(ctx, peer, req, newQuery(req, sentAt), sentAt)
+	if result == delegate.Responded && response.Reason == forward.ReasonOverloaded {
+		result = delegate.Overloaded
+	}
 	g.ended(sentAt, peer, result, profile)
 	return response, result != delegate.Refused
 }
@@ -290,12 +293,16 @@
 	shards := int64(len(req.Services()))
 	before := g.gathered.Add(shards) - shards
 	defer g.gathered.Add(-shards)
-	if before > 0 && before+shards > gatheredPerCore*int64(g.p.settings.Capacity)/1000 {
+	if before > 0 && before+shards > int64(maxGathered(g.p.settings.Capacity)) && !g.p.engine.Limited(req.Route) {
 		return wire.QueryResponse{Refused: "too many requests of peers"}
 	}
 	return queryResponse(req, g.p.engine.Do(ctx, req))
 }
 
+// maxGathered returns the largest number of shards in progress for the given processor share,
+// in thousandths of a core.
+func maxGathered(capacity uint32) int { return gatheredPerCore * int(capacity) / 1000 }
+
 // drainPollInterval is the time between two looks for requests of peers in progress.
 const drainPollInterval = 10 * time.Millisecond
 
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -57,6 +57,7 @@
 	expvar.Publish("partial_answers", m.partial)
 	expvar.Publish("late_answers", m.late)
 	expvar.Publish("log_lines_dropped", expvar.Func(func() any { return p.adapter.DroppedLogLines() }))
+	expvar.Publish("admission", expvar.Func(func() any { return p.engine.AdmissionState() }))
 	expvar.Publish("state", expvar.Func(p.state))
 }
 
@@ -64,6 +65,7 @@
 
 var delegationNames = map[delegate.Result]string{
 	delegate.Responded: "answered", delegate.Refused: "refused", delegate.Lost: "lost", delegate.Late: "late", delegate.Canceled: "caller left",
+	delegate.Overloaded: "overloaded",
 }
 
 func (m *metrics) observeDelegation(result delegate.Result) {
--- a/forward/active_request.go
+++ b/forward/active_request.go
@@ -21,6 +21,7 @@
 type activeRequest struct {
 	engine        *Engine
 	req           *Request
+	admitted      admittedRequest
 	services      []string
 	plan          *plan.Plan
 	profile       balance.Profile
@@ -38,6 +39,10 @@
 	maxTargets    int // of each shard
 	sendBy        time.Time
 	failures      map[upstream.Outcome]int
+	// refusedShards is the number of shards of which a target has refused an attempt, and
+	// refusedOnce marks them; nil if there are none.
+	refusedShards int
+	refusedOnce   []bool
 }
 
 // Do serves a request. ctx must be canceled when the caller disconnects.
@@ -45,7 +50,19 @@
 	if resp, refused := e.Refuse(req); refused {
 		return resp
 	}
-	r := e.newActiveRequest(req)
+	admitted, resp, ok := e.admit(ctx, req)
+	if !ok {
+		return resp
+	}
+	r := e.newActiveRequest(req, admitted)
+	resp = r.run(ctx)
+	r.ended(&resp)
+	return resp
+}
+
+// run sends the request to targets and returns the response.
+func (r *activeRequest) run(ctx context.Context) Response {
+	e := r.engine
 	now := time.Now()
 	if wait, reason := r.unservable(now); reason != "" {
 		return r.refuse(now, wait, reason)
@@ -58,7 +75,7 @@
 		decision := r.plan.Decide(now)
 		if decision != plan.Wait {
 			r.observePending(now)
-			r.abandonAttempts(r.linger(now))
+			r.abandonAttempts(r.linger(now, decision))
 			return r.respond(now, decision)
 		}
 		timer.Reset(r.plan.WakeAt(now).Sub(now))
@@ -83,8 +100,11 @@
 // linger returns how long attempts whose responses are no longer needed may
 // continue so that their connections can be reused. Attempts at shards are
 // short; an attempt of an unsharded request would keep its target busy to no
-// purpose.
-func (r *activeRequest) linger(now time.Time) time.Duration {
+// purpose. If targets may be overloaded, nor may those of a request that has failed.
+func (r *activeRequest) linger(now time.Time, decision plan.Decision) time.Duration {
+	if decision == plan.Failed && r.admitted.group != nil {
+		return 0
+	}
 	if r.req.Route.Sharded() {
 		return r.req.Call.Deadline.Sub(now)
 	}
@@ -111,9 +131,9 @@
 
 // newActiveRequest returns the state of a new request. It shortens the deadline of
 // the request to the timeout of its route.
-func (e *Engine) newActiveRequest(req *Request) *activeRequest {
+func (e *Engine) newActiveRequest(req *Request, admitted admittedRequest) *activeRequest {
 	route := req.Route
-	r := &activeRequest{engine: e, req: req, services: req.Services(), failures: map[upstream.Outcome]int{}}
+	r := &activeRequest{engine: e, req: req, admitted: admitted, services: req.Services(), failures: map[upstream.Outcome]int{}}
 	objective := LatencyObjective(route)
 	maxAttempts := min(max(cmp.Or(route.MaxAttempts, defaultMaxAttempts), 1), maxTargets)
 	if req.MaxTargets > 0 {
@@ -153,6 +173,9 @@
 	}
 	r.profile.RemotePenalty = time.Duration(remotePenaltyFraction * float64(objective))
 	r.profile.OverdueAfter = opts.HedgeAfter
+	if !admitted.hedges(req.Priority()) {
+		opts.HedgeAfter = 0
+	}
 	req.Call.Sharded = route.Sharded()
 	e.opts.Pool.Prepare(req.Call)
 	r.plan = plan.New(now, opts)
@@ -296,6 +319,7 @@
 	default:
 		if res.Outcome == upstream.Refused {
 			r.lastFailure = *res
+			r.recordRefused(res)
 		}
 		r.plan.Refused(res.EndedAt, i, target)
 	}
--- a/forward/engine.go
+++ b/forward/engine.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/goldcrestmux/goldcrestmux/catalog"
@@ -107,6 +108,9 @@
 	// SingleHedge for requests to one service.
 	Hedge       hedge.Options
 	SingleHedge hedge.Options
+	// MaxSubRequests bounds the sub-requests in progress of one group of routes while its
+	// targets are overloaded; zero if there is no such bound.
+	MaxSubRequests int
 }
 
 // Engine serves requests. Methods are safe for concurrent use.
@@ -114,7 +118,8 @@
 // Lock order: mu is acquired with no other lock held, and no other lock is
 // acquired while it is held.
 type Engine struct {
-	opts Options
+	opts      Options
+	admission atomic.Pointer[admissionGroups]
 
 	mu      sync.Mutex
 	routes  map[string]*routeStats    // by route name
