Share the limit of overloaded targets fairly among processes and priorities

Cause: with limits that grow in proportion, a process that had a low limit at the start of an overload kept it, and refused urgent requests while others ran less urgent ones. Lower priorities got less than their share, because the estimate refused them before they could take it.

A limit is set within 0.2 s of clear overload, at once if targets refuse most requests, and not by bursts at 0.8 of the capacity.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -111,6 +111,7 @@
 func (c *Controller) Submit(now time.Time, r Request) (Decision, []Decision) {
 	k, reason, wait := c.check(now, r)
 	if reason != code.OK {
+		c.recordRejected(r.Priority, reason)
 		return c.rejectFor(r.ID, reason, wait, TooLate), nil
 	}
 	e := c.newEntry(now, k, r)
@@ -188,6 +189,9 @@
 	var wait time.Duration
 	if limit := c.limitOf(k.queue.priority); len(c.running) >= limit {
 		before := c.queue.ahead(k.queue, c.lowPriorityInterval()) + 1
+		if c.hasCredit(k.queue.priority) {
+			before = len(k.queue.entries) + 1
+		}
 		if c.opts.Mode == ModeGuard {
 			before += len(c.running) - limit // a limit that has just fallen
 		}
@@ -310,6 +314,7 @@
 		delete(c.queued, e.id)
 		c.running[e.id] = &runningRequest{caller: e.caller, search: e.search, objective: e.objective}
 		e.caller.running++
+		c.addCredit(e.queue.priority)
 		c.stats.Admitted++
 		decisions = append(decisions, Decision{ID: e.id, Outcome: Admitted, Code: code.OK})
 	}
@@ -318,16 +323,12 @@
 
 // nextToRun removes and returns the queued request that may run, or nil if there is none.
 func (c *Controller) nextToRun() *entry {
-	if len(c.running) < c.limit.value() {
+	switch {
+	case c.opts.Mode == ModeGuard:
+		return c.nextGuarded()
+	case len(c.running) < c.limit.value():
 		return c.queue.next(c.lowPriorityInterval())
 	}
-	if c.opts.Mode != ModeGuard {
-		return nil
-	}
-	// Beyond the limit, only the most urgent of the queued requests may run.
-	if top, _ := c.queue.readyClasses(); top >= 0 && len(c.running) < c.limitOf(top) {
-		return c.queue.serve(&c.queue.classes[top])
-	}
 	return nil
 }
 
@@ -343,6 +344,7 @@
 		}
 		c.dequeue(e)
 		c.forget(e.caller)
+		c.recordRejected(e.queue.priority, code.Overloaded)
 		decisions = append(decisions, c.rejectFor(e.id, code.Overloaded, c.queueTime(), Waited))
 	}
 }
@@ -395,6 +397,13 @@
 	return false, 0
 }
 
+// recordRejected records that a request of a priority was rejected.
+func (c *Controller) recordRejected(priority int, reason code.Code) {
+	if g := c.limit.guard; g != nil && reason == code.Overloaded && len(g.priorities) > 0 && priority <= g.priorities[0] {
+		g.urgentRefused = true
+	}
+}
+
 // SetMaxLimit sets the largest limit on requests in progress.
 func (c *Controller) SetMaxLimit(n int) { c.limit.opts.MaxLimit = max(n, 1) }
 
--- a/admission/guard.go
+++ b/admission/guard.go
@@ -25,12 +25,14 @@
 	// maxRefusedFraction is the fraction of sub-requests that full targets refuse above which
 	// the targets are overloaded. Slow targets fill up too, but are few.
 	maxRefusedFraction = 0.15
-	// engageScore is the score at which a limit is set. A window with a high latency adds 1 to
-	// the score, and one with many refusals or a latency above clearFactor times the tolerated
-	// one clearScore; any other window resets it. A pause of this process fills one window.
-	engageScore = 3
-	clearScore  = 2
-	clearFactor = 2
+	// engageScore is the score at which a limit is set. A window with a latency above
+	// engageFactor times the tolerated one adds 1 to the score, and one with many refusals or a
+	// latency above clearFactor times the tolerated one clearScore; any other window resets it.
+	// A pause of this process fills one window, and bursts at 0.8 of the capacity up to three.
+	engageScore  = 4
+	clearScore   = 2
+	clearFactor  = 2
+	engageFactor = 1.3
 	// refusingFraction is the fraction of the requests in progress that full targets have
 	// refused, as maxRefusedFraction says, above which a limit is set at once: the queues of
 	// targets fill within a tenth of a second.
@@ -45,15 +47,22 @@
 	minGuardFactor = 0.7
 	maxGuardFactor = 0.95
 	// An increase is guardIncrease of the limit for no load at all, and at least minGuardStep
-	// requests. As all processes that share targets take the same smallest step up and the same
+	// requests, in guardWindow. As all processes that share targets take the same smallest step up and the same
 	// fraction down, their limits become equal while the targets are overloaded.
 	guardIncrease = 0.3
-	minGuardStep  = 0.5
+	minGuardStep  = 0.4
+	// maxGuardSteps bounds the steps of a window that took longer than guardWindow.
+	maxGuardSteps = 3
+	// reserveStep is what is added to the fraction of the limit that is kept for the more urgent
+	// priorities after a window with rejections of the most urgent one. Otherwise releaseStep is
+	// taken away in guardWindow: the whole in less than 2 s.
+	reserveStep = 0.25
+	releaseStep = 0.06
 	// rateWeight is the weight of one window in the moving average of the throughput.
 	rateWeight = 0.2
 	// urgentHeadroom is the fraction of the limit by which requests of the most urgent priority
 	// may exceed it, so that they need not wait until one of the requests in progress ends.
-	urgentHeadroom = 0.5
+	urgentHeadroom = 2.0
 )
 
 // guard sets a limit on requests in progress only while the targets are overloaded.
@@ -80,6 +89,13 @@
 	refusing int
 	// rate is the moving average of the requests per second that were served.
 	rate float64
+	// reserved is the fraction of the limit that the least urgent priority may not use, and
+	// urgentRefused is true if a request of the most urgent one was rejected in the window.
+	reserved      float64
+	urgentRefused bool
+	// credit is, by priority, the admissions that a less urgent priority may have before more
+	// urgent ones.
+	credit [numPriorities]float64
 	// priorities are those that requests may have, in ascending order.
 	priorities []int
 }
@@ -92,19 +108,61 @@
 	}
 }
 
+// maxCredit bounds the credit of a priority, so that it gains little from the time in which it
+// had no requests.
+const maxCredit = 2
+
+// addCredit records an admission while there is a limit. Options.LowPriorityFraction of the
+// admissions are kept for the less urgent priorities, in equal parts.
+func (c *Controller) addCredit(priority int) {
+	g := c.limit.guard
+	if g == nil || !g.engaged || len(g.priorities) < 2 {
+		return
+	}
+	g.credit[priority] = max(g.credit[priority]-1, -maxCredit)
+	for _, p := range g.priorities[1:] {
+		p = min(max(p, 0), numPriorities-1)
+		g.credit[p] = min(g.credit[p]+c.opts.LowPriorityFraction/float64(len(g.priorities)-1), maxCredit)
+	}
+}
+
+// hasCredit reports whether requests of a priority go before more urgent ones.
+func (c *Controller) hasCredit(priority int) bool {
+	return c.limit.guard != nil && c.limit.guard.credit[priority] >= 1
+}
+
+// nextGuarded returns nextToRun in ModeGuard.
+func (c *Controller) nextGuarded() *entry {
+	top, _ := c.queue.readyClasses()
+	if top < 0 || len(c.running) >= c.limitOf(top) {
+		return nil
+	}
+	for i := top + 1; i < numPriorities; i++ {
+		if class := &c.queue.classes[i]; c.hasCredit(i) && class.queued > 0 {
+			return c.queue.serve(class)
+		}
+	}
+	return c.queue.serve(&c.queue.classes[top])
+}
+
 // limitOf returns the limit on requests in progress up to which requests of a priority start.
 func (c *Controller) limitOf(priority int) int {
 	g := c.limit.guard
 	if g == nil || !g.engaged || len(g.priorities) < 2 {
 		return c.limit.value()
 	}
+	if c.hasCredit(priority) {
+		priority = g.priorities[0]
+	}
 	lower := 0
 	for _, p := range g.priorities {
 		if p > priority {
 			lower++
 		}
 	}
-	return int(math.Ceil(c.limit.limit * (1 + urgentHeadroom*float64(lower)/float64(len(g.priorities)-1))))
+	rank := 1 - float64(lower)/float64(len(g.priorities)-1) // 0 for the most urgent
+	limit := c.limit.limit * (1 + urgentHeadroom*(1-rank)) * (1 - g.reserved*rank)
+	return int(math.Ceil(max(limit, float64(min(c.opts.MinLimit, c.limit.opts.MaxLimit)))))
 }
 
 // GuardStats holds the inputs of the limit for operators.
@@ -175,9 +233,16 @@
 		}
 		return
 	}
+	steps := length.Seconds() / guardWindow.Seconds()
+	if g.urgentRefused {
+		g.reserved = min(g.reserved+reserveStep, 1)
+	} else {
+		g.reserved = max(g.reserved-releaseStep*steps, 0)
+	}
+	g.urgentRefused = false
 	switch {
 	case now.Sub(g.reachedAt) >= releaseAfter:
-		g.engaged, g.score = false, 0
+		g.engaged, g.score, g.reserved = false, 0, 0
 		return
 	case g.load > 1 || g.refused > maxRefusedFraction:
 		if !enough {
@@ -186,7 +251,7 @@
 		l.limit *= min(max(1/g.load, minGuardFactor), maxGuardFactor)
 		g.changedAt = now
 	case g.reached:
-		l.limit += max(minGuardStep, l.limit*guardIncrease*(1-g.load))
+		l.limit += max(minGuardStep, l.limit*guardIncrease*(1-g.load)) * min(steps, maxGuardSteps)
 	}
 	l.boundGuard()
 }
@@ -220,7 +285,7 @@
 
 // assess updates the score of a guard that sets no limit.
 func (g *guard) assess(enough bool) {
-	over, refusing := g.load > 1, g.refused > maxRefusedFraction
+	over, refusing := g.load > engageFactor, g.refused > maxRefusedFraction
 	switch {
 	case !enough:
 	case !over && !refusing:
