Keep room in the limit for callers with little in progress

Cause: under a limit of a few requests a caller with none in progress was refused while another one used the whole limit. Shards with a slow target, which are full at 0.8 of the capacity, could set a limit.

Change: a caller with more than twice its even share of the limit of its priority may not use 0.3 of it. Without a limit, refusals count from 0.3 of the sub-requests.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -169,14 +169,21 @@
 	k := &caller{queue: &callerQueue{priority: min(max(r.Priority, 0), numPriorities-1)}}
 	k.Name = r.Caller
 	c.callers[r.Caller] = k
+	if g := c.limit.guard; g != nil {
+		g.callers[k.queue.priority]++
+	}
 	return k
 }
 
 // forget removes a caller without a contract if none of its requests is queued or
 // running. Without it, the state would grow with the number of callers.
 func (c *Controller) forget(k *caller) {
-	if c.opts.AnyCaller && k.running == 0 && len(k.queue.entries) == 0 {
-		delete(c.callers, k.Name)
+	if !c.opts.AnyCaller || k.running > 0 || len(k.queue.entries) > 0 || c.callers[k.Name] != k {
+		return
+	}
+	delete(c.callers, k.Name)
+	if g := c.limit.guard; g != nil {
+		g.callers[k.queue.priority]--
 	}
 }
 
@@ -187,7 +194,7 @@
 		return true
 	}
 	var wait time.Duration
-	if limit := c.limitOf(k.queue.priority); len(c.running) >= limit {
+	if limit := c.limitOf(k); len(c.running) >= limit {
 		before := c.queue.ahead(k.queue, c.lowPriorityInterval()) + 1
 		if c.hasCredit(k.queue.priority) {
 			before = len(k.queue.entries) + 1
--- a/admission/guard.go
+++ b/admission/guard.go
@@ -25,6 +25,10 @@
 	// maxRefusedFraction is the fraction of sub-requests that full targets refuse above which
 	// the targets are overloaded. Slow targets fill up too, but are few.
 	maxRefusedFraction = 0.15
+	// clearlyRefused replaces maxRefusedFraction while there is no limit. With 15% of the targets
+	// slow, shards with a slow target are full at 0.8 of the capacity, and 14% of the
+	// sub-requests are refused once.
+	clearlyRefused = 0.3
 	// engageScore is the score at which a limit is set. A window with a latency above
 	// engageFactor times the tolerated one adds 1 to the score, and one with many refusals or a
 	// latency above clearFactor times the tolerated one clearScore; any other window resets it.
@@ -34,7 +38,7 @@
 	clearFactor  = 2
 	engageFactor = 1.3
 	// refusingFraction is the fraction of the requests in progress that full targets have
-	// refused, as maxRefusedFraction says, above which a limit is set at once: the queues of
+	// refused, as clearlyRefused says, above which a limit is set at once: the queues of
 	// targets fill within a tenth of a second.
 	refusingFraction = 0.5
 	// usefulFraction is the usual latency of a request at the tolerated latency of its
@@ -89,6 +93,8 @@
 	refusing int
 	// rate is the moving average of the requests per second that were served.
 	rate float64
+	// callers is the number of callers with requests that are queued or running, by priority.
+	callers [numPriorities]int
 	// reserved is the fraction of the limit that the least urgent priority may not use, and
 	// urgentRefused is true if a request of the most urgent one was rejected in the window.
 	reserved      float64
@@ -113,16 +119,18 @@
 const maxCredit = 2
 
 // addCredit records an admission while there is a limit. Options.LowPriorityFraction of the
-// admissions are kept for the less urgent priorities, in equal parts.
+// admissions are kept for the less urgent priorities, the more for the more urgent of them.
 func (c *Controller) addCredit(priority int) {
 	g := c.limit.guard
 	if g == nil || !g.engaged || len(g.priorities) < 2 {
 		return
 	}
 	g.credit[priority] = max(g.credit[priority]-1, -maxCredit)
-	for _, p := range g.priorities[1:] {
+	lower := g.priorities[1:]
+	for i, p := range lower {
 		p = min(max(p, 0), numPriorities-1)
-		g.credit[p] = min(g.credit[p]+c.opts.LowPriorityFraction/float64(len(g.priorities)-1), maxCredit)
+		part := 2 * float64(len(lower)-i) / float64(len(lower)*(len(lower)+1))
+		g.credit[p] = min(g.credit[p]+c.opts.LowPriorityFraction*part, maxCredit)
 	}
 }
 
@@ -131,22 +139,47 @@
 	return c.limit.guard != nil && c.limit.guard.credit[priority] >= 1
 }
 
-// nextGuarded returns nextToRun in ModeGuard.
+// nextGuarded returns nextToRun in ModeGuard: of the requests that are within the limits of their
+// priorities and callers, one of a priority with credit, or else of the most urgent one.
 func (c *Controller) nextGuarded() *entry {
-	top, _ := c.queue.readyClasses()
-	if top < 0 || len(c.running) >= c.limitOf(top) {
+	var next *callerQueue
+	for i := range c.queue.classes {
+		if next != nil && !c.hasCredit(i) {
+			continue
+		}
+		if cq := c.nextOfClass(&c.queue.classes[i]); cq != nil {
+			if next = cq; c.hasCredit(i) {
+				break
+			}
+		}
+	}
+	if next == nil {
 		return nil
 	}
-	for i := top + 1; i < numPriorities; i++ {
-		if class := &c.queue.classes[i]; c.hasCredit(i) && class.queued > 0 {
-			return c.queue.serve(class)
+	return c.queue.serveFrom(next)
+}
+
+// nextOfClass returns the queue to serve next of those within their limits, or nil.
+func (c *Controller) nextOfClass(class *priorityClass) *callerQueue {
+	var next *callerQueue
+	for _, cq := range class.active {
+		if (next == nil || cq.virtualTime < next.virtualTime) && len(c.running) < c.limitOf(cq.entries[0].caller) {
+			next = cq
 		}
 	}
-	return c.queue.serve(&c.queue.classes[top])
+	return next
 }
 
-// limitOf returns the limit on requests in progress up to which requests of a priority start.
-func (c *Controller) limitOf(priority int) int {
+// greedyReserve is the fraction of the limit that callers may not use that have more than
+// greedyShares even shares of it: the requests of others need not wait until one of theirs ends.
+const (
+	greedyReserve = 0.3
+	greedyShares  = 2
+)
+
+// limitOf returns the limit on requests in progress up to which requests of a caller start.
+func (c *Controller) limitOf(k *caller) int {
+	priority := k.queue.priority
 	g := c.limit.guard
 	if g == nil || !g.engaged || len(g.priorities) < 2 {
 		return c.limit.value()
@@ -162,6 +195,9 @@
 	}
 	rank := 1 - float64(lower)/float64(len(g.priorities)-1) // 0 for the most urgent
 	limit := c.limit.limit * (1 + urgentHeadroom*(1-rank)) * (1 - g.reserved*rank)
+	if share := limit / float64(g.callers[k.queue.priority]); float64(k.running) > greedyShares*max(share, 1) {
+		limit *= 1 - greedyReserve
+	}
 	return int(math.Ceil(max(limit, float64(min(c.opts.MinLimit, c.limit.opts.MaxLimit)))))
 }
 
@@ -269,7 +305,7 @@
 // request in progress.
 func (c *Controller) Refused(now time.Time, id uint64, fraction float64) {
 	g, r := c.limit.guard, c.running[id]
-	if g == nil || r == nil || r.refusing || fraction <= maxRefusedFraction {
+	if g == nil || r == nil || r.refusing || fraction <= clearlyRefused {
 		return
 	}
 	r.refusing = true
@@ -285,7 +321,7 @@
 
 // assess updates the score of a guard that sets no limit.
 func (g *guard) assess(enough bool) {
-	over, refusing := g.load > engageFactor, g.refused > maxRefusedFraction
+	over, refusing := g.load > engageFactor, g.refused > clearlyRefused
 	switch {
 	case !enough:
 	case !over && !refusing:
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -167,9 +167,11 @@
 }
 
 // serve removes and returns the first request of the class's next queue.
-func (q *queue) serve(c *priorityClass) *entry {
-	cq := c.nextQueue()
-	e := cq.entries[0]
+func (q *queue) serve(c *priorityClass) *entry { return q.serveFrom(c.nextQueue()) }
+
+// serveFrom removes and returns the first request of a queue.
+func (q *queue) serveFrom(cq *callerQueue) *entry {
+	c, e := &q.classes[cq.priority], cq.entries[0]
 	c.virtualTime = max(c.virtualTime, cq.virtualTime)
 	cq.virtualTime = c.virtualTime + 1
 	q.remove(e)
--- a/forward/admission.go
+++ b/forward/admission.go
@@ -38,8 +38,12 @@
 	// group, and refusalLogBurst their number beyond that.
 	refusalLogInterval = 50 * time.Millisecond
 	refusalLogBurst    = 50
-	// maxMedianShards bounds the shards that the median latency of a request is taken over.
-	maxMedianShards = 33
+	// latencyDivisor selects the latency of a request's sub-requests that tells overload: a third
+	// of them are faster. With 15% of the targets slow, 39% of the shards have a slow one of
+	// three, and the median would rise with them.
+	latencyDivisor = 2
+	// maxSampledShards bounds the shards that this latency is taken over.
+	maxSampledShards = 33
 )
 
 // admissionGroups holds the groups of routes whose requests have different priorities.
@@ -295,7 +299,7 @@
 	}
 	now := time.Now()
 	result := admission.Result{
-		OK: resp.Status < http.StatusInternalServerError, Latency: now.Sub(a.at), SubRequestLatency: r.medianLatency(now),
+		OK: resp.Status < http.StatusInternalServerError, Latency: now.Sub(a.at), SubRequestLatency: r.usualLatency(now),
 		RefusedFraction: float64(r.refusedShards) / float64(len(r.services)), ServedFraction: float64(r.plan.Responses()) / float64(len(r.services)),
 	}
 	leftEarly := resp.Status == statusCallerDisconnected && result.Latency < LatencyObjective(r.req.Route)/2
@@ -307,12 +311,12 @@
 	})
 }
 
-// medianLatency returns the median time from the first attempt at a shard to its response, or
-// until now if there is none yet, over at most maxMedianShards of the shards.
-func (r *activeRequest) medianLatency(now time.Time) time.Duration {
-	var buf [maxMedianShards]time.Duration
+// usualLatency returns the time from the first attempt at a shard to its response, or until now if
+// there is none yet, that latencyDivisor selects among at most maxSampledShards of the shards.
+func (r *activeRequest) usualLatency(now time.Time) time.Duration {
+	var buf [maxSampledShards]time.Duration
 	latencies := buf[:0]
-	step := (len(r.services) + maxMedianShards - 1) / maxMedianShards
+	step := (len(r.services) + maxSampledShards - 1) / maxSampledShards
 	for i := 0; i < len(r.services); i += step {
 		switch {
 		case r.firstSentAt[i].IsZero():
@@ -326,7 +330,7 @@
 		return 0
 	}
 	slices.Sort(latencies)
-	return latencies[len(latencies)/2]
+	return latencies[len(latencies)/latencyDivisor]
 }
 
 // recordRefused counts a shard the first time that a target refuses an attempt at it.
