Let urgent requests start beside the overhang of less urgent ones

Cause: when a limit is set, many requests of all priorities are in progress, and urgent ones were refused until these had ended. While many shards are overloaded but most are fast, requests failed for lack of coverage and the limit stayed. Slow targets in 39% of the shards raised the median and set a limit.

Change: requests in progress that are less urgent do not count against the limit of a request. Under a limit, failed and late requests lower it. A limit is set only if the latency that a third of the sub-requests stay below is high as well.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -170,9 +170,13 @@
 	// limit follows it rather than Latency, so that waiting for unavailable
 	// shards is not taken for overload. Zero means Latency.
 	SubRequestLatency time.Duration
+	// FasterLatency is like SubRequestLatency, but a third of the sub-requests are faster. A
+	// limit is set only if it is high too: shards with a slow target raise it last. Zero means
+	// SubRequestLatency.
+	FasterLatency time.Duration
 	// RefusedFraction is the fraction, from 0 to 1, of the sub-requests that a full target
 	// refused at least once, and ServedFraction that of the sub-requests with a response.
-	// Both are used in ModeGuard only.
+	// These and FasterLatency are used in ModeGuard only.
 	RefusedFraction float64
 	ServedFraction  float64
 }
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -194,15 +194,12 @@
 		return true
 	}
 	var wait time.Duration
-	if limit := c.limitOf(k); len(c.running) >= limit {
+	if room, excess, limit := c.hasRoom(k); !room {
 		before := c.queue.ahead(k.queue, c.lowPriorityInterval()) + 1
 		if c.hasCredit(k.queue.priority) {
 			before = len(k.queue.entries) + 1
 		}
-		if c.opts.Mode == ModeGuard {
-			before += len(c.running) - limit // a limit that has just fallen
-		}
-		wait = c.limit.wait(before, limit)
+		wait = c.limit.wait(before+excess, limit)
 	}
 	if !k.hasCapacity() {
 		wait = max(wait, c.limit.wait(len(k.queue.entries)+1, k.Concurrency))
@@ -287,8 +284,11 @@
 func (c *Controller) stopRunning(id uint64, r *runningRequest) {
 	delete(c.running, id)
 	r.caller.running--
-	if r.refusing {
-		c.limit.guard.refusing--
+	if g := c.limit.guard; g != nil {
+		g.running[r.caller.queue.priority]--
+		if r.refusing {
+			g.refusing--
+		}
 	}
 }
 
@@ -321,6 +321,9 @@
 		delete(c.queued, e.id)
 		c.running[e.id] = &runningRequest{caller: e.caller, search: e.search, objective: e.objective}
 		e.caller.running++
+		if g := c.limit.guard; g != nil {
+			g.running[e.queue.priority]++
+		}
 		c.addCredit(e.queue.priority)
 		c.stats.Admitted++
 		decisions = append(decisions, Decision{ID: e.id, Outcome: Admitted, Code: code.OK})
--- a/admission/guard.go
+++ b/admission/guard.go
@@ -50,6 +50,11 @@
 	// Bounds of the change of the limit in one window.
 	minGuardFactor = 0.7
 	maxGuardFactor = 0.95
+	// maxFailing is the fraction of requests that fail or are late above which the limit is
+	// multiplied by failingFactor although most shards are fast: more shards are overloaded than
+	// a response may leave out. It sets no limit: lost or slow shards have the same effect.
+	maxFailing    = 0.25
+	failingFactor = 0.85
 	// An increase is guardIncrease of the limit for no load at all, and at least minGuardStep
 	// requests, in guardWindow. As all processes that share targets take the same smallest step up and the same
 	// fraction down, their limits become equal while the targets are overloaded.
@@ -66,7 +71,7 @@
 	rateWeight = 0.2
 	// urgentHeadroom is the fraction of the limit by which requests of the most urgent priority
 	// may exceed it, so that they need not wait until one of the requests in progress ends.
-	urgentHeadroom = 2.0
+	urgentHeadroom = 1.0
 )
 
 // guard sets a limit on requests in progress only while the targets are overloaded.
@@ -76,6 +81,7 @@
 	// samples, served and refusedSum are of the requests that ended in the window.
 	windowStart time.Time
 	samples     int
+	failed      int
 	served      float64
 	refusedSum  float64
 	// reached is true if the limit was reached in the window, and reachedAt when it was last.
@@ -86,8 +92,11 @@
 	changedAt time.Time
 	// load is the ratio of the measured to the tolerated latency in the last window, and
 	// refused the fraction of sub-requests that full targets refused.
-	load    float64
-	refused float64
+	// fasterLoad is like load for Result.FasterLatency.
+	load       float64
+	fasterLoad float64
+	refused    float64
+	failing    float64 // the fraction of requests that failed or were late
 	engages uint64
 	// refusing is the number of requests in progress that Refused has recorded.
 	refusing int
@@ -95,6 +104,8 @@
 	rate float64
 	// callers is the number of callers with requests that are queued or running, by priority.
 	callers [numPriorities]int
+	// running is the number of requests in progress, by priority.
+	running [numPriorities]int
 	// reserved is the fraction of the limit that the least urgent priority may not use, and
 	// urgentRefused is true if a request of the most urgent one was rejected in the window.
 	reserved      float64
@@ -159,11 +170,33 @@
 	return c.queue.serveFrom(next)
 }
 
+// hasRoom reports whether a request of a caller may start. Requests in progress that are less
+// urgent do not count: they are more than the limit allows only until they end.
+func (c *Controller) hasRoom(k *caller) (room bool, excess, limit int) {
+	g := c.limit.guard
+	if g == nil {
+		limit = c.limit.value()
+		return len(c.running) < limit, 0, limit
+	}
+	running := 0
+	for _, n := range g.running[:k.queue.priority+1] {
+		running += n
+	}
+	if c.hasCredit(k.queue.priority) {
+		running = g.running[k.queue.priority]
+	}
+	limit = c.limitOf(k)
+	return running < limit, max(running-limit, 0), limit
+}
+
 // nextOfClass returns the queue to serve next of those within their limits, or nil.
 func (c *Controller) nextOfClass(class *priorityClass) *callerQueue {
 	var next *callerQueue
 	for _, cq := range class.active {
-		if (next == nil || cq.virtualTime < next.virtualTime) && len(c.running) < c.limitOf(cq.entries[0].caller) {
+		if next != nil && cq.virtualTime >= next.virtualTime {
+			continue
+		}
+		if room, _, _ := c.hasRoom(cq.entries[0].caller); room {
 			next = cq
 		}
 	}
@@ -233,12 +266,19 @@
 	if !now.Add(-r.Latency).Before(g.changedAt) {
 		g.samples++
 		g.refusedSum += r.RefusedFraction
+		if !r.OK || r.Latency > request.objective {
+			g.failed++
+		}
 		latency := float64(r.subRequestLatency())
 		// The median of a request that ended before half of its sub-requests is only a lower
 		// bound: it tells nothing if it is low.
 		known := r.ServedFraction >= 0.5 || (s.baseline > 0 && latency > s.tolerated())
 		if known && len(s.window) < maxGuardSamples {
 			s.window = append(s.window, latency)
+			if r.FasterLatency > 0 {
+				latency = float64(r.FasterLatency)
+			}
+			s.faster = append(s.faster, latency)
 		}
 	}
 	length := now.Sub(g.windowStart)
@@ -248,7 +288,7 @@
 	if g.samples > 0 {
 		l.adaptGuard(now, length)
 	}
-	g.windowStart, g.samples, g.served, g.refusedSum, g.reached = now, 0, 0, 0, false
+	g.windowStart, g.samples, g.failed, g.served, g.refusedSum, g.reached = now, 0, 0, 0, 0, false
 }
 
 // adaptGuard sets, changes or lifts the limit at the end of a window.
@@ -258,6 +298,7 @@
 	var objective float64
 	g.load, objective = l.guardLoad()
 	g.refused = g.refusedSum / float64(g.samples)
+	g.failing = float64(g.failed) / float64(g.samples)
 	// inProgress is the number of requests in progress if each took its whole objective.
 	rate := g.served / length.Seconds()
 	g.rate += rateWeight * (rate - g.rate)
@@ -286,6 +327,9 @@
 		}
 		l.limit *= min(max(1/g.load, minGuardFactor), maxGuardFactor)
 		g.changedAt = now
+	case g.failing > maxFailing:
+		l.limit *= failingFactor
+		g.changedAt = now
 	case g.reached:
 		l.limit += max(minGuardStep, l.limit*guardIncrease*(1-g.load)) * min(steps, maxGuardSteps)
 	}
@@ -321,13 +365,13 @@
 
 // assess updates the score of a guard that sets no limit.
 func (g *guard) assess(enough bool) {
-	over, refusing := g.load > engageFactor, g.refused > clearlyRefused
+	over, refusing := g.load > engageFactor && g.fasterLoad > 1, g.refused > clearlyRefused
 	switch {
 	case !enough:
 	case !over && !refusing:
 		g.score = 0
 	default:
-		if refusing || g.load > clearFactor {
+		if refusing || min(g.load, g.fasterLoad) > clearFactor {
 			g.score += clearScore
 		} else {
 			g.score++
@@ -340,6 +384,7 @@
 // without load and resets the windows of the searches.
 func (l *limiter) guardLoad() (load, objective float64) {
 	samples := 0.0
+	l.guard.fasterLoad = 0
 	for _, s := range l.searches {
 		n := float64(len(s.window))
 		if n == 0 {
@@ -357,12 +402,16 @@
 		}
 		load += n * median / s.tolerated()
 		objective += n * s.objective
+		slices.Sort(s.faster)
+		l.guard.fasterLoad += n * s.faster[len(s.faster)/2] / s.tolerated()
+		s.faster = s.faster[:0]
 		samples += n
 		s.window = s.window[:0]
 	}
 	if samples == 0 {
 		return 1, 0
 	}
+	l.guard.fasterLoad /= samples
 	return load / samples, objective / samples
 }
 
--- a/admission/limit.go
+++ b/admission/limit.go
@@ -60,9 +60,10 @@
 	baseline      float64
 	windowSum     float64
 	windowSamples int
-	// window holds the sub-request latencies of the window in ModeGuard, and objective the
-	// latency objective.
+	// window and faster hold Result.SubRequestLatency and Result.FasterLatency of the requests
+	// of the window in ModeGuard. objective is the latency objective.
 	window    []float64
+	faster    []float64
 	objective float64
 }
 
--- a/forward/admission.go
+++ b/forward/admission.go
@@ -38,11 +38,7 @@
 	// group, and refusalLogBurst their number beyond that.
 	refusalLogInterval = 50 * time.Millisecond
 	refusalLogBurst    = 50
-	// latencyDivisor selects the latency of a request's sub-requests that tells overload: a third
-	// of them are faster. With 15% of the targets slow, 39% of the shards have a slow one of
-	// three, and the median would rise with them.
-	latencyDivisor = 2
-	// maxSampledShards bounds the shards that this latency is taken over.
+	// maxSampledShards bounds the shards that the latencies of a request are taken over.
 	maxSampledShards = 33
 )
 
@@ -298,8 +294,9 @@
 		return
 	}
 	now := time.Now()
+	median, faster := r.latencies(now)
 	result := admission.Result{
-		OK: resp.Status < http.StatusInternalServerError, Latency: now.Sub(a.at), SubRequestLatency: r.usualLatency(now),
+		OK: resp.Status < http.StatusInternalServerError, Latency: now.Sub(a.at), SubRequestLatency: median, FasterLatency: faster,
 		RefusedFraction: float64(r.refusedShards) / float64(len(r.services)), ServedFraction: float64(r.plan.Responses()) / float64(len(r.services)),
 	}
 	leftEarly := resp.Status == statusCallerDisconnected && result.Latency < LatencyObjective(r.req.Route)/2
@@ -311,9 +308,10 @@
 	})
 }
 
-// usualLatency returns the time from the first attempt at a shard to its response, or until now if
-// there is none yet, that latencyDivisor selects among at most maxSampledShards of the shards.
-func (r *activeRequest) usualLatency(now time.Time) time.Duration {
+// latencies returns the median time from the first attempt at a shard to its response, or until now
+// if there is none yet, and the time than which a third of the shards are faster. They are taken
+// over at most maxSampledShards of the shards.
+func (r *activeRequest) latencies(now time.Time) (median, faster time.Duration) {
 	var buf [maxSampledShards]time.Duration
 	latencies := buf[:0]
 	step := (len(r.services) + maxSampledShards - 1) / maxSampledShards
@@ -327,10 +325,10 @@
 		}
 	}
 	if len(latencies) == 0 {
-		return 0
+		return 0, 0
 	}
 	slices.Sort(latencies)
-	return latencies[len(latencies)/latencyDivisor]
+	return latencies[len(latencies)/2], latencies[len(latencies)/3]
 }
 
 // recordRefused counts a shard the first time that a target refuses an attempt at it.
