--- a/admission/guard.go
+++ b/admission/guard.go
@@ -36,7 +36,7 @@
 	engageScore  = 4
 	clearScore   = 2
 	clearFactor  = 2
-	engageFactor = 1.3
+	engageFactor = 1.5
 	// refusingFraction is the fraction of the requests in progress that full targets have
 	// refused, as clearlyRefused says, above which a limit is set at once: the queues of
 	// targets fill within a tenth of a second.
@@ -52,12 +52,12 @@
 	maxGuardFactor = 0.95
 	// maxFailing is the fraction of requests that fail or are late above which the limit is
 	// multiplied by failingFactor although most shards are fast: more shards are overloaded than
-	// a response may leave out. It sets no limit: lost or slow shards have the same effect.
+	// a response may leave out. It sets no limit: lost and slow targets have the same effect.
 	maxFailing    = 0.25
 	failingFactor = 0.85
-	// An increase is guardIncrease of the limit for no load at all, and at least minGuardStep
-	// requests, in guardWindow. As all processes that share targets take the same smallest step up and the same
-	// fraction down, their limits become equal while the targets are overloaded.
+	// In guardWindow, an increase is guardIncrease of the limit for no load at all, and at least
+	// minGuardStep requests. As all processes that share targets take the same smallest step up
+	// and the same fraction down, their limits become equal while the targets are overloaded.
 	guardIncrease = 0.3
 	minGuardStep  = 0.4
 	// maxGuardSteps bounds the steps of a window that took longer than guardWindow.
@@ -78,7 +78,7 @@
 type guard struct {
 	engaged bool
 	score   int
-	// samples, served and refusedSum are of the requests that ended in the window.
+	// samples, failed, served and refusedSum are of the requests that ended in the window.
 	windowStart time.Time
 	samples     int
 	failed      int
@@ -97,7 +97,7 @@
 	fasterLoad float64
 	refused    float64
 	failing    float64 // the fraction of requests that failed or were late
-	engages uint64
+	engages    uint64
 	// refusing is the number of requests in progress that Refused has recorded.
 	refusing int
 	// rate is the moving average of the requests per second that were served.
@@ -120,9 +120,15 @@
 // SetPriorities sets the priorities that requests may have, in ascending order. In ModeGuard
 // the more urgent ones may exceed the limit on requests in progress to some extent.
 func (c *Controller) SetPriorities(priorities []int) {
-	if c.limit.guard != nil {
-		c.limit.guard.priorities = priorities
+	g := c.limit.guard
+	if g == nil {
+		return
+	}
+	g.priorities = nil
+	for _, p := range priorities {
+		g.priorities = append(g.priorities, min(max(p, 0), numPriorities-1))
 	}
+	g.priorities = slices.Compact(g.priorities)
 }
 
 // maxCredit bounds the credit of a priority, so that it gains little from the time in which it
@@ -139,7 +145,6 @@
 	g.credit[priority] = max(g.credit[priority]-1, -maxCredit)
 	lower := g.priorities[1:]
 	for i, p := range lower {
-		p = min(max(p, 0), numPriorities-1)
 		part := 2 * float64(len(lower)-i) / float64(len(lower)*(len(lower)+1))
 		g.credit[p] = min(g.credit[p]+c.opts.LowPriorityFraction*part, maxCredit)
 	}
--- a/entry/gather_test.go
+++ b/entry/gather_test.go
@@ -167,3 +167,20 @@
 		t.Error("a request that exceeds a frame was taken")
 	}
 }
+
+// A peer that gathers refuses a request as its targets are overloaded: the caller must get this
+// response, and neither the direct path nor another peer may be tried, which would add load.
+func TestRefusalForOverloadReachesTheCaller(t *testing.T) {
+	queries := 0
+	g := newTestGatherer(peerFunc(func(context.Context, wire.Query) (wire.QueryResponse, error) {
+		queries++
+		return wire.QueryResponse{Status: http.StatusServiceUnavailable, Reason: forward.ReasonOverloaded, RetryAfterMicros: 300_000}, nil
+	}))
+	resp, ok := gather(context.Background(), g)
+	if !ok || queries != 1 || resp.Status != http.StatusServiceUnavailable || resp.RetryAfter != 300*time.Millisecond || resp.Reason != forward.ReasonOverloaded {
+		t.Errorf("response %+v, served %v, after %d queries; want the refusal of the peer after one", resp, ok, queries)
+	}
+	if n := g.p.metrics.delegated.Get("overloaded"); n == nil || n.String() != "1" {
+		t.Errorf("%v refusals for overload are counted, want 1", n)
+	}
+}
