Keep requests at gatherers that are full while overload begins

Cause: a gatherer that is full in the first tenths of a second of an overload sent requests back to the direct path, and was avoided for a while, although a limit was about to decide on them. A request after its deadline was told that the targets are overloaded.

Change: with signs of overload, a full gatherer keeps requests of routes with admission. Requests after their deadlines pass admission by and fail as before.

The effect on callers in a large fleet is not measured.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -407,6 +407,13 @@
 	return false, 0
 }
 
+// MayBeOverloaded reports whether ModeGuard limits requests, or has seen signs of overload that
+// may lead to a limit within a few windows.
+func (c *Controller) MayBeOverloaded() bool {
+	g := c.limit.guard
+	return g != nil && (g.engaged || g.score > 0 || g.refusing >= minGuardSamples)
+}
+
 // recordRejected records that a request of a priority was rejected.
 func (c *Controller) recordRejected(priority int, reason code.Code) {
 	if g := c.limit.guard; g != nil && reason == code.Overloaded && len(g.priorities) > 0 && priority <= g.priorities[0] {
--- a/entry/gather.go
+++ b/entry/gather.go
@@ -293,7 +293,7 @@
 	shards := int64(len(req.Services()))
 	before := g.gathered.Add(shards) - shards
 	defer g.gathered.Add(-shards)
-	if before > 0 && before+shards > int64(maxGathered(g.p.settings.Capacity)) && !g.p.engine.Limited(req.Route) {
+	if before > 0 && before+shards > int64(maxGathered(g.p.settings.Capacity)) && !g.p.engine.MayBeOverloaded(req.Route) {
 		return wire.QueryResponse{Refused: "too many requests of peers"}
 	}
 	return queryResponse(req, g.p.engine.Do(ctx, req))
--- a/forward/admission.go
+++ b/forward/admission.go
@@ -144,17 +144,16 @@
 	return nil
 }
 
-// Limited reports whether requests to the route are limited because its targets are
-// overloaded.
-func (e *Engine) Limited(route *catalog.Route) bool {
+// MayBeOverloaded reports whether requests to the route are limited because its targets are
+// overloaded, or will be soon if they stay as they are.
+func (e *Engine) MayBeOverloaded(route *catalog.Route) bool {
 	g := e.admissionGroupOf(route)
 	if g == nil {
 		return false
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	limited, _ := g.controller.Overloaded()
-	return limited
+	return g.controller.MayBeOverloaded()
 }
 
 // admittedRequest is a request that was admitted; the zero value is one that needs no
@@ -169,10 +168,10 @@
 // final, and no target has run the request.
 func (e *Engine) admit(ctx context.Context, req *Request) (a admittedRequest, resp Response, ok bool) {
 	g := e.admissionGroupOf(req.Route)
-	if g == nil {
+	now := time.Now()
+	if g == nil || !now.Before(req.Call.Deadline) { // the latter sends nothing
 		return admittedRequest{}, Response{}, true
 	}
-	now := time.Now()
 	r := admissionRequest(req)
 	g.mu.Lock()
 	g.lastID++
--- a/forward/admission_test.go
+++ b/forward/admission_test.go
@@ -30,7 +30,7 @@
 }
 
 func newAdmissionEngine() *Engine {
-	return New(Options{Logger: slog.New(slog.DiscardHandler), Pool: upstream.New(upstream.Options{})})
+	return New(Options{Logger: slog.New(slog.DiscardHandler), Pool: upstream.New(upstream.Options{Codec: noCodec{}})})
 }
 
 // In fleets whose requests have one priority, admission must not exist. Routes that share no
@@ -103,7 +103,7 @@
 	g := e.admissionGroupOf(low)
 	overload(g)
 	e.SetView(viewOf(2, nil, sharded("a", 0, "s1", "s2"), low))
-	if !e.Limited(low) || e.admissionGroupOf(low) != g {
+	if !e.MayBeOverloaded(low) || e.admissionGroupOf(low) != g {
 		t.Fatal("the state of the group was lost with a new version")
 	}
 	var wg sync.WaitGroup
@@ -148,3 +148,16 @@
 		})
 	}
 }
+
+// A request whose deadline has passed on its way must get the response that it gets without
+// admission: it is not refused for an overload that there is not.
+func TestRequestAfterItsDeadlineIsNotRefusedForOverload(t *testing.T) {
+	e := newAdmissionEngine()
+	route, low := sharded("a", 0, "s1"), sharded("b", 3, "s1")
+	e.SetView(viewOf(1, nil, route, low))
+	now := time.Now()
+	resp := e.Do(context.Background(), &Request{Call: &upstream.Call{ID: "1", Deadline: now.Add(-time.Millisecond)}, Route: low, ReceivedAt: now.Add(-time.Second)})
+	if resp.Reason == ReasonOverloaded || resp.Status < http.StatusInternalServerError {
+		t.Errorf("response %+v, want a failure for another reason", resp)
+	}
+}
