--- a/admission/queue.go
+++ b/admission/queue.go
@@ -14,6 +14,8 @@
 	id     uint64
 	caller *caller
 	search string
+	// objective is Request.Objective.
+	objective time.Duration
 	// startBy is the time before which the request must start to meet its
 	// deadline, or in ModeFIFO the time of its arrival. Entries of a callerQueue
 	// are ordered by it.
@@ -165,9 +167,11 @@
 }
 
 // serve removes and returns the first request of the class's next queue.
-func (q *queue) serve(c *priorityClass) *entry {
-	cq := c.nextQueue()
-	e := cq.entries[0]
+func (q *queue) serve(c *priorityClass) *entry { return q.serveFrom(c.nextQueue()) }
+
+// serveFrom removes and returns the first request of a queue.
+func (q *queue) serveFrom(cq *callerQueue) *entry {
+	c, e := &q.classes[cq.priority], cq.entries[0]
 	c.virtualTime = max(c.virtualTime, cq.virtualTime)
 	cq.virtualTime = c.virtualTime + 1
 	q.remove(e)
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -63,6 +63,7 @@
 	expvar.Publish("learned_capacity", expvar.Func(func() any { return p.pool.CapacityStats(time.Now()) }))
 	expvar.Publish("requests_over_quota", expvar.Func(func() any { return p.quotas.counts().OverQuota }))
 	expvar.Publish("quota_requests", expvar.Func(func() any { return p.quotas.counts() }))
+	expvar.Publish("admission", expvar.Func(func() any { return p.engine.AdmissionState() }))
 	expvar.Publish("state", expvar.Func(p.state))
 }
 
@@ -70,6 +71,7 @@
 
 var delegationNames = map[delegate.Result]string{
 	delegate.Responded: "answered", delegate.Refused: "refused", delegate.Lost: "lost", delegate.Late: "late", delegate.Canceled: "caller left",
+	delegate.Overloaded: "overloaded",
 }
 
 func (m *metrics) observeDelegation(result delegate.Result) {
