Lower the limit of overloaded targets by the worst class

Change: the load of a window is that of the search with the worst ratio to its tolerated latency, if it has three samples.

--- a/admission/guard.go
+++ b/admission/guard.go
@@ -13,6 +13,8 @@
 	guardWindow     = 100 * time.Millisecond
 	minGuardSamples = 6
 	maxGuardWindow  = time.Second
+	// minSearchSamples is the number of samples from which one search determines the load.
+	minSearchSamples = 3
 	// maxGuardSamples bounds the latencies that are kept of one search in a window.
 	maxGuardSamples = 256
 	// toleratedFraction is the tolerated median latency of sub-requests as a fraction of the
@@ -384,11 +386,13 @@
 	}
 }
 
-// guardLoad returns the ratio of the window's median latencies to the tolerated ones, and
-// the mean objective, both weighted by the samples of each search. It updates the latencies
-// without load and resets the windows of the searches.
+// guardLoad returns the ratio of the window's median latencies to the tolerated ones, that of
+// the worst search or the mean, whichever is higher, and the mean objective, both weighted by
+// the samples of each search. Searches with a short objective are late first, and the mean
+// would hide them if they are few. It updates the latencies without load and resets the
+// windows of the searches.
 func (l *limiter) guardLoad() (load, objective float64) {
-	samples := 0.0
+	samples, worst := 0.0, 0.0
 	l.guard.fasterLoad = 0
 	for _, s := range l.searches {
 		n := float64(len(s.window))
@@ -406,6 +410,9 @@
 			s.baseline = min(median, s.baseline)
 		}
 		load += n * median / s.tolerated()
+		if n >= minSearchSamples {
+			worst = max(worst, median/s.tolerated())
+		}
 		objective += n * s.objective
 		slices.Sort(s.faster)
 		l.guard.fasterLoad += n * s.faster[len(s.faster)/2] / s.tolerated()
@@ -417,7 +424,7 @@
 		return 1, 0
 	}
 	l.guard.fasterLoad /= samples
-	return load / samples, objective / samples
+	return max(load/samples, worst), objective / samples
 }
 
 // tolerated returns the median latency of sub-requests above which the targets count as
