--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 # Runs each fuzz test for a fixed number of inputs.
 FUZZ_INPUTS ?= 20000x
 fuzz:
-	for f in $$(grep -rl --include='*_test.go' '^func Fuzz' . | xargs -n1 dirname | sort -u); do \
+	for f in $$(grep -rl --include='*_test.go' --exclude-dir=target '^func Fuzz' . | xargs -n1 dirname | sort -u); do \
 		for name in $$(grep -ho '^func Fuzz[A-Za-z]*' $$f/*_test.go | cut -d' ' -f2); do \
 			go test -run '^$$' -fuzz "^$$name$$" -fuzztime $(FUZZ_INPUTS) ./$$f || exit 1; \
 		done; \
