--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -273,6 +273,9 @@
 		}
 		l.accounts[id] = a
 	}
+	if a.name == "" {
+		a.name = name // a coordinator told of the organisation before its first request
+	}
 	if a.limit != limit {
 		a.limit, a.holdUntil = limit, time.Time{}
 		a.free = min(a.free, l.freeCapacity(limit))
