Explain the quota and admission of a request

Cause: gcmuxctl explain did not tell what quotas and admission decide, as they were built at the same time. The state of quotas also used a name of the platform, which TestPlatformNamesOccurOnlyInAdapter rejects.

Change: two steps, quota and admission, and the field is called rate.

Measured: TestExplanationShowsUseOfQuota and TestExplainingChangesNothing pass; TestPlatformNamesOccurOnlyInAdapter failed before and passes.

--- a/entry/explain.go
+++ b/entry/explain.go
@@ -12,10 +12,6 @@
 	"github.com/juju/errors"
 )
 
-// explainers are the components, in the order in which they decide on a request, that decide
-// between its authentication and its path. They must not change any state.
-var explainers []func(p *process, q *explainedRequest) explain.Step
-
 // explainedRequest is what explainers are told about a request.
 type explainedRequest struct {
 	now          time.Time
--- a/entry/explain_test.go
+++ b/entry/explain_test.go
@@ -16,6 +16,7 @@
 	"github.com/goldcrestmux/goldcrestmux/catalog"
 	"github.com/goldcrestmux/goldcrestmux/explain"
 	"github.com/goldcrestmux/goldcrestmux/follow"
+	"github.com/goldcrestmux/goldcrestmux/quota"
 )
 
 // listedSource lists a configuration and targets, and then has no changes.
@@ -189,3 +190,25 @@
 		t.Errorf("steps %+v", e.Steps)
 	}
 }
+
+// Guards against explanations that leave out the use of a quota, or that count as use.
+func TestExplanationShowsUseOfQuota(t *testing.T) {
+	p := followingProcess(t)
+	now := time.Now()
+	p.quotas = newQuotas(&Settings{Name: "p", Quota: quota.DefaultBounds}, now, slog.New(slog.DiscardHandler))
+	q := &explainedRequest{now: now, organisation: &catalog.Organisation{Name: "alpha", Rate: 5, Burst: 5}, route: &catalog.Route{Name: "one"}}
+	if s := explainQuota(p, q); s.Facts != nil {
+		t.Errorf("step %+v before the first request", s)
+	}
+	p.quotas.mu.Lock()
+	p.quotas.limiter.Admit(now, "alpha", quota.Limit{Rate: 5, Burst: 5})
+	p.quotas.mu.Unlock()
+	for range 2 {
+		if s := explainQuota(p, q); s.Facts["mode"] != "open" || s.Facts["refused"] != uint64(0) {
+			t.Errorf("step %+v after the first request", s)
+		}
+	}
+	if s := explainAdmission(p, q); s.Name != "admission" || s.Outcome == "" {
+		t.Errorf("step %+v", s)
+	}
+}
--- a/entry/quota.go
+++ b/entry/quota.go
@@ -319,6 +319,13 @@
 	return q.limiter.State(time.Now(), quotaStateSize)
 }
 
+// organisation returns the state of one organisation, and whether it has been used here of late.
+func (q *quotas) organisation(now time.Time, name string) (quota.OrganisationState, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.limiter.Organisation(now, name)
+}
+
 // updateQuotaFleet tells the quotas what is known of the fleet.
 func (p *process) updateQuotaFleet(now time.Time) {
 	if p.peers == nil {
--- a/quota/state.go
+++ b/quota/state.go
@@ -21,7 +21,7 @@
 // OrganisationState is the state of one organisation at a process.
 type OrganisationState struct {
 	Name        string  `json:"name"`
-	Rate        float64 `json:"rate_per_s"`
+	Rate        float64 `json:"rate"`
 	Burst       float64 `json:"burst"`
 	Mode        string  `json:"mode"`
 	Window      uint64  `json:"admitted_in_window"`
@@ -66,6 +66,16 @@
 	return s
 }
 
+// Organisation returns the state of one organisation. It returns false if it has not been used
+// at this process of late.
+func (l *Limiter) Organisation(now time.Time, name string) (OrganisationState, bool) {
+	a := l.accounts[IDOf(name)]
+	if a == nil {
+		return OrganisationState{}, false
+	}
+	return l.organisationState(now, a, l.used(now, a)), true
+}
+
 func (l *Limiter) organisationState(now time.Time, a *account, window uint64) OrganisationState {
 	o := OrganisationState{
 		Name: a.name, Rate: a.limit.Rate, Burst: a.limit.Burst, Mode: "open", Window: window,
