--- a/review/platform/case_storm.go
+++ b/review/platform/case_storm.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"sync"
@@ -39,12 +40,23 @@
 	f.store.put("op/config", f.grownConfig("gowu98c", bigConfig))
 	rec.say("the configuration has grown by %d routes, version %d, %d bytes", bigConfig, f.version, len(f.store.items["op/config"].Value))
 	time.Sleep(3 * time.Second)
+	var storm [][]byte
 	if trouble {
-		for end := time.Now().Add(stormLength); time.Now().Before(end); time.Sleep(stormGap) {
-			f.store.put("op/config", f.grownConfig("gowu98c", bigConfig))
+		for range int(stormLength / stormGap) {
+			raw, err := json.Marshal(f.grownConfig("gowu98c", bigConfig))
+			if err != nil {
+				return failed(rec, err)
+			}
+			storm = append(storm, raw)
 		}
-		rec.say("the storm has ended, version %d", f.version)
 	}
+	gap := time.NewTicker(stormGap)
+	defer gap.Stop()
+	for _, raw := range storm {
+		<-gap.C
+		f.store.put("op/config", raw)
+	}
+	rec.say("the storm had %d changes", len(storm))
 	ackedAt := f.store.put("op/config", f.grownConfig("nylo40d", bigConfig))
 	rec.say("version %d moves the route from gowu98c to nylo40d", f.version)
 	time.Sleep(time.Until(ackedAt.Add(configApply)) + 200*time.Millisecond)
