--- a/review/platform/case_changes.go
+++ b/review/platform/case_changes.go
@@ -16,8 +16,8 @@
 func init() { cases["changes"] = playChanges }
 
 const (
-	changes     = 240
-	changeGap   = 440 * time.Millisecond
+	changes     = 260
+	changeGap   = 420 * time.Millisecond
 	memoryLimit = 284 << 20 // memory_mb
 	// callers is the number of clients at each machine.
 	callers = 10
@@ -107,6 +107,8 @@
 		}
 	}
 	var endAt time.Time
+	gap := time.NewTicker(changeGap)
+	defer gap.Stop()
 	for i := range changes {
 		if endAt.IsZero() && f.ownEnds() >= 2 {
 			endAt = time.Now().Add(afterEnds)
@@ -120,7 +122,7 @@
 		if trouble {
 			f.store.put("op/config", f.grownConfig("gowu98c", bigConfig))
 		}
-		time.Sleep(changeGap)
+		<-gap.C
 	}
 	close(stop)
 	clients.Wait()
