--- /dev/null
+++ b/review/platform2/case_leaving.go
@@ -0,0 +1,143 @@
+//go:build review
+
+package main
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+)
+
+func init() {
+	cases["leaving-by-detour"] = aCase(leavingByDetour)
+	cases["born-earlier"] = aCase(bornEarlier)
+}
+
+// drain is drain_ms of the settings.
+const drain = 3 * time.Second
+
+// lateToLeaving returns the requests that reached a leaving server from a machine that had passed on
+// an answer with Server-Leaving more than drain_ms before the client sent them. w.mu must be held.
+func (w *world) lateToLeaving() (broken []string) {
+	sent := map[string]*request{}
+	// passed holds when a machine first passed on such an answer. The seal names the server.
+	passed := map[string]time.Time{}
+	for _, r := range w.requests {
+		sent[r.id] = r
+		if !r.leaving || r.seal == "" {
+			continue
+		}
+		leaf, _, _ := strings.Cut(r.seal, ".")
+		key := fmt.Sprintf("%s %s", w.machines[r.machine].name, leaf)
+		if first, ok := passed[key]; !ok || r.ended.Before(first) {
+			passed[key] = r.ended
+		}
+	}
+	for key, at := range passed {
+		w.notes = append(w.notes, fmt.Sprintf("machine and server %s: answer with Server-Leaving passed on at %.3f", key, at.Sub(w.started).Seconds()))
+	}
+	sort.Strings(w.notes[len(w.notes)-len(passed):])
+	for _, a := range w.arrivals {
+		r := sent[a.id]
+		at, ok := passed[fmt.Sprintf("%s %s", w.machines[a.machine].name, a.leaf)]
+		if r == nil || !ok || r.sent.Sub(at) <= drain {
+			continue
+		}
+		broken = append(broken, fmt.Sprintf("DRAIN: request %s, sent at %.3f, reached leaving %s at %.3f from %s, which had passed on an answer with Server-Leaving %.3f s before it was sent",
+			a.id, r.sent.Sub(w.started).Seconds(), a.leaf, a.at.Sub(w.started).Seconds(), w.machines[a.machine].name, r.sent.Sub(at).Seconds()))
+	}
+	return broken
+}
+
+// leavingByDetour partitions a machine from all servers. While its requests take a detour and the store
+// gives no answers, three servers begin to leave; then the machine reaches the servers again.
+func leavingByDetour(w *world) ([]string, error) {
+	d, err := w.deploy(0)
+	if err != nil {
+		return nil, err
+	}
+	end := w.traffic(d)
+	time.Sleep(4 * time.Second)
+	if w.trouble {
+		w.cut(0, pathHang)
+		w.note("%s is partitioned from all servers", w.machines[0].name)
+		time.Sleep(1500 * time.Millisecond)
+		w.store.setSilent(true)
+		w.note("the store gives no answers")
+	}
+	for _, id := range []string{"i-portal-1", "i-portal-3", "i-portal-5"} {
+		l := w.leaf(id)
+		l.mu.Lock()
+		l.draining, l.leaving = true, true
+		l.mu.Unlock()
+		w.note("%s leaves", id)
+		go func() {
+			for !l.beat() {
+				time.Sleep(100 * time.Millisecond)
+			}
+		}()
+	}
+	time.Sleep(3350 * time.Millisecond)
+	if w.trouble {
+		w.cut(0, pathOpen)
+		w.note("%s reaches the servers again", w.machines[0].name)
+		time.Sleep(1100 * time.Millisecond)
+		w.store.setSilent(false)
+		w.note("the store answers again")
+	}
+	time.Sleep(5 * time.Second)
+	end()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.lateToLeaving(), nil
+}
+
+// bornEarlier lets a server crash twice, on a machine whose time of day jumps back in between. Later it
+// drains.
+func bornEarlier(w *world) ([]string, error) {
+	d, err := w.deploy(0)
+	if err != nil {
+		return nil, err
+	}
+	end := w.traffic(d)
+	time.Sleep(4 * time.Second)
+	l := w.leaf("i-portal-1")
+	if w.trouble {
+		l.clock = 2400 * time.Millisecond
+	}
+	l.crash()
+	w.note("%s crashes", l.id)
+	time.Sleep(500 * time.Millisecond)
+	if err := l.start(0); err != nil {
+		return nil, err
+	}
+	w.note("%s is back, its clock is ahead by %v", l.id, l.clock)
+	time.Sleep(1200 * time.Millisecond)
+	l.crash()
+	w.note("%s crashes", l.id)
+	l.clock = 0
+	time.Sleep(300 * time.Millisecond)
+	if err := l.start(0); err != nil {
+		return nil, err
+	}
+	w.note("%s is back, its clock is right", l.id)
+	time.Sleep(8 * time.Second)
+	l.mu.Lock()
+	l.draining = true
+	l.mu.Unlock()
+	l.beat()
+	acknowledged := time.Now()
+	w.note("the store has acknowledged that %s drains", l.id)
+	time.Sleep(7 * time.Second)
+	end()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var broken []string
+	for _, a := range w.arrivals {
+		if after := a.at.Sub(acknowledged); a.leaf == l.id && after > drain {
+			broken = append(broken, fmt.Sprintf("DRAIN: request %s reached %s from %s %.3f s after the store had acknowledged that it drains", a.id, l.id, w.machines[a.machine].name, after.Seconds()))
+		}
+	}
+	return broken, nil
+}
