--- a/review/platform2/case_leaving.go
+++ b/review/platform2/case_leaving.go
@@ -50,15 +50,38 @@
 	return broken
 }
 
-// leavingByDetour partitions a machine from all servers. While its requests take a detour and the store
-// gives no answers, three servers begin to leave; then the machine reaches the servers again.
+// leavingByDetour does twice what leaveMeanwhile does, with other servers.
 func leavingByDetour(w *world) ([]string, error) {
 	d, err := w.deploy(0)
 	if err != nil {
 		return nil, err
 	}
-	end := w.traffic(d)
+	end := w.traffic(d, 2*entryPerS) // the shares of the machines are uneven
 	time.Sleep(4 * time.Second)
+	w.leaveMeanwhile("i-portal-1", "i-portal-3", "i-portal-5")
+	for _, id := range []string{"i-portal-1", "i-portal-3", "i-portal-5"} {
+		l := w.leaf(id)
+		l.crash()
+		w.store.apply(storeItem{Key: "servers/" + id, Deleted: true})
+		l.mu.Lock()
+		l.id += "-new"
+		l.mu.Unlock()
+		if err := l.start(0); err != nil {
+			return nil, err
+		}
+		w.note("%s has ended, %s takes its place", id, l.id)
+	}
+	time.Sleep(6 * time.Second)
+	w.leaveMeanwhile("i-portal-2", "i-portal-4", "i-portal-6")
+	end()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.lateToLeaving(), nil
+}
+
+// leaveMeanwhile partitions a machine from all servers. While its requests take a detour and the store
+// gives no answers, some servers begin to leave; then the machine reaches the servers again.
+func (w *world) leaveMeanwhile(ids ...string) {
 	if w.trouble {
 		w.cut(0, pathHang)
 		w.note("%s is partitioned from all servers", w.machines[0].name)
@@ -66,7 +89,7 @@
 		w.store.setSilent(true)
 		w.note("the store gives no answers")
 	}
-	for _, id := range []string{"i-portal-1", "i-portal-3", "i-portal-5"} {
+	for _, id := range ids {
 		l := w.leaf(id)
 		l.mu.Lock()
 		l.draining, l.leaving = true, true
@@ -87,10 +110,6 @@
 		w.note("the store answers again")
 	}
 	time.Sleep(5 * time.Second)
-	end()
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.lateToLeaving(), nil
 }
 
 // bornEarlier lets a server crash twice, on a machine whose time of day jumps back in between. Later it
--- a/review/platform2/deployment.go
+++ b/review/platform2/deployment.go
@@ -9,7 +9,7 @@
 )
 
 // deployment is a small deployment as of the site qccco-search: six machines in three zones, shards
-// with two servers each, and a service with six servers.
+// with two servers each, and a service with eight servers.
 type deployment struct {
 	browse, lookup, entry *kind
 }
@@ -49,7 +49,7 @@
 			l.work["/browse/"], l.work["/lookup/"] = 10*time.Millisecond, 4*time.Millisecond
 		}
 	}
-	for i, zone := range []string{"bne", "bne", "tsv", "tsv", "too", "too"} {
+	for i, zone := range []string{"bne", "bne", "tsv", "tsv", "too", "too", "bne", "tsv"} {
 		l, err := newLeaf(w, "portal", zone, fmt.Sprintf("i-portal-%d", i+1), 3)
 		if err != nil {
 			return nil, err
@@ -77,15 +77,20 @@
 	return d, nil
 }
 
-// traffic sends the usual requests to all machines until end is called.
-func (w *world) traffic(d *deployment) (end func()) {
+// traffic sends the usual requests to all machines until end is called. The first machines get the
+// given rates of requests for single entries.
+func (w *world) traffic(d *deployment, entryRates ...float64) (end func()) {
 	clients := w.clients()
 	var wg sync.WaitGroup
 	stop := make(chan struct{})
 	for m := range w.machines {
 		w.load(&wg, clients, m, d.browse, browsePerS, stop)
 		w.load(&wg, clients, m, d.lookup, lookupPerS, stop)
-		w.load(&wg, clients, m, d.entry, entryPerS, stop)
+		rate := float64(entryPerS)
+		if m < len(entryRates) {
+			rate = entryRates[m]
+		}
+		w.load(&wg, clients, m, d.entry, rate, stop)
 	}
 	return func() {
 		close(stop)
