--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins of the second review: the platform's store, the servers, the clients and the checks.
 set -e
 cd "$(dirname "$0")/.."
-go build -tags review -o review/platform2/bin/standins ./review/platform2
+go build -tags review -o review/second/bin/standins ./review/second/platform
